Lay out the project: tool chain, link messages, policy interfaces

Link messages are protobuf with the generated code committed. The decision interfaces (router, scheduler) and configuration types come first, so that parts can be written against them independently.

--- /dev/null
+++ b/src/contract/config/index.ts
@@ -0,0 +1,1 @@
+export * from "./types.js"
--- /dev/null
+++ b/src/contract/errors.ts
@@ -0,0 +1,67 @@
+/** Errors of the system. Each carries the step and the peer it arose at. */
+
+/** The step of a request or of a control task at which an error arose. */
+export enum Step {
+	Receive = "receive",
+	Admit = "admit",
+	Claim = "claim",
+	Forward = "forward",
+	Queue = "queue",
+	Load = "load",
+	Send = "send",
+	Stream = "stream",
+	Answer = "answer",
+	Record = "record",
+	Settings = "settings",
+	ParseConfig = "parseConfig",
+	WriteParts = "writeParts",
+	WriteRoot = "writeRoot",
+	Spread = "spread",
+	Drain = "drain",
+	Platform = "platform"
+}
+
+export interface StepErrorOptions {
+	step: Step
+	/** Host id, address or URL of the other side; empty when there is none. */
+	peer?: string
+	cause?: unknown
+}
+
+/** Base of all typed errors. */
+export class StepError extends Error {
+	readonly step: Step
+	readonly peer: string
+
+	constructor(message: string, {step, peer = "", cause}: StepErrorOptions) {
+		super(message, cause === undefined ? undefined : {cause})
+		this.name = new.target.name
+		this.step = step
+		this.peer = peer
+	}
+}
+
+/** The platform did not answer, or refused the call. */
+export class PlatformError extends StepError {}
+
+/** A setting or flag is missing or malformed. */
+export class SettingsError extends StepError {
+	readonly faults: readonly string[]
+
+	constructor(faults: readonly string[]) {
+		super(faults.join("\n"), {step: Step.Settings})
+		this.faults = faults
+	}
+}
+
+/** A request that the caller must correct. */
+export class BadRequestError extends StepError {
+	constructor(
+		/** JSON path or header name of the faulty field. */
+		readonly field: string,
+		message: string,
+		readonly status = 400
+	) {
+		super(message, {step: Step.Receive})
+	}
+}
--- /dev/null
+++ b/src/contract/index.ts
@@ -0,0 +1,3 @@
+export * from "./config/index.js"
+export * from "./errors.js"
+export * from "./gen/link_pb.js"
--- /dev/null
+++ b/src/host/index.ts
@@ -0,0 +1,1 @@
+export * from "./host.js"
--- /dev/null
+++ b/src/policy/index.ts
@@ -0,0 +1,3 @@
+export * from "./router.js"
+export * from "./scheduler.js"
+export * from "./types.js"
