--- /dev/null
+++ b/src/program/index.ts
@@ -0,0 +1,4 @@
+export * from "./counters.js"
+export * from "./log.js"
+export * from "./run.js"
+export * from "./settings.js"
--- /dev/null
+++ b/src/program/log.ts
@@ -0,0 +1,29 @@
+/** Structured logs: JSON lines on standard error, for changes of state only. */
+import winston from "winston"
+
+export type Log = winston.Logger
+
+export interface LogOptions {
+	role: string
+	hostId: string
+	level?: string
+}
+
+/** Creates the logger of one process. */
+export function createLog({role, hostId, level = "info"}: LogOptions): Log {
+	return winston.createLogger({
+		level,
+		defaultMeta: {role, hostId},
+		format: winston.format.combine(
+			winston.format.timestamp(),
+			winston.format.json()
+		),
+		transports: [
+			// winston's declarations of transports and of formats disagree.
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
+			new winston.transports.Console({
+				stderrLevels: ["error", "warn", "info", "debug"]
+			})
+		]
+	})
+}
--- /dev/null
+++ b/src/utils/index.ts
@@ -0,0 +1,1 @@
+export * from "./common.js"
