--- a/src/contract/config/index.ts
+++ b/src/contract/config/index.ts
@@ -1,1 +1,6 @@
+export * from "./diff.js"
+export * from "./faults.js"
+export * from "./parse.js"
+export * from "./parts.js"
+export type {ConfigFile} from "./source.js"
 export * from "./types.js"
--- /dev/null
+++ b/src/link/httpPlatform.ts
@@ -0,0 +1,266 @@
+/**
+ * The platform's object API over HTTP. A read is repeated never and a write
+ * never: what a lost answer means is for the caller to settle.
+ */
+import {Agent, request} from "undici"
+import {z} from "zod"
+import {PlatformError, Step} from "../contract/errors.js"
+import {HostRole, HostState} from "../host/host.js"
+import {messageOf} from "../utils/common.js"
+import {
+	absentVersion,
+	type HostRecord,
+	Platform,
+	type PlatformListing,
+	type PlatformObject,
+	type PlatformWatch,
+	WriteOutcome,
+	type WriteResult
+} from "./platform.js"
+
+export interface HttpPlatformOptions {
+	url: string
+	/** Longest wait for an answer other than a watch. */
+	timeoutMs?: number
+	connections?: number
+}
+
+interface Answer {
+	status: number
+	body: unknown
+}
+
+const objectSchema = z.object({
+	name: z.string(),
+	version: z.number(),
+	value: z.unknown()
+})
+const listingSchema = z.object({
+	revision: z.number(),
+	items: z.array(objectSchema)
+})
+const watchSchema = z.object({
+	revision: z.number(),
+	events: z.array(objectSchema)
+})
+const versionSchema = z.object({version: z.number()})
+const hostsSchema = z.object({
+	hosts: z.array(
+		z.object({
+			id: z.string(),
+			role: z.enum(HostRole),
+			address: z.string(),
+			failureDomain: z.string(),
+			pool: z.string(),
+			state: z.enum(HostState)
+		})
+	)
+})
+
+const httpOk = 200
+const httpNotFound = 404
+const httpGone = 410
+const httpConflict = 412
+const httpServerError = 500
+const watchGraceMs = 2000
+
+/** Counts calls by kind, so that the platform's budget can be accounted for. */
+export interface PlatformCalls {
+	reads: number
+	writes: number
+	watches: number
+	failures: number
+}
+
+export class HttpPlatform extends Platform {
+	readonly calls: PlatformCalls = {
+		reads: 0,
+		writes: 0,
+		watches: 0,
+		failures: 0
+	}
+	private readonly url: string
+	private readonly timeoutMs: number
+	private readonly agent: Agent
+
+	constructor({url, timeoutMs = 2000, connections = 8}: HttpPlatformOptions) {
+		super()
+		this.url = url.replace(/\/$/, "")
+		this.timeoutMs = timeoutMs
+		this.agent = new Agent({connections, pipelining: 1})
+	}
+
+	async read(kind: string, name: string): Promise<PlatformObject | undefined> {
+		this.calls.reads += 1
+		const answer = await this.get(objectPath(kind, name), this.timeoutMs)
+		if (answer.status === httpNotFound) return undefined
+		return this.parse(objectSchema, answer)
+	}
+
+	async list(kind: string, prefix = ""): Promise<PlatformListing> {
+		this.calls.reads += 1
+		const path = `${kindPath(kind)}?prefix=${encodeURIComponent(prefix)}`
+		const answer = await this.get(path, this.timeoutMs)
+		return this.parse(listingSchema, answer)
+	}
+
+	async write(
+		kind: string,
+		name: string,
+		value: unknown,
+		expected: number
+	): Promise<WriteResult> {
+		const body = JSON.stringify(value)
+		return this.change("PUT", kind, name, expected, body)
+	}
+
+	async remove(
+		kind: string,
+		name: string,
+		expected: number
+	): Promise<WriteResult> {
+		return this.change("DELETE", kind, name, expected, undefined)
+	}
+
+	async watch(
+		kind: string,
+		revision: number,
+		deadline: number
+	): Promise<PlatformWatch> {
+		this.calls.watches += 1
+		const waitMs = Math.max(0, Math.round(deadline - Date.now()))
+		const query = `watch=1&revision=${revision}&timeoutMs=${waitMs}`
+		const path = `${kindPath(kind)}?${query}`
+		const answer = await this.get(path, waitMs + watchGraceMs)
+		if (answer.status === httpGone) {
+			return {revision: 0, events: [], gap: true}
+		}
+		return {...this.parse(watchSchema, answer), gap: false}
+	}
+
+	async hosts(): Promise<HostRecord[]> {
+		this.calls.reads += 1
+		const answer = await this.get("/v1/hosts", this.timeoutMs)
+		return this.parse(hostsSchema, answer).hosts
+	}
+
+	async close(): Promise<void> {
+		await this.agent.destroy()
+	}
+
+	private async get(path: string, timeoutMs: number): Promise<Answer> {
+		try {
+			return await this.send("GET", path, timeoutMs, {}, undefined)
+		} catch (err) {
+			this.calls.failures += 1
+			throw this.wrap(`GET ${path}: ${messageOf(err)}`, err)
+		}
+	}
+
+	private async change(
+		method: "PUT" | "DELETE",
+		kind: string,
+		name: string,
+		expected: number,
+		body: string | undefined
+	): Promise<WriteResult> {
+		this.calls.writes += 1
+		const headers = conditionHeaders(expected)
+		const path = objectPath(kind, name)
+		try {
+			const answer = await this.send(
+				method,
+				path,
+				this.timeoutMs,
+				headers,
+				body
+			)
+			return classifyWrite(answer)
+		} catch (err) {
+			this.calls.failures += 1
+			return {
+				outcome: isNeverSent(err) ? WriteOutcome.Refused : WriteOutcome.Lost,
+				version: absentVersion,
+				detail: messageOf(err)
+			}
+		}
+	}
+
+	private async send(
+		method: "GET" | "PUT" | "DELETE",
+		path: string,
+		timeoutMs: number,
+		headers: Record<string, string>,
+		body: string | undefined
+	): Promise<Answer> {
+		const res = await request(this.url + path, {
+			method,
+			dispatcher: this.agent,
+			signal: AbortSignal.timeout(timeoutMs),
+			headers: {"content-type": "application/json", ...headers},
+			body: body ?? null
+		})
+		const text = await res.body.text()
+		return {status: res.statusCode, body: parseJson(text)}
+	}
+
+	private parse<T>(schema: z.ZodType<T>, answer: Answer): T {
+		if (answer.status !== httpOk) {
+			this.calls.failures += 1
+			throw this.wrap(`status ${answer.status}`, undefined)
+		}
+		const result = schema.safeParse(answer.body)
+		if (result.success) return result.data
+		throw this.wrap(`malformed answer: ${result.error.message}`, undefined)
+	}
+
+	private wrap(message: string, cause: unknown): PlatformError {
+		return new PlatformError(message, {
+			step: Step.Platform,
+			peer: this.url,
+			cause
+		})
+	}
+}
+
+function kindPath(kind: string): string {
+	return `/v1/objects/${encodeURIComponent(kind)}`
+}
+
+function objectPath(kind: string, name: string): string {
+	return `${kindPath(kind)}/${encodeURIComponent(name)}`
+}
+
+function conditionHeaders(expected: number): Record<string, string> {
+	if (expected === absentVersion) return {"if-none-match": "*"}
+	return {"if-match": `"${expected}"`}
+}
+
+function classifyWrite(answer: Answer): WriteResult {
+	const parsed = versionSchema.safeParse(answer.body)
+	const version = parsed.success ? parsed.data.version : absentVersion
+	const detail = `status ${answer.status}`
+	if (answer.status === httpOk) {
+		return {outcome: WriteOutcome.Written, version, detail}
+	}
+	if (answer.status === httpConflict) {
+		return {outcome: WriteOutcome.Conflict, version, detail}
+	}
+	// A server error says nothing of whether the write took effect.
+	const isLost = answer.status >= httpServerError
+	const outcome = isLost ? WriteOutcome.Lost : WriteOutcome.Refused
+	return {outcome, version, detail}
+}
+
+/** True when the connection was refused, so the write never left. */
+function isNeverSent(err: unknown): boolean {
+	return err instanceof Error && "code" in err && err.code === "ECONNREFUSED"
+}
+
+function parseJson(text: string): unknown {
+	try {
+		return JSON.parse(text)
+	} catch {
+		return undefined
+	}
+}
--- /dev/null
+++ b/src/link/linkServer.ts
@@ -0,0 +1,145 @@
+/** The gRPC server of a process. */
+import * as grpc from "@grpc/grpc-js"
+import type {
+	Ack,
+	Announce,
+	ConfigOffer,
+	ConfigRequest,
+	ConfigResponse,
+	DrainRequest,
+	Report,
+	ReportAck,
+	RunEvent,
+	RunRequest,
+	StatusRequest,
+	StatusResponse,
+	Ticket,
+	TicketRequest
+} from "../contract/gen/link_pb.js"
+import {messageOf} from "../utils/common.js"
+import {linkMethods} from "./methods.js"
+import {serverCredentials, type TlsKeys} from "./tls.js"
+
+export type RunCall = grpc.ServerWritableStream<RunRequest, RunEvent>
+export type ReportCall = grpc.ServerDuplexStream<ReportAck, Report>
+
+/** What a process answers; a method it leaves out is unimplemented. */
+export interface LinkHandlers {
+	run?: (call: RunCall) => void
+	report?: (call: ReportCall) => void
+	config?: (req: ConfigRequest) => Promise<ConfigResponse>
+	offer?: (req: ConfigOffer) => Promise<Ack>
+	announce?: (req: Announce) => Promise<Ack>
+	drain?: (req: DrainRequest) => Promise<Ack>
+	status?: (req: StatusRequest) => Promise<StatusResponse>
+	ticket?: (req: TicketRequest) => Promise<Ticket>
+}
+
+export interface LinkServerOptions {
+	/** `ip:port`; port 0 takes a free one. */
+	address: string
+	handlers: LinkHandlers
+	tls?: TlsKeys | undefined
+}
+
+/** Thrown by a handler to refuse a call with a gRPC status. */
+export class RefusedCallError extends Error {
+	constructor(
+		readonly code: grpc.status,
+		message: string
+	) {
+		super(message)
+		this.name = "RefusedCallError"
+	}
+}
+
+const maxMessageBytes = 16 * 1024 * 1024
+const keepaliveMs = 5000
+
+export class LinkServer {
+	private readonly server: grpc.Server
+
+	private constructor(
+		server: grpc.Server,
+		/** `ip:port` actually bound. */
+		readonly address: string
+	) {
+		this.server = server
+	}
+
+	/** Binds the address; rejects when another process holds it. */
+	static async start(options: LinkServerOptions): Promise<LinkServer> {
+		const server = new grpc.Server({
+			"grpc.max_receive_message_length": maxMessageBytes,
+			"grpc.keepalive_time_ms": keepaliveMs,
+			"grpc.keepalive_timeout_ms": keepaliveMs,
+			"grpc.so_reuseport": 0
+		})
+		addHandlers(server, options.handlers)
+		const port = await bind(server, options)
+		const ip = options.address.slice(0, options.address.lastIndexOf(":"))
+		return new LinkServer(server, `${ip}:${port}`)
+	}
+
+	/** Refuses new calls and resolves when the running ones ended. */
+	drain(): Promise<void> {
+		return new Promise(resolve => {
+			this.server.tryShutdown(() => {
+				resolve()
+			})
+		})
+	}
+
+	close(): void {
+		this.server.forceShutdown()
+	}
+}
+
+function bind(
+	server: grpc.Server,
+	{address, tls}: LinkServerOptions
+): Promise<number> {
+	return new Promise((resolve, reject) => {
+		server.bindAsync(address, serverCredentials(tls), (err, port) => {
+			if (err === null) resolve(port)
+			else reject(err)
+		})
+	})
+}
+
+function addHandlers(server: grpc.Server, handlers: LinkHandlers): void {
+	const implementation: grpc.UntypedServiceImplementation = {}
+	if (handlers.run !== undefined) implementation.run = handlers.run
+	if (handlers.report !== undefined) implementation.report = handlers.report
+	addUnary(implementation, "config", handlers.config)
+	addUnary(implementation, "offer", handlers.offer)
+	addUnary(implementation, "announce", handlers.announce)
+	addUnary(implementation, "drain", handlers.drain)
+	addUnary(implementation, "status", handlers.status)
+	addUnary(implementation, "ticket", handlers.ticket)
+	server.addService(linkMethods, implementation)
+}
+
+function addUnary(
+	implementation: grpc.UntypedServiceImplementation,
+	name: keyof typeof linkMethods,
+	handler: ((req: never) => Promise<unknown>) | undefined
+): void {
+	if (handler === undefined) return
+	const handle: grpc.handleUnaryCall<never, unknown> = (call, reply) => {
+		handler(call.request).then(
+			res => {
+				reply(null, res)
+			},
+			(err: unknown) => {
+				reply(statusOf(err))
+			}
+		)
+	}
+	implementation[name] = handle
+}
+
+function statusOf(err: unknown): Partial<grpc.StatusObject> {
+	const code = err instanceof RefusedCallError ? err.code : grpc.status.INTERNAL
+	return {code, details: messageOf(err)}
+}
--- /dev/null
+++ b/src/link/methods.ts
@@ -0,0 +1,74 @@
+/** The gRPC methods between processes, with their codecs. */
+import {
+	type DescMessage,
+	fromBinary,
+	type MessageShape,
+	toBinary
+} from "@bufbuild/protobuf"
+import type * as grpc from "@grpc/grpc-js"
+import {
+	AckSchema,
+	AnnounceSchema,
+	ConfigOfferSchema,
+	ConfigRequestSchema,
+	ConfigResponseSchema,
+	DrainRequestSchema,
+	ReportAckSchema,
+	ReportSchema,
+	RunEventSchema,
+	RunRequestSchema,
+	StatusRequestSchema,
+	StatusResponseSchema,
+	TicketRequestSchema,
+	TicketSchema
+} from "../contract/gen/link_pb.js"
+
+const servicePath = "/goldcrestloom.link.v1.Link/"
+
+function defineMethod<I extends DescMessage, O extends DescMessage>(
+	name: string,
+	input: I,
+	output: O,
+	requestStream: boolean,
+	responseStream: boolean
+): grpc.MethodDefinition<MessageShape<I>, MessageShape<O>> {
+	return {
+		path: servicePath + name,
+		requestStream,
+		responseStream,
+		requestSerialize: message => Buffer.from(toBinary(input, message)),
+		requestDeserialize: bytes => fromBinary(input, bytes),
+		responseSerialize: message => Buffer.from(toBinary(output, message)),
+		responseDeserialize: bytes => fromBinary(output, bytes)
+	}
+}
+
+/** All methods; which of them a process serves depends on its role. */
+export const linkMethods = {
+	run: defineMethod("Run", RunRequestSchema, RunEventSchema, false, true),
+	report: defineMethod("Report", ReportAckSchema, ReportSchema, true, true),
+	config: defineMethod(
+		"Config",
+		ConfigRequestSchema,
+		ConfigResponseSchema,
+		false,
+		false
+	),
+	offer: defineMethod("Offer", ConfigOfferSchema, AckSchema, false, false),
+	announce: defineMethod("Announce", AnnounceSchema, AckSchema, false, false),
+	drain: defineMethod("Drain", DrainRequestSchema, AckSchema, false, false),
+	status: defineMethod(
+		"Status",
+		StatusRequestSchema,
+		StatusResponseSchema,
+		false,
+		false
+	),
+	ticket: defineMethod(
+		"Ticket",
+		TicketRequestSchema,
+		TicketSchema,
+		false,
+		false
+	)
+} satisfies grpc.ServiceDefinition
