Report service-level burn from counts in the platform

Entries write cumulative counts of each hour as one object per start, so a rewrite after a lost answer, a conflict or an outage is harmless. One shared object was ruled out because every flush would conflict, and deltas because a lost answer would count twice.

--- /dev/null
+++ b/src/report/burnObject.ts
@@ -0,0 +1,106 @@
+/**
+ * Burn counts as stored in the platform: one object per recorder and hour,
+ * with one column of counts per cause, which keeps the object small.
+ */
+import {z} from "zod"
+import {
+	addSeries,
+	type BurnCause,
+	burnCauses,
+	type BurnPart,
+	type BurnSeries,
+	createPart,
+	hourMs,
+	minuteMs
+} from "../policy/burn.js"
+
+/** Kind of the platform's objects that hold burn counts. */
+export const burnKind = "burn"
+
+const minutesPerHour = hourMs / minuteMs
+
+const countColumn = z.array(z.number().int().nonnegative()).max(minutesPerHour)
+
+const seriesSchema = z.object({
+	serviceLevel: z.string(),
+	member: z.string(),
+	/** Minutes within the hour; the other columns are aligned with it. */
+	minutes: countColumn,
+	good: countColumn,
+	/** A cause without counts has no column. */
+	bad: z.record(z.string(), countColumn)
+})
+
+const objectSchema = z.object({
+	recorder: z.string(),
+	hour: z.number().int(),
+	series: z.array(seriesSchema)
+})
+
+export type BurnObject = z.infer<typeof objectSchema>
+type StoredSeries = z.infer<typeof seriesSchema>
+
+/** Prefix of the names of all objects of one hour. */
+export function burnPrefix(hour: number): string {
+	return `${hour}.`
+}
+
+export function burnName(hour: number, recorder: string): string {
+	return burnPrefix(hour) + recorder
+}
+
+export function encodePart(part: BurnPart): BurnObject {
+	const series: StoredSeries[] = []
+	for (const one of part.series.values()) series.push(encodeSeries(one, part))
+	return {recorder: part.recorder, hour: part.hour, series}
+}
+
+/** Undefined when the value is not a burn object. */
+export function decodePart(value: unknown): BurnPart | undefined {
+	const result = objectSchema.safeParse(value)
+	if (!result.success) return undefined
+	const {recorder, hour, series} = result.data
+	const part = createPart(recorder, hour)
+	for (const one of series) decodeSeries(one, part)
+	return part
+}
+
+function encodeSeries(series: BurnSeries, part: BurnPart): StoredSeries {
+	const counts = [...series.minutes.values()]
+	const firstMinute = part.hour * minutesPerHour
+	const bad: Record<string, number[]> = {}
+	for (const cause of burnCauses) {
+		const column = counts.map(one => one.bad[cause] ?? 0)
+		if (column.some(count => count > 0)) bad[cause] = column
+	}
+	return {
+		serviceLevel: series.serviceLevel,
+		member: series.member,
+		minutes: counts.map(one => one.minute - firstMinute),
+		good: counts.map(one => one.good),
+		bad
+	}
+}
+
+function decodeSeries(stored: StoredSeries, part: BurnPart): void {
+	const series = addSeries(part, stored.serviceLevel, stored.member)
+	const firstMinute = part.hour * minutesPerHour
+	for (const [index, offset] of stored.minutes.entries()) {
+		const minute = firstMinute + offset
+		const good = stored.good[index] ?? 0
+		const bad = decodeCauses(stored.bad, index)
+		series.minutes.set(minute, {minute, good, bad})
+	}
+}
+
+function decodeCauses(
+	columns: StoredSeries["bad"],
+	index: number
+): Partial<Record<BurnCause, number>> {
+	const bad: Partial<Record<BurnCause, number>> = {}
+	for (const cause of burnCauses) {
+		const count = columns[cause]?.[index] ?? 0
+		if (count > 0) bad[cause] = count
+	}
+	return bad
+}
--- /dev/null
+++ b/src/report/burnText.ts
@@ -0,0 +1,89 @@
+/** The burn report as plain text. */
+import {budgetPeriodMs, type BurnAssessment} from "../policy/burnAlerts.js"
+import {hourMs} from "../policy/burn.js"
+import {
+	formatExhaustion,
+	formatGoodShare,
+	formatPercent,
+	formatRate,
+	formatSeverity,
+	formatTime
+} from "./format.js"
+import type {BurnReport, LevelReport} from "./readBurn.js"
+
+const maxMembersShown = 10
+const columnGap = "  "
+
+export function renderBurnText(report: BurnReport): string {
+	const title = `Service-level burn of ${report.deployment}`
+	const lines = [
+		`${title} at ${formatTime(report.at)}`,
+		`counts of the last ${budgetPeriodMs / hourMs} h from ${report.recorders} entry starts`
+	]
+	if (report.skipped > 0) {
+		lines.push(`warning: ${report.skipped} stored objects are not readable`)
+	}
+	for (const level of report.levels) {
+		lines.push("", ...renderLevel(level, report.at))
+	}
+	return `${lines.join("\n")}\n`
+}
+
+function renderLevel(report: LevelReport, at: number): string[] {
+	const {level, members} = report
+	const target = formatPercent(level.target, 2)
+	const window = `${level.windowMs / 1000} s`
+	const shown = members.filter(one => one.bad > 0).slice(0, maxMembersShown)
+	const rows = [report.total, ...shown].map(one => renderRow(one, at))
+	return [
+		`${level.name}: ${target} complete, once, within ${window} (${level.routes.join(", ")})`,
+		...alignColumns([header, ...rows]),
+		...renderHidden(members.length - shown.length)
+	]
+}
+
+const header = [
+	"Member",
+	"state",
+	"good",
+	"bad",
+	"share",
+	"5 min",
+	"1 h",
+	"30 min",
+	"6 h",
+	"budget left",
+	"ends in",
+	"leading cause"
+]
+
+function renderRow(one: BurnAssessment, at: number): string[] {
+	return [
+		one.member ?? "all",
+		formatSeverity(one.severity),
+		String(one.good),
+		String(one.bad),
+		formatGoodShare(one),
+		formatRate(one.rates.fastShort),
+		formatRate(one.rates.fastLong),
+		formatRate(one.rates.slowShort),
+		formatRate(one.rates.slowLong),
+		formatPercent(one.budgetLeft, 0),
+		formatExhaustion(one, at),
+		one.leadingCause ?? "-"
+	]
+}
+
+function renderHidden(count: number): string[] {
+	return count === 0 ? [] : [`${count} more Members are not shown`]
+}
+
+function alignColumns(rows: string[][]): string[] {
+	const widths = header.map((_, column) =>
+		Math.max(...rows.map(row => row[column]?.length ?? 0))
+	)
+	return rows.map(row => {
+		const cells = row.map((cell, column) => cell.padEnd(widths[column] ?? 0))
+		return `  ${cells.join(columnGap).trimEnd()}`
+	})
+}
--- /dev/null
+++ b/src/report/index.ts
@@ -0,0 +1,5 @@
+export * from "./burnHtml.js"
+export * from "./burnObject.js"
+export * from "./burnRecorder.js"
+export * from "./burnText.js"
+export * from "./readBurn.js"
--- /dev/null
+++ b/src/report/readBurn.ts
@@ -0,0 +1,160 @@
+/** Reads burn counts and service levels from the platform into a report. */
+import {
+	configRootKind,
+	configRootName,
+	type ConfigRoot,
+	type ServiceLevel
+} from "../contract/config/types.js"
+import {PlatformError, Step} from "../contract/errors.js"
+import type {Platform} from "../link/platform.js"
+import {
+	type BurnLedger,
+	createLedger,
+	hourOf,
+	mergeIntoLedger,
+	minuteMs,
+	sumWindow,
+	type WindowCounts
+} from "../policy/burn.js"
+import {
+	assessBurn,
+	assessMembers,
+	budgetPeriodMs,
+	type BurnAssessment,
+	burnWindowsMs
+} from "../policy/burnAlerts.js"
+import {burnKind, burnPrefix, decodePart} from "./burnObject.js"
+
+export interface BurnReportOptions {
+	platform: Platform
+	at: number
+	/** Only this service level; all when empty. */
+	serviceLevel?: string
+	/** Only this Member; all when empty. */
+	member?: string
+}
+
+/** Counts of five minutes, for plots. */
+export interface BurnPoint extends WindowCounts {
+	/** End of the five minutes. */
+	at: number
+}
+
+export interface LevelReport {
+	level: ServiceLevel
+	/** All Members, or the one asked for. */
+	total: BurnAssessment
+	members: BurnAssessment[]
+	/** Oldest first. */
+	points: BurnPoint[]
+}
+
+export interface BurnReport {
+	deployment: string
+	at: number
+	/** Entry incarnations that counted something in the period. */
+	recorders: number
+	/** Objects that could not be understood and are not counted. */
+	skipped: number
+	levels: LevelReport[]
+}
+
+const pointMs = 5 * minuteMs
+
+/**
+ * Reads and assesses the counts of the budget period before `at`.
+ *
+ * @throws PlatformError when the platform does not answer, or holds no
+ * configuration or no such service level
+ */
+export async function readBurnReport({
+	platform,
+	at,
+	serviceLevel = "",
+	member = ""
+}: BurnReportOptions): Promise<BurnReport> {
+	const {settings} = await readRoot(platform)
+	const levels = chooseLevels(settings.serviceLevels, serviceLevel)
+	const ledger = createLedger()
+	const skipped = await readParts(platform, ledger, at)
+	const recorders = new Set<string>()
+	for (const part of ledger.parts.values()) recorders.add(part.recorder)
+	return {
+		deployment: settings.deployment,
+		at,
+		recorders: recorders.size,
+		skipped,
+		levels: levels.map(level => reportLevel(ledger, level, at, member))
+	}
+}
+
+async function readRoot(platform: Platform): Promise<ConfigRoot> {
+	const object = await platform.read(configRootKind, configRootName)
+	if (object === undefined) {
+		throw new PlatformError("the platform holds no configuration", {
+			step: Step.Platform
+		})
+	}
+	return object.value as ConfigRoot
+}
+
+function chooseLevels(levels: ServiceLevel[], name: string): ServiceLevel[] {
+	if (name === "") return levels
+	const chosen = levels.filter(level => level.name === name)
+	if (chosen.length > 0) return chosen
+	const known = levels.map(level => level.name).join(", ")
+	throw new PlatformError(
+		`service level ${JSON.stringify(name)} does not exist (there are: ${known})`,
+		{step: Step.Platform}
+	)
+}
+
+/** Returns the number of objects that could not be understood. */
+async function readParts(
+	platform: Platform,
+	ledger: BurnLedger,
+	at: number
+): Promise<number> {
+	let skipped = 0
+	const last = hourOf(at)
+	for (let hour = hourOf(at - budgetPeriodMs); hour <= last; hour++) {
+		const {items} = await platform.list(burnKind, burnPrefix(hour))
+		for (const {value} of items) {
+			const part = decodePart(value)
+			if (part === undefined) skipped += 1
+			else mergeIntoLedger(ledger, part)
+		}
+	}
+	return skipped
+}
+
+function reportLevel(
+	ledger: BurnLedger,
+	level: ServiceLevel,
+	at: number,
+	member: string
+): LevelReport {
+	const only = member === "" ? undefined : member
+	const members = assessMembers(ledger, level, at)
+	return {
+		level,
+		total: assessBurn(ledger, level, at, only),
+		members: members.filter(one => only === undefined || one.member === only),
+		points: listPoints(ledger, level.name, at, only)
+	}
+}
+
+function listPoints(
+	ledger: BurnLedger,
+	serviceLevel: string,
+	at: number,
+	member: string | undefined
+): BurnPoint[] {
+	const points: BurnPoint[] = []
+	const first = at - burnWindowsMs.slowLong + pointMs
+	for (let end = first; end <= at; end += pointMs) {
+		const counts = sumWindow(ledger, {serviceLevel, member}, end, pointMs)
+		points.push({at: end, ...counts})
+	}
+	return points
+}
