Add the adapter scheduler and the residency router

The endpoint and entry tasks need decisions to drive. The scheduler keeps slots, pins, waiting requests, loads, retries of failed loads and admission in one state machine; the router prefers where an adapter is resident or loading, then its homes by weighted rendezvous hashing. Baselines for both stand beside them.

Load actions carry an optional number that their LoadEnded may echo: without it, the late end of a load from before a cold restart can't be told from that of its successor. SchedulerOptions gains optional memberWeights.

Ruled out: one heap rescored with time. With waiting time and company in one linear key the order of two adapters never changes with time, so entries need no rescoring.

--- /dev/null
+++ b/src/policy/baselines/fifoScheduler.ts
@@ -0,0 +1,227 @@
+/**
+ * A baseline scheduler: requests and loads in order of arrival, eviction of the
+ * least recently used adapter, no admission control and no grouping.
+ */
+import {LoadBudget} from "../loadBudget.js"
+import {
+	Scheduler,
+	SchedulerActionKind,
+	SchedulerEventKind
+} from "../scheduler.js"
+import type {
+	SchedulerAction,
+	SchedulerEvent,
+	SchedulerOptions,
+	SchedulerSnapshot
+} from "../scheduler.js"
+import {countFreeSeats, createWorker, isResident, SlotState} from "../slots.js"
+import type {Slot, Worker} from "../slots.js"
+import {RefusalReason} from "../types.js"
+import type {AdapterName, Draft} from "../types.js"
+
+const retryAfterMs = 1000
+const retryMs = 100
+
+export class FifoScheduler extends Scheduler {
+	private readonly workers = new Map<string, Worker>()
+	private readonly waiting = new Map<string, Draft>()
+	private readonly usedAt = new Map<AdapterName, number>()
+	private readonly budget: LoadBudget
+	private readonly maxQueued: number
+	private actions: SchedulerAction[] = []
+
+	constructor(options: SchedulerOptions) {
+		super()
+		this.budget = new LoadBudget(options)
+		this.maxQueued = options.maxQueued
+		for (const id of options.workers) {
+			this.workers.set(id, createWorker(id, options.slots, options.seats))
+		}
+	}
+
+	step(event: SchedulerEvent, now: number): SchedulerAction[] {
+		this.actions = []
+		this.handle(event, now)
+		this.refuseLate(now)
+		this.startRuns(now)
+		this.startLoads(now)
+		if (this.waiting.size > 0) {
+			const at = Math.max(now + retryMs, this.budget.nextAt(now) ?? 0)
+			this.actions.push({kind: SchedulerActionKind.Wake, at})
+		}
+		return this.actions
+	}
+
+	snapshot(): SchedulerSnapshot {
+		const workers = [...this.workers.values()].filter(worker => worker.isUp)
+		const slots = workers.flatMap(worker => [...worker.slots.values()])
+		const namesIn = (state: SlotState): AdapterName[] =>
+			slots.filter(slot => slot.state === state).map(slot => slot.adapter)
+		const wanted = [...this.waiting.values()].map(draft => draft.adapter)
+		const missing = wanted.filter(adapter => !this.hasCopy(adapter))
+		return {
+			running: workers.reduce((sum, worker) => sum + worker.runs.size, 0),
+			queued: this.waiting.size,
+			resident: namesIn(SlotState.Resident),
+			loading: namesIn(SlotState.Loading),
+			loadDemand: new Set(missing).size
+		}
+	}
+
+	private handle(event: SchedulerEvent, now: number): void {
+		switch (event.kind) {
+			case SchedulerEventKind.Arrived:
+				this.arrive(event.draft)
+				return
+			case SchedulerEventKind.Cancelled:
+				if (this.waiting.has(event.id))
+					this.refuse(event.id, RefusalReason.Cancelled)
+				return
+			case SchedulerEventKind.LoadEnded:
+				this.endLoad(event, now)
+				return
+			case SchedulerEventKind.RunEnded:
+				this.endRun(event.worker, event.id)
+				return
+			case SchedulerEventKind.WorkerReset:
+				this.resetWorker(event.worker)
+				return
+			case SchedulerEventKind.WorkerUp:
+			case SchedulerEventKind.WorkerDown:
+				this.setWorkerUp(event.worker, event.kind)
+				return
+			case SchedulerEventKind.ShareUpdated:
+				this.budget.setShare(event.share, now)
+				return
+			case SchedulerEventKind.Tick:
+		}
+	}
+
+	private arrive(draft: Draft): void {
+		this.waiting.set(draft.id, draft)
+		if (this.waiting.size > this.maxQueued)
+			this.refuse(draft.id, RefusalReason.Overloaded)
+	}
+
+	private refuse(id: string, reason: RefusalReason): void {
+		this.waiting.delete(id)
+		const kind = SchedulerActionKind.Refuse
+		this.actions.push({kind, id, reason, retryAfterMs})
+	}
+
+	private refuseLate(now: number): void {
+		for (const draft of [...this.waiting.values()]) {
+			if (draft.deadline < now) this.refuse(draft.id, RefusalReason.Deadline)
+		}
+	}
+
+	private endLoad(
+		event: SchedulerEvent & {kind: SchedulerEventKind.LoadEnded},
+		now: number
+	): void {
+		const worker = this.workers.get(event.worker)
+		const slot = worker?.slots.get(event.adapter)
+		if (!worker || slot?.state !== SlotState.Loading) return
+		this.budget.end()
+		if (!event.ok) {
+			worker.slots.delete(event.adapter)
+			return
+		}
+		slot.state = SlotState.Resident
+		slot.loadedAt = now
+	}
+
+	private endRun(workerId: string, id: string): void {
+		const worker = this.workers.get(workerId)
+		const run = worker?.runs.get(id)
+		if (!worker || !run) return
+		worker.runs.delete(id)
+		const slot = worker.slots.get(run.draft.adapter)
+		if (slot) slot.pins -= 1
+	}
+
+	private resetWorker(id: string): void {
+		const worker = this.workers.get(id)
+		if (!worker) return
+		for (const slot of worker.slots.values()) {
+			if (slot.state === SlotState.Loading) this.budget.end()
+		}
+		worker.slots.clear()
+		worker.runs.clear()
+	}
+
+	private setWorkerUp(id: string, kind: SchedulerEventKind): void {
+		const worker = this.workers.get(id)
+		if (worker) worker.isUp = kind === SchedulerEventKind.WorkerUp
+	}
+
+	private startRuns(now: number): void {
+		for (const draft of [...this.waiting.values()]) {
+			const worker = this.findWorker(draft.adapter)
+			if (worker) this.startRun(worker, draft, now)
+		}
+	}
+
+	private findWorker(adapter: AdapterName): Worker | undefined {
+		return [...this.workers.values()].find(
+			worker => countFreeSeats(worker) > 0 && isResident(worker, adapter)
+		)
+	}
+
+	private startRun(worker: Worker, draft: Draft, now: number): void {
+		const slot = worker.slots.get(draft.adapter)
+		if (!slot) return
+		this.waiting.delete(draft.id)
+		this.usedAt.set(draft.adapter, now)
+		slot.pins += 1
+		worker.runs.set(draft.id, {draft, startedAt: now, isCancelled: false})
+		this.actions.push({
+			kind: SchedulerActionKind.Run,
+			worker: worker.id,
+			id: draft.id,
+			loadStallMs: Math.max(0, slot.loadedAt - draft.arrivedAt)
+		})
+	}
+
+	private startLoads(now: number): void {
+		for (const {adapter} of this.waiting.values()) {
+			if (!this.budget.canStart(now)) return
+			if (!this.hasCopy(adapter)) this.startLoad(adapter, now)
+		}
+	}
+
+	private startLoad(adapter: AdapterName, now: number): void {
+		for (const worker of this.workers.values()) {
+			if (!worker.isUp) continue
+			const isFull = worker.slots.size >= worker.capacity
+			const evict = isFull ? this.findOldest(worker) : undefined
+			if (isFull && !evict) continue
+			if (evict) worker.slots.delete(evict.adapter)
+			const state = SlotState.Loading
+			const slot = {adapter, state, pins: 0, loadedAt: Infinity, load: 0}
+			worker.slots.set(adapter, slot)
+			this.budget.start(now)
+			this.actions.push({
+				kind: SchedulerActionKind.Load,
+				worker: worker.id,
+				adapter,
+				evict: evict?.adapter
+			})
+			return
+		}
+	}
+
+	private findOldest(worker: Worker): Slot | undefined {
+		const free = [...worker.slots.values()].filter(
+			slot => slot.pins === 0 && slot.state === SlotState.Resident
+		)
+		const usedAt = (slot: Slot): number => this.usedAt.get(slot.adapter) ?? 0
+		return free.sort((a, b) => usedAt(a) - usedAt(b))[0]
+	}
+
+	private hasCopy(adapter: AdapterName): boolean {
+		return [...this.workers.values()].some(
+			worker => worker.isUp && worker.slots.has(adapter)
+		)
+	}
+}
--- /dev/null
+++ b/src/policy/baselines/index.ts
@@ -0,0 +1,3 @@
+export * from "./fifoScheduler.js"
+export * from "./leastLoadedRouter.js"
+export * from "./staticHashRouter.js"
--- /dev/null
+++ b/src/policy/baselines/staticHashRouter.ts
@@ -0,0 +1,13 @@
+/** A baseline: each adapter has fixed endpoints, whatever their load. */
+import {rankByRendezvous} from "../rendezvous.js"
+import {getAdmitting} from "../residencyRouter.js"
+import {Router} from "../router.js"
+import type {EndpointView, RouteQuery} from "../router.js"
+
+export class StaticHashRouter extends Router {
+	choose(query: RouteQuery, endpoints: readonly EndpointView[]): string[] {
+		const views = getAdmitting(query, endpoints)
+		const items = views.map(view => ({id: view.id, weight: view.seats}))
+		return rankByRendezvous(query.adapter, items)
+	}
+}
--- a/src/policy/index.ts
+++ b/src/policy/index.ts
@@ -1,3 +1,7 @@
+export * from "./adapterScheduler.js"
+export * from "./baselines/index.js"
+export * from "./rendezvous.js"
+export * from "./residencyRouter.js"
 export * from "./router.js"
 export * from "./scheduler.js"
 export * from "./types.js"
--- /dev/null
+++ b/src/policy/keyedHeap.ts
@@ -0,0 +1,123 @@
+/**
+ * A binary min-heap whose entries are addressed by key, so that a priority can
+ * be changed and an entry removed in logarithmic time. Equal priorities leave
+ * in order of insertion.
+ */
+interface Entry<V> {
+	key: string
+	value: V
+	priority: number
+	sequence: number
+	position: number
+}
+
+export class KeyedHeap<V> {
+	private readonly entries: Entry<V>[] = []
+	private readonly byKey = new Map<string, Entry<V>>()
+	private nextSequence = 0
+
+	get size(): number {
+		return this.entries.length
+	}
+
+	has(key: string): boolean {
+		return this.byKey.has(key)
+	}
+
+	/** Inserts an entry, or changes its value and priority. */
+	set(key: string, value: V, priority: number): void {
+		const known = this.byKey.get(key)
+		if (known) {
+			known.value = value
+			if (known.priority === priority) return
+			known.priority = priority
+			this.restore(known)
+			return
+		}
+		const entry = {
+			key,
+			value,
+			priority,
+			sequence: this.nextSequence++,
+			position: this.entries.length
+		}
+		this.entries.push(entry)
+		this.byKey.set(key, entry)
+		this.siftUp(entry)
+	}
+
+	delete(key: string): boolean {
+		const entry = this.byKey.get(key)
+		if (!entry) return false
+		this.byKey.delete(key)
+		const last = this.entries.pop()
+		if (!last || last === entry) return true
+		this.place(last, entry.position)
+		this.restore(last)
+		return true
+	}
+
+	peek(): V | undefined {
+		return this.entries[0]?.value
+	}
+
+	peekPriority(): number | undefined {
+		return this.entries[0]?.priority
+	}
+
+	pop(): V | undefined {
+		const first = this.entries[0]
+		if (!first) return undefined
+		this.delete(first.key)
+		return first.value
+	}
+
+	/** Values in no particular order. */
+	*values(): IterableIterator<V> {
+		for (const entry of this.entries) yield entry.value
+	}
+
+	private restore(entry: Entry<V>): void {
+		this.siftUp(entry)
+		this.siftDown(entry)
+	}
+
+	private siftUp(entry: Entry<V>): void {
+		while (entry.position > 0) {
+			const parent = this.entries[(entry.position - 1) >> 1]
+			if (!parent || !isBefore(entry, parent)) return
+			this.swap(entry, parent)
+		}
+	}
+
+	private siftDown(entry: Entry<V>): void {
+		for (;;) {
+			const child = this.firstChild(entry.position)
+			if (!child || !isBefore(child, entry)) return
+			this.swap(entry, child)
+		}
+	}
+
+	private firstChild(position: number): Entry<V> | undefined {
+		const left = this.entries[2 * position + 1]
+		const right = this.entries[2 * position + 2]
+		if (!left || !right) return left
+		return isBefore(right, left) ? right : left
+	}
+
+	private swap(a: Entry<V>, b: Entry<V>): void {
+		const position = a.position
+		this.place(a, b.position)
+		this.place(b, position)
+	}
+
+	private place(entry: Entry<V>, position: number): void {
+		this.entries[position] = entry
+		entry.position = position
+	}
+}
+
+function isBefore<V>(a: Entry<V>, b: Entry<V>): boolean {
+	if (a.priority !== b.priority) return a.priority < b.priority
+	return a.sequence < b.sequence
+}
--- a/src/policy/scheduler.ts
+++ b/src/policy/scheduler.ts
@@ -35,13 +35,24 @@
 			adapter: AdapterName
 			ok: boolean
 			tookMs: number
+			/** `load` of the action that ended, so that a late end is ignored. */
+			load?: number
 	  }
 	/** A run ended in any way; its seat and its pin are free. */
 	| {kind: SchedulerEventKind.RunEnded; worker: string; id: string}
-	/** The engine restarted cold: nothing is loaded, its runs are gone. */
-	| {kind: SchedulerEventKind.WorkerReset; worker: string}
+	/** The engine restarted: its runs are gone, only `resident` is loaded. */
+	| {
+			kind: SchedulerEventKind.WorkerReset
+			worker: string
+			resident?: readonly AdapterName[]
+	  }
 	| {kind: SchedulerEventKind.WorkerDown; worker: string}
-	| {kind: SchedulerEventKind.WorkerUp; worker: string}
+	/** `resident` is set when the engine was first seen, by what it holds. */
+	| {
+			kind: SchedulerEventKind.WorkerUp
+			worker: string
+			resident?: readonly AdapterName[]
+	  }
 	| {kind: SchedulerEventKind.ShareUpdated; share: LoadShare}
 	| {kind: SchedulerEventKind.Tick}
 
@@ -59,6 +70,8 @@
 			worker: string
 			adapter: AdapterName
 			evict: AdapterName | undefined
+			/** Number of the load, for its `LoadEnded`. */
+			load?: number
 	  }
 	| {
 			kind: SchedulerActionKind.Run
@@ -90,6 +103,8 @@
 	loadMs: number
 	/** Requests held waiting before new ones are refused. */
 	maxQueued: number
+	/** Relative shares of Members under contention; 1 when absent. */
+	memberWeights?: Readonly<Record<string, number>>
 }
 
 /** Counters that the task reports after each step. */
