Add stand-ins of the platform, weight store, engine and plain service

The other parts need something to talk to before they can be tried. The four stand-ins share one HTTP base with common faults and control routes; each has its own faults and a ground truth. Engine text is a pure function of adapter source and prompt, so that an answer can be checked without asking an engine.

--- /dev/null
+++ b/standins/bin/listen.ts
@@ -0,0 +1,27 @@
+/** The `--listen` setting of the stand-in programs. */
+import {kinds, type Service} from "../../src/program/index.js"
+import type {ListenOptions} from "../common/index.js"
+
+export const listenSpec = {
+	schema: kinds.address,
+	description: "Address to listen on",
+	placeholder: "ip:port"
+}
+
+/** Splits `ip:port`. */
+export function parseListen(address: string): Required<ListenOptions> {
+	const separator = address.lastIndexOf(":")
+	const ip = address.slice(0, separator).replace(/[[\]]/g, "")
+	return {ip, port: Number(address.slice(separator + 1))}
+}
+
+/** A daemon that closes its servers when told to stop. */
+export function closeOnDrain(
+	servers: readonly {close(): Promise<void>}[]
+): Service {
+	return {
+		drain: async () => {
+			await Promise.all(servers.map(server => server.close()))
+		}
+	}
+}
--- /dev/null
+++ b/standins/common/index.ts
@@ -0,0 +1,5 @@
+export * from "./fence.js"
+export * from "./lagged.js"
+export * from "./standin.js"
+export * from "./tally.js"
+export * from "./tokenBucket.js"
--- /dev/null
+++ b/standins/common/standin.ts
@@ -0,0 +1,262 @@
+/**
+ * Base of the stand-ins: an HTTP server on the loopback interface with the
+ * faults and control routes that all of them share.
+ */
+import {once} from "node:events"
+import {
+	createServer,
+	type IncomingMessage,
+	type OutgoingHttpHeaders,
+	type ServerResponse
+} from "node:http"
+import type {AddressInfo} from "node:net"
+import polka from "polka"
+import {z} from "zod"
+import {messageOf, sleep} from "../../src/utils/common.js"
+
+export interface ListenOptions {
+	/** Numeric address to listen on. */
+	ip?: string
+	/** Zero for any free port. */
+	port?: number
+}
+
+/** One request with its decoded path parameters and query. */
+export interface Call {
+	req: IncomingMessage
+	res: ServerResponse
+	params: Record<string, string>
+	query: Record<string, string>
+}
+
+/** What a route answers with, as JSON. */
+export interface Answer {
+	status?: number
+	headers?: OutgoingHttpHeaders
+	body: object
+}
+
+/** Handles a call; undefined when the handler answers by itself. */
+export type Handler = (
+	call: Call
+) => Answer | undefined | Promise<Answer | undefined>
+
+/** Ends a call with a status other than 200. */
+export class HttpError extends Error {
+	constructor(
+		readonly status: number,
+		message: string,
+		readonly details: object = {},
+		readonly headers: OutgoingHttpHeaders = {}
+	) {
+		super(message)
+	}
+}
+
+/** Faults that every stand-in has; control routes are exempt from them. */
+export const commonFaults = {
+	/** Connections are accepted, then destroyed. */
+	outage: z.boolean(),
+	/** Calls are accepted and never answered. */
+	hang: z.boolean(),
+	delayMs: z.number().min(0)
+}
+
+export interface CommonFaults {
+	outage: boolean
+	hang: boolean
+	delayMs: number
+}
+
+export const noCommonFaults: CommonFaults = {
+	outage: false,
+	hang: false,
+	delayMs: 0
+}
+
+export const defaultBodyLimitBytes = 1_000_000
+const keepAliveMs = 60_000
+const controlPrefix = "/control/"
+
+export abstract class Standin<F extends CommonFaults> {
+	private readonly server = createServer()
+	private readonly app = polka({server: this.server, onNoMatch: answerNoMatch})
+	private readonly calls = new Set<Call>()
+
+	protected constructor(
+		private readonly faultSchema: z.ZodType<object>,
+		protected faults: F
+	) {
+		this.server.keepAliveTimeout = keepAliveMs
+		this.route("GET", "/healthz", () => ({body: {status: "ok"}}))
+		this.route("GET", "/control/truth", () => ({body: this.truth()}))
+		this.route("POST", "/control/faults", async call => {
+			this.setFaults((await readJson(call.req)) as Partial<F>)
+			return {body: this.faults}
+		})
+	}
+
+	get port(): number {
+		return (this.server.address() as AddressInfo).port
+	}
+
+	get url(): string {
+		const {address, port} = this.server.address() as AddressInfo
+		return `http://${address}:${port}`
+	}
+
+	/** What really happened, for tests to compare with what callers saw. */
+	abstract truth(): object
+
+	/** Merges `changes` into the faults in force. */
+	setFaults(changes: Partial<F>): void {
+		const parsed = this.faultSchema.parse(changes) as Partial<F>
+		this.faults = {...this.faults, ...parsed}
+		if (this.faults.outage) this.destroyCalls()
+		this.applyFaults(parsed)
+	}
+
+	async listen({ip = "127.0.0.1", port = 0}: ListenOptions): Promise<this> {
+		this.app.listen(port, ip)
+		await once(this.server, "listening")
+		return this
+	}
+
+	async close(): Promise<void> {
+		const closed = once(this.server, "close")
+		this.server.close()
+		this.server.closeAllConnections()
+		await closed
+	}
+
+	/** Called after a change of faults. */
+	protected abstract applyFaults(changes: Partial<F>): void
+
+	protected route(
+		method: "GET" | "PUT" | "POST" | "DELETE",
+		path: string,
+		handler: Handler
+	): void {
+		this.app.add(method, path, (req, res) => {
+			void this.serve(req, res, req.params as Record<string, string>, handler)
+		})
+	}
+
+	/** Destroys the sockets of all calls in progress. */
+	protected destroyCalls(): void {
+		for (const {req} of this.calls) req.socket.destroy()
+	}
+
+	private async serve(
+		req: IncomingMessage,
+		res: ServerResponse,
+		params: Record<string, string>,
+		handler: Handler
+	): Promise<void> {
+		res.on("error", () => undefined)
+		try {
+			const call = {
+				req,
+				res,
+				params: decodeParams(params),
+				query: readQuery(req)
+			}
+			if (!isControl(req)) {
+				this.track(call)
+				if (!(await this.passFaults(call))) return
+			}
+			const answer = await handler(call)
+			if (answer !== undefined) sendAnswer(res, answer)
+		} catch (err) {
+			sendError(res, err)
+		}
+	}
+
+	private track(call: Call): void {
+		this.calls.add(call)
+		call.res.once("close", () => this.calls.delete(call))
+	}
+
+	/** Applies the common faults; false when the call must not be handled. */
+	private async passFaults({req}: Call): Promise<boolean> {
+		if (this.faults.delayMs > 0) await sleep(this.faults.delayMs)
+		if (this.faults.outage) req.socket.destroy()
+		return !this.faults.outage && !this.faults.hang
+	}
+}
+
+/** Reads a JSON body of at most `limitBytes`. */
+export async function readJson(
+	req: IncomingMessage,
+	limitBytes = defaultBodyLimitBytes
+): Promise<unknown> {
+	const chunks: Buffer[] = []
+	let size = 0
+	for await (const chunk of req as AsyncIterable<Buffer>) {
+		size += chunk.length
+		if (size <= limitBytes) chunks.push(chunk)
+	}
+	if (size > limitBytes) {
+		throw new HttpError(413, `body of ${size} bytes exceeds ${limitBytes}`)
+	}
+	try {
+		return JSON.parse(Buffer.concat(chunks).toString("utf8")) as unknown
+	} catch (err) {
+		throw new HttpError(400, `body is not JSON: ${messageOf(err)}`)
+	}
+}
+
+/** The single value of a header, or undefined. */
+export function readHeader(
+	req: IncomingMessage,
+	name: string
+): string | undefined {
+	const value = req.headers[name]
+	return Array.isArray(value) ? value[0] : value
+}
+
+function isControl(req: IncomingMessage): boolean {
+	return req.url?.startsWith(controlPrefix) === true
+}
+
+function decodeParams(params: Record<string, string>): Record<string, string> {
+	try {
+		return Object.fromEntries(
+			Object.entries(params).map(([key, value]) => [
+				key,
+				decodeURIComponent(value)
+			])
+		)
+	} catch (err) {
+		throw new HttpError(400, `path is malformed: ${messageOf(err)}`)
+	}
+}
+
+function readQuery(req: IncomingMessage): Record<string, string> {
+	const {searchParams} = new URL(req.url ?? "/", "http://standin")
+	return Object.fromEntries(searchParams)
+}
+
+function sendAnswer(
+	res: ServerResponse,
+	{status = 200, headers = {}, body}: Answer
+): void {
+	if (res.destroyed || res.headersSent) return
+	res.writeHead(status, {"content-type": "application/json", ...headers})
+	res.end(JSON.stringify(body))
+}
+
+function sendError(res: ServerResponse, err: unknown): void {
+	if (err instanceof HttpError) {
+		const {status, headers, message, details} = err
+		sendAnswer(res, {status, headers, body: {error: message, ...details}})
+		return
+	}
+	const status = err instanceof z.ZodError ? 400 : 500
+	sendAnswer(res, {status, body: {error: messageOf(err)}})
+}
+
+function answerNoMatch(req: IncomingMessage, res: ServerResponse): void {
+	const error = `no route for ${req.method ?? ""} ${req.url ?? ""}`
+	sendAnswer(res, {status: 404, body: {error}})
+}
--- /dev/null
+++ b/standins/engine/index.ts
@@ -0,0 +1,2 @@
+export * from "./engine.js"
+export {expectedText} from "./text.js"
--- /dev/null
+++ b/standins/platform/index.ts
@@ -0,0 +1,2 @@
+export * from "./objectStore.js"
+export * from "./platform.js"
--- /dev/null
+++ b/standins/platform/platform.ts
@@ -0,0 +1,316 @@
+/** Stand-in of the platform: the object API and the lagging list of hosts. */
+import {z} from "zod"
+import {HostRole, HostState} from "../../src/host/host.js"
+import type {HostRecord} from "../../src/link/platform.js"
+import {
+	type Answer,
+	type Call,
+	commonFaults,
+	HttpError,
+	Lagged,
+	type ListenOptions,
+	noCommonFaults,
+	readHeader,
+	readJson,
+	Standin,
+	Tally,
+	TokenBucket
+} from "../common/index.js"
+import {ObjectStore, type StoreResult} from "./objectStore.js"
+
+export interface PlatformOptions extends ListenOptions {
+	writesPerSecond?: number
+	readsPerSecond?: number
+	hostLagMs?: number
+	/** Changes that watches can still be told of. */
+	keptChanges?: number
+}
+
+const platformFaults = z.strictObject({
+	...commonFaults,
+	/** This many further writes take effect without an answer. */
+	loseAnswers: z.number().int().min(0),
+	/** Limits `loseAnswers` to one kind; empty for all. */
+	loseAnswersKind: z.string(),
+	/** Reads and lists show the state of that long ago. */
+	staleReadMs: z.number().min(0),
+	/** Every watch is answered with 410. */
+	watchGap: z.boolean(),
+	writesPerSecond: z.number().positive(),
+	readsPerSecond: z.number().positive(),
+	hostLagMs: z.number().min(0)
+})
+
+export type PlatformFaults = z.infer<typeof platformFaults>
+
+const hostList = z.strictObject({
+	hosts: z.array(
+		z.strictObject({
+			id: z.string(),
+			role: z.enum(HostRole),
+			address: z.string(),
+			failureDomain: z.string(),
+			pool: z.string(),
+			state: z.enum(HostState)
+		})
+	)
+})
+
+const msPerSecond = 1_000
+const defaultWatchMs = 30_000
+const hostsKind = "hosts"
+
+/** Starts a platform stand-in. */
+export function startPlatform(
+	options: PlatformOptions = {}
+): Promise<PlatformStandin> {
+	return new PlatformStandin(options).listen(options)
+}
+
+export class PlatformStandin extends Standin<PlatformFaults> {
+	private readonly store: ObjectStore
+	private readonly hosts = new Lagged<HostRecord[]>([])
+	private readonly readBudget: TokenBucket
+	private readonly writeBudget: TokenBucket
+	private readonly reads = new Tally()
+	private readonly writes = new Tally()
+	/** Wakes the waiting watches, which then look for changes. */
+	private readonly watches = new Set<() => void>()
+	private refused = 0
+	private conflicts = 0
+	private lost = 0
+
+	constructor({
+		writesPerSecond = 400,
+		readsPerSecond = 2_000,
+		hostLagMs = 500,
+		keptChanges = 1_000
+	}: PlatformOptions) {
+		super(platformFaults.partial(), {
+			...noCommonFaults,
+			loseAnswers: 0,
+			loseAnswersKind: "",
+			staleReadMs: 0,
+			watchGap: false,
+			writesPerSecond,
+			readsPerSecond,
+			hostLagMs
+		})
+		this.store = new ObjectStore(keptChanges)
+		this.readBudget = new TokenBucket(readsPerSecond)
+		this.writeBudget = new TokenBucket(writesPerSecond)
+		this.addRoutes()
+	}
+
+	truth(): object {
+		return {
+			revision: this.store.revision,
+			reads: this.reads.sum,
+			writes: this.writes.sum,
+			readsByKind: this.reads,
+			writesByKind: this.writes,
+			refused: this.refused,
+			conflicts: this.conflicts,
+			lost: this.lost
+		}
+	}
+
+	/** Sets the true list of hosts, which callers see after the lag. */
+	setHosts(hosts: HostRecord[]): void {
+		this.hosts.set(hosts)
+	}
+
+	protected applyFaults(): void {
+		this.readBudget.setRate(this.faults.readsPerSecond)
+		this.writeBudget.setRate(this.faults.writesPerSecond)
+		this.wakeWatches()
+	}
+
+	private addRoutes(): void {
+		const object = "/v1/objects/:kind/:name"
+		this.route("GET", object, call => this.readObject(call))
+		this.route("PUT", object, call => this.putObject(call))
+		this.route("DELETE", object, call => this.deleteObject(call))
+		this.route("GET", "/v1/objects/:kind", call =>
+			call.query.watch === "1" ? this.watch(call) : this.list(call)
+		)
+		this.route("GET", "/v1/hosts", () => this.listHosts())
+		this.route("PUT", "/control/hosts", async ({req}) => {
+			const {hosts} = hostList.parse(await readJson(req))
+			this.setHosts(hosts)
+			return {body: {hosts}}
+		})
+		this.route("GET", "/control/history/:kind/:name", call => {
+			const {kind, name} = readPath(call)
+			return {body: this.store.history(kind, name)}
+		})
+	}
+
+	private readObject(call: Call): Answer {
+		const {kind, name} = readPath(call)
+		this.admitRead(kind)
+		const found = this.store.read(kind, name, this.visibleRevision())
+		if (found === undefined) throw notFound(kind, name)
+		return {body: found}
+	}
+
+	private list(call: Call): Answer {
+		const {kind} = readPath(call)
+		this.admitRead(kind)
+		const revision = this.visibleRevision()
+		const items = this.store.list(kind, call.query.prefix ?? "", revision)
+		return {body: {revision, items}}
+	}
+
+	private listHosts(): Answer {
+		this.admitRead(hostsKind)
+		return {body: {hosts: this.hosts.read(this.faults.hostLagMs)}}
+	}
+
+	private async putObject(call: Call): Promise<Answer | undefined> {
+		const {kind} = readPath(call)
+		const expected = readExpected(call)
+		this.admitWrite(kind)
+		const value = await readJson(call.req)
+		if (value === null) throw new HttpError(400, "value is null")
+		return this.write(call, value, expected)
+	}
+
+	private deleteObject(call: Call): Answer | undefined {
+		const {kind, name} = readPath(call)
+		const expected = readExpected(call)
+		this.admitWrite(kind)
+		if (this.store.read(kind, name) === undefined) throw notFound(kind, name)
+		return this.write(call, null, expected)
+	}
+
+	private write(
+		call: Call,
+		value: unknown,
+		expected: number
+	): Answer | undefined {
+		const {kind, name} = readPath(call)
+		const result = this.store.write(kind, name, value, expected)
+		if (!result.isWritten) return this.answerConflict(result)
+		this.wakeWatches()
+		if (this.losesAnswer(kind)) {
+			call.req.socket.destroy()
+			return undefined
+		}
+		return {body: {version: result.version}}
+	}
+
+	private answerConflict({version}: StoreResult): Answer {
+		this.conflicts += 1
+		return {status: 412, body: {version}}
+	}
+
+	private losesAnswer(kind: string): boolean {
+		const {loseAnswers, loseAnswersKind} = this.faults
+		if (loseAnswers === 0) return false
+		if (loseAnswersKind !== "" && loseAnswersKind !== kind) return false
+		this.faults.loseAnswers -= 1
+		this.lost += 1
+		return true
+	}
+
+	private async watch(call: Call): Promise<Answer | undefined> {
+		const {kind} = readPath(call)
+		const revision = readInteger(call, "revision", 0)
+		const timeoutMs = readInteger(call, "timeoutMs", defaultWatchMs)
+		const deadline = performance.now() + timeoutMs
+		this.admitRead(kind)
+		let events = this.findChanges(kind, revision)
+		while (events.length === 0 && performance.now() < deadline) {
+			await this.waitForWake(call, deadline)
+			if (call.res.destroyed) return undefined
+			events = this.findChanges(kind, revision)
+		}
+		this.readBudget.charge()
+		this.reads.add(kind)
+		return {body: {revision: this.store.revision, events}}
+	}
+
+	private findChanges(kind: string, revision: number): object[] {
+		const changes = this.store.changesAfter(kind, revision)
+		if (changes === undefined || this.faults.watchGap) {
+			throw new HttpError(410, `changes after ${revision} are not kept`)
+		}
+		return changes.map(({name, version, value}) => ({name, version, value}))
+	}
+
+	/** Waits for a wake, the deadline or the caller's disconnection. */
+	private waitForWake({res}: Call, deadline: number): Promise<void> {
+		return new Promise(resolve => {
+			const wake = (): void => {
+				clearTimeout(timer)
+				this.watches.delete(wake)
+				res.off("close", wake)
+				resolve()
+			}
+			const timer = setTimeout(wake, deadline - performance.now())
+			this.watches.add(wake)
+			res.once("close", wake)
+		})
+	}
+
+	private wakeWatches(): void {
+		for (const wake of [...this.watches]) wake()
+	}
+
+	private visibleRevision(): number {
+		const {staleReadMs} = this.faults
+		if (staleReadMs === 0) return this.store.revision
+		return this.store.revisionAt(performance.now() - staleReadMs)
+	}
+
+	private admitRead(kind: string): void {
+		this.admit(this.readBudget)
+		this.reads.add(kind)
+	}
+
+	private admitWrite(kind: string): void {
+		this.admit(this.writeBudget)
+		this.writes.add(kind)
+	}
+
+	private admit(budget: TokenBucket): void {
+		if (budget.take()) return
+		this.refused += 1
+		const seconds = Math.ceil(budget.waitMs / msPerSecond)
+		throw new HttpError(
+			429,
+			"over the call budget",
+			{},
+			{"retry-after": String(seconds)}
+		)
+	}
+}
+
+function readPath({params}: Call): {kind: string; name: string} {
+	return {kind: params.kind ?? "", name: params.name ?? ""}
+}
+
+/** The version that a write expects; zero when the object must not exist. */
+function readExpected({req}: Call): number {
+	if (readHeader(req, "if-none-match") === "*") return 0
+	const match = readHeader(req, "if-match")
+	if (match === undefined) {
+		throw new HttpError(428, "If-Match or If-None-Match: * is required")
+	}
+	const version = /^"(\d+)"$/.exec(match)?.[1]
+	if (version === undefined) {
+		throw new HttpError(400, `If-Match is not a quoted version: ${match}`)
+	}
+	return Number(version)
+}
+
+function readInteger({query}: Call, key: string, fallback: number): number {
+	const value = Number(query[key] ?? fallback)
+	if (Number.isInteger(value) && value >= 0) return value
+	throw new HttpError(400, `${key} is not an integer: ${query[key] ?? ""}`)
+}
+
+function notFound(kind: string, name: string): HttpError {
+	return new HttpError(404, `no ${kind} object is named ${name}`)
+}
