Claim keyed calls in a log per bucket before they are sent

A keyed call of a plain service may run at most once, also when a retry comes through another process, a write loses its answer or a process is paused.

A bucket has one head object, replaced by conditional writes only, and immutable segments for older batches. Ruled out: one object per append created if absent and removed after the retention. A process paused for longer than the retention could create a removed number again and take its claim for valid; and each append would cost a second call for its removal.

--- /dev/null
+++ b/src/endpoint/claims/answers.ts
@@ -0,0 +1,34 @@
+/** Converts answers between bytes and the text that the claim log stores. */
+import {isUtf8} from "node:buffer"
+import {BodyEncoding, type StoredAnswer} from "../../policy/claimLog.js"
+import {
+	ClaimResultType,
+	type LogResult,
+	SendEnd,
+	type SendOutcome
+} from "../../policy/claimTypes.js"
+import type {ClaimResult, SendResult, ServiceAnswer} from "./types.js"
+
+export function toStoredAnswer(answer: ServiceAnswer): StoredAnswer {
+	const {status, contentType} = answer
+	const encoding = isUtf8(answer.body) ? BodyEncoding.Utf8 : BodyEncoding.Base64
+	const body = Buffer.from(answer.body).toString(encoding)
+	return {status, contentType, encoding, body, size: body.length}
+}
+
+/** The answer's body must have been stored. */
+export function toServiceAnswer(stored: StoredAnswer): ServiceAnswer {
+	const {status, contentType, encoding, body = ""} = stored
+	return {status, contentType, body: Buffer.from(body, encoding)}
+}
+
+export function toSendOutcome(result: SendResult): SendOutcome {
+	if (result.end !== SendEnd.Answered) return result
+	return {end: SendEnd.Answered, answer: toStoredAnswer(result)}
+}
+
+export function toClaimResult(result: LogResult): ClaimResult {
+	if (result.type !== ClaimResultType.Answered) return result
+	const {type, answer, replayed} = result
+	return {type, ...toServiceAnswer(answer), replayed}
+}
--- /dev/null
+++ b/src/endpoint/claims/index.ts
@@ -0,0 +1,2 @@
+export * from "./claimTask.js"
+export * from "./types.js"
--- /dev/null
+++ b/src/endpoint/claims/types.ts
@@ -0,0 +1,71 @@
+/** What the endpoint process passes to `ClaimTask` and gets from it. */
+import type {Step} from "../../contract/errors.js"
+import type {Platform} from "../../link/platform.js"
+import type {KeyScope} from "../../policy/claimHome.js"
+import type {ClaimOwner} from "../../policy/claimLog.js"
+import type {
+	ClaimOptions,
+	ClaimResultType,
+	NotRunResult,
+	RedirectResult,
+	SendEnd,
+	UnknownResult
+} from "../../policy/claimTypes.js"
+
+/** One attempt at a keyed call that may run at most once. */
+export interface ClaimCall {
+	scope: KeyScope
+	key: string
+	/** Hash of method, path, content type and body. */
+	bodyHash: string
+	/** Time by which the caller needs the answer. */
+	deadline: number
+	/** True when the key is a ticket minted by an endpoint process. */
+	ticket?: boolean
+	/** True when an earlier attempt of this key may have been sent elsewhere. */
+	mayHaveBeenSent?: boolean
+}
+
+/** A complete answer of the plain service. */
+export interface ServiceAnswer {
+	status: number
+	contentType: string
+	body: Uint8Array
+}
+
+/** How the endpoint process ended a call that it was told to send. */
+export type SendResult =
+	| ({end: SendEnd.Answered} & ServiceAnswer)
+	| {end: SendEnd.NotStarted; detail: string; retryAfterMs: number}
+	| {end: SendEnd.Unknown; step: Step; detail: string}
+
+/** Sends the call once; a rejection counts as an unknown outcome. */
+export type Send = () => Promise<SendResult>
+
+export interface ClaimAnswered extends ServiceAnswer {
+	type: ClaimResultType.Answered
+	/** True when the answer was given before, to an earlier attempt. */
+	replayed: boolean
+}
+
+export type ClaimResult =
+	ClaimAnswered | NotRunResult | UnknownResult | RedirectResult
+
+/** Calls `callback` at a time; the result cancels it. */
+export type SetTimer = (callback: () => void, at: number) => () => void
+
+export interface ClaimTaskOptions extends Partial<
+	Omit<ClaimOptions, "pool" | "bucket" | "owner" | "processId">
+> {
+	platform: Platform
+	pool: string
+	/** Number of buckets of the pool's claim log; alike in all processes. */
+	buckets: number
+	owner: ClaimOwner
+	now?: () => number
+	setTimer?: SetTimer
+	/** Unique to this run of the process; a ULID when absent. */
+	processId?: string
+	/** How long a ticket can be used after it was minted. */
+	ticketLifeMs?: number
+}
--- /dev/null
+++ b/src/policy/claims.ts
@@ -0,0 +1,443 @@
+/**
+ * At most once for keyed calls: the claim log of one bucket, as one process
+ * drives it.
+ *
+ * A call is sent only after its claim is known to be in the log. An append is a
+ * conditional write of the bucket's head on the version last seen, so a process
+ * that has not seen the newest batch conflicts, reads what it missed, and
+ * decides again. A write whose answer was lost is repeated on the same version
+ * until it succeeds or conflicts: after that the lost one can no longer land,
+ * and reading the log tells whether it had landed before.
+ */
+import {WriteOutcome, absentVersion} from "../link/platform.js"
+import {
+	type ClaimBatch,
+	type ClaimHead,
+	type ClaimSegment,
+	emptyHead,
+	firstOf,
+	type SegmentRef,
+	segmentName,
+	segmentsSince,
+	sizeOf
+} from "./claimLog.js"
+import {ClaimRecords, type QueuedEntry} from "./claimRecords.js"
+import {
+	type ClaimAction,
+	ClaimActionType,
+	type ClaimEvent,
+	ClaimEventType,
+	type ClaimOptions,
+	defaultClaimOptions,
+	type KeyedCall
+} from "./claimTypes.js"
+
+/** What the bucket waits for from the platform. */
+enum Io {
+	Idle,
+	ReadingHead,
+	ReadingSegments,
+	WritingSegment,
+	WritingHead
+}
+
+interface PendingBatch {
+	batch: ClaimBatch
+	queued: QueuedEntry[]
+	/** The head as last written, undefined before the first write. */
+	head?: ClaimHead
+	/** True when a write of it lost its answer and may still land. */
+	isUnsettled: boolean
+}
+
+/** Batches of the head that are being moved to a segment. */
+interface Spill {
+	ref: SegmentRef
+	batches: ClaimBatch[]
+	isWritten: boolean
+}
+
+interface HeadNews {
+	head: ClaimHead
+	version: number
+	refs: SegmentRef[]
+}
+
+/** Failures in a row after which the platform counts as down. */
+const downAfterFailures = 2
+
+export class ClaimBucket {
+	private readonly options: ClaimOptions & typeof defaultClaimOptions
+	private readonly records: ClaimRecords
+	private actions: ClaimAction[] = []
+
+	private head: ClaimHead = emptyHead
+	private headVersion = absentVersion
+	private headChars = 0
+	private isSynced = false
+
+	private io = Io.Idle
+	private pending: PendingBatch | undefined
+	private spill: Spill | undefined
+	private news: HeadNews | undefined
+	private hasConflict = false
+	private failures = 0
+	private retryAt = -Infinity
+	private nextWriteAt = -Infinity
+	private isFlushing = false
+	private idsMade = 0
+
+	constructor(options: ClaimOptions) {
+		this.options = {...defaultClaimOptions, ...options}
+		const nextId = (): string => this.makeId()
+		this.records = new ClaimRecords({...this.options, nextId}, action =>
+			this.actions.push(action)
+		)
+	}
+
+	/** Takes one event and returns what to do about it, in order. */
+	step(event: ClaimEvent, now: number): ClaimAction[] {
+		this.take(event, now)
+		this.pump(now)
+		const {actions} = this
+		this.actions = []
+		return actions
+	}
+
+	/** When to send the next tick; infinite when none is needed. */
+	nextTickAt(): number {
+		const expiry = this.records.nextExpiry()
+		if (this.io !== Io.Idle) return expiry
+		return Math.min(expiry, this.nextIoAt())
+	}
+
+	/** Number of keys that are remembered. */
+	get size(): number {
+		return this.records.size
+	}
+
+	/** True when nothing waits to be written or answered. */
+	get isIdle(): boolean {
+		if (this.pending !== undefined) return false
+		return this.records.queue.length === 0 && !this.records.isWaiting
+	}
+
+	private take(event: ClaimEvent, now: number): void {
+		switch (event.type) {
+			case ClaimEventType.Call:
+				this.takeCall(event.call, now)
+				return
+			case ClaimEventType.WriteEnded:
+				this.takeWrite(event.outcome, event.version, now)
+				return
+			case ClaimEventType.SegmentWritten:
+				this.takeSegmentWrite(event.outcome, now)
+				return
+			case ClaimEventType.HeadRead:
+				this.takeHead(event.head ?? emptyHead, event.version, now)
+				return
+			case ClaimEventType.SegmentsRead:
+				this.takeSegments(event.segments, now)
+				return
+			case ClaimEventType.ReadFailed:
+				this.io = Io.Idle
+				this.news = undefined
+				this.noteFailure(now)
+				return
+			case ClaimEventType.CallEnded:
+				this.records.endCall(event.key, event.attempt, event.outcome, now)
+				return
+			case ClaimEventType.OwnerGone:
+				this.records.addGoneOwner(event.hostId, event.incarnation)
+				return
+			case ClaimEventType.Tick:
+				this.records.expireWaiters(now)
+				return
+			case ClaimEventType.Flush:
+				this.isFlushing = true
+		}
+	}
+
+	private takeCall(call: KeyedCall, now: number): void {
+		const outageMs = this.isDown(now) ? this.retryAfterMs(now) : undefined
+		this.records.addCall(call, now, outageMs)
+	}
+
+	private takeWrite(outcome: WriteOutcome, version: number, now: number): void {
+		this.io = Io.Idle
+		const {pending} = this
+		if (pending === undefined) return
+		switch (outcome) {
+			case WriteOutcome.Written:
+				this.commit(pending, version, now)
+				return
+			case WriteOutcome.Conflict:
+				this.failures = 0
+				this.hasConflict = true
+				return
+			case WriteOutcome.Lost:
+				pending.isUnsettled = true
+				this.noteFailure(now)
+				return
+			case WriteOutcome.Refused:
+				if (!pending.isUnsettled) this.requeue(pending)
+				this.noteFailure(now)
+		}
+	}
+
+	/** A conflict means that an earlier write of the same name took effect. */
+	private takeSegmentWrite(outcome: WriteOutcome, now: number): void {
+		this.io = Io.Idle
+		const isWritten =
+			outcome === WriteOutcome.Written || outcome === WriteOutcome.Conflict
+		if (this.spill !== undefined && isWritten) {
+			this.spill.isWritten = true
+			return
+		}
+		if (this.pending?.isUnsettled === false) this.requeue(this.pending)
+		this.noteFailure(now)
+	}
+
+	private takeHead(head: ClaimHead, version: number, now: number): void {
+		this.io = Io.Idle
+		if (this.isStale(head)) {
+			this.retryAt = now + this.options.retryBaseMs
+			return
+		}
+		const from = this.isSynced ? this.head.next : 0
+		const refs = from < firstOf(head) ? segmentsSince(head, from) : []
+		this.news = {head, version, refs}
+		if (refs.length === 0) {
+			this.adoptNews([], now)
+			return
+		}
+		this.io = Io.ReadingSegments
+		this.actions.push({type: ClaimActionType.ReadSegments, refs})
+	}
+
+	/** A read that lags behind what is known, or behind a conflict seen. */
+	private isStale(head: ClaimHead): boolean {
+		if (head.next < this.head.next) return true
+		return this.hasConflict && head.next === this.head.next
+	}
+
+	private takeSegments(
+		segments: (ClaimSegment | undefined)[],
+		now: number
+	): void {
+		this.io = Io.Idle
+		const read = segments.filter(segment => segment !== undefined)
+		if (read.length < segments.length) {
+			this.news = undefined
+			this.retryAt = now + this.options.retryBaseMs
+			return
+		}
+		this.adoptNews(read, now)
+	}
+
+	/** Moves to a newer head and applies the batches not seen before. */
+	private adoptNews(segments: readonly ClaimSegment[], now: number): void {
+		const {news, pending} = this
+		if (news === undefined) return
+		const from = this.isSynced ? this.head.next : 0
+		const missed = missedBatches(news, segments, from)
+		const hasMoved = news.head.next > this.head.next || !this.isSynced
+		this.setHead(news.head, news.version)
+		this.news = undefined
+		this.isSynced = true
+		this.hasConflict = false
+		this.failures = 0
+		if (hasMoved) this.dropSpill()
+		if (pending !== undefined && hasMoved) this.pending = undefined
+		let hasLanded = false
+		for (const batch of missed) {
+			const isOwn = batch.id === pending?.batch.id
+			hasLanded ||= isOwn
+			this.records.applyBatch(batch, isOwn, now)
+		}
+		if (pending !== undefined && hasMoved && !hasLanded) this.requeue(pending)
+		this.records.endAllForeign()
+	}
+
+	private commit(pending: PendingBatch, version: number, now: number): void {
+		const {spill, head: before} = this
+		this.setHead(pending.head ?? before, version)
+		this.failures = 0
+		this.pending = undefined
+		this.spill = undefined
+		this.nextWriteAt = now + this.options.writeIntervalMs
+		this.records.applyBatch(pending.batch, true, now)
+		if (spill === undefined) return
+		this.removeDropped(before, this.head)
+		this.records.dropExpired(now)
+	}
+
+	private removeDropped(before: ClaimHead, after: ClaimHead): void {
+		const kept = new Set(after.segments.map(({name}) => name))
+		for (const {name} of before.segments) {
+			if (kept.has(name)) continue
+			this.actions.push({type: ClaimActionType.RemoveSegment, name})
+		}
+	}
+
+	private noteFailure(now: number): void {
+		this.failures += 1
+		const {retryBaseMs, retryMaxMs, jitter} = this.options
+		const doubled = retryBaseMs * 2 ** (this.failures - 1)
+		const waitMs = Math.min(doubled, retryMaxMs) * (0.5 + jitter / 2)
+		this.retryAt = now + waitMs
+		if (this.failures < downAfterFailures) return
+		this.records.refuseUnclaimed(this.retryAfterMs(now))
+	}
+
+	/** While down, one attempt at a time may test the platform. */
+	private isDown(now: number): boolean {
+		if (this.failures < downAfterFailures) return false
+		return this.io !== Io.Idle || now < this.retryAt
+	}
+
+	private retryAfterMs(now: number): number {
+		return Math.max(this.options.retryBaseMs, this.retryAt - now)
+	}
+
+	/** Starts the next call to the platform, if one is due. */
+	private pump(now: number): void {
+		if (this.io !== Io.Idle || now < this.nextIoAt()) return
+		if (this.isReadDue()) {
+			this.io = Io.ReadingHead
+			this.actions.push({type: ClaimActionType.ReadHead})
+			return
+		}
+		this.pending ??= this.formBatch(now)
+		this.spill ??= this.formSpill()
+		if (this.spill?.isWritten === false) {
+			this.writeSegment(this.spill)
+		} else {
+			this.writeHead(this.pending, now)
+		}
+	}
+
+	private nextIoAt(): number {
+		if (this.isReadDue() || this.pending !== undefined) return this.retryAt
+		const {queue} = this.records
+		if (queue.length === 0) return Infinity
+		if (this.isFlushing) return this.retryAt
+		const dueAt = queue.reduce(
+			(earliest, queued) => Math.min(earliest, queued.dueAt),
+			Infinity
+		)
+		return Math.max(dueAt, this.nextWriteAt, this.retryAt)
+	}
+
+	private isReadDue(): boolean {
+		if (this.hasConflict || this.records.wantsRead) return true
+		return !this.isSynced && this.records.queue.length > 0
+	}
+
+	private writeSegment({ref, batches}: Spill): void {
+		this.io = Io.WritingSegment
+		const type = ClaimActionType.WriteSegment
+		this.actions.push({type, name: ref.name, segment: {batches}})
+	}
+
+	private writeHead(pending: PendingBatch, now: number): void {
+		this.io = Io.WritingHead
+		const head = this.nextHead(pending.batch, now)
+		pending.head = head
+		const expected = this.headVersion
+		this.actions.push({type: ClaimActionType.WriteHead, head, expected})
+	}
+
+	private formBatch(now: number): PendingBatch {
+		const queued = this.takeQueued()
+		const entries = queued.map(({entry}) => entry)
+		const {owner} = this.options
+		const batch = {id: this.makeId(), owner, at: now, entries}
+		return {batch, queued, isUnsettled: false}
+	}
+
+	private takeQueued(): QueuedEntry[] {
+		const {queue} = this.records
+		let chars = 0
+		let count = 0
+		for (const {entry} of queue) {
+			chars += sizeOf(entry)
+			if (count > 0 && chars > this.options.maxBatchChars) break
+			count += 1
+		}
+		return queue.splice(0, count)
+	}
+
+	private requeue({queued}: PendingBatch): void {
+		this.pending = undefined
+		this.records.requeue(queued)
+	}
+
+	private formSpill(): Spill | undefined {
+		if (this.headChars <= this.options.maxHeadChars) return undefined
+		const {pool, bucket} = this.options
+		const {batches, next} = this.head
+		const from = firstOf(this.head)
+		const newestAt = batches.reduce((at, batch) => Math.max(at, batch.at), 0)
+		const name = segmentName(pool, bucket, from, this.makeId())
+		const ref = {name, from, to: next, newestAt}
+		return {ref, batches, isWritten: false}
+	}
+
+	/** Another process moved the head on, so the segment is of no use. */
+	private dropSpill(): void {
+		const {spill} = this
+		this.spill = undefined
+		if (spill === undefined) return
+		const {name} = spill.ref
+		if (this.head.segments.some(ref => ref.name === name)) return
+		this.actions.push({type: ClaimActionType.RemoveSegment, name})
+	}
+
+	private nextHead(batch: ClaimBatch, now: number): ClaimHead {
+		const {head, spill} = this
+		const next = head.next + 1
+		if (spill === undefined) {
+			return {
+				next,
+				segments: head.segments,
+				batches: [...head.batches, batch]
+			}
+		}
+		const oldest = now - this.options.retentionMs
+		const kept = head.segments.filter(ref => ref.newestAt >= oldest)
+		return {next, segments: [...kept, spill.ref], batches: [batch]}
+	}
+
+	private setHead(head: ClaimHead, version: number): void {
+		const isAppended = head.batches.length === this.head.batches.length + 1
+		const last = head.batches.at(-1)
+		if (isAppended && last !== undefined && head.next === this.head.next + 1) {
+			this.headChars += sizeOf(last)
+		} else {
+			this.headChars = head.batches.reduce((sum, b) => sum + sizeOf(b), 0)
+		}
+		this.head = head
+		this.headVersion = version
+	}
+
+	private makeId(): string {
+		this.idsMade += 1
+		return `${this.options.processId}.${this.options.bucket}.${this.idsMade}`
+	}
+}
+
+function missedBatches(
+	{head, refs}: HeadNews,
+	segments: readonly ClaimSegment[],
+	from: number
+): ClaimBatch[] {
+	const missed: ClaimBatch[] = []
+	for (const [index, ref] of refs.entries()) {
+		const batches = segments[index]?.batches ?? []
+		missed.push(...batches.slice(Math.max(0, from - ref.from)))
+	}
+	const seenInHead = Math.max(0, from - firstOf(head))
+	missed.push(...head.batches.slice(seenInHead))
+	return missed
+}
