--- /dev/null
+++ b/src/endpoint/index.ts
@@ -0,0 +1,2 @@
+export * from "./endpointTask.js"
+export * from "./settings.js"
--- /dev/null
+++ b/src/program/health.ts
@@ -0,0 +1,76 @@
+/** Health, readiness and counters of a process over HTTP. */
+import type {Server, ServerResponse} from "node:http"
+import polka from "polka"
+import type {Counters} from "./counters.js"
+
+export interface HealthOptions {
+	isReady: () => boolean
+	counters: Counters
+}
+
+const httpOk = 200
+const httpUnavailable = 503
+
+/** Adds `/healthz`, `/readyz` and `/metrics.json` to a polka application. */
+export function addHealthRoutes(
+	app: polka.Polka,
+	{isReady, counters}: HealthOptions
+): void {
+	app.get("/healthz", (_req, res) => {
+		sendJson(res, httpOk, {status: "ok"})
+	})
+	app.get("/readyz", (_req, res) => {
+		const ready = isReady()
+		sendJson(res, ready ? httpOk : httpUnavailable, {ready})
+	})
+	app.get("/metrics.json", (_req, res) => {
+		const {user, system} = process.cpuUsage()
+		const {rss, heapUsed} = process.memoryUsage()
+		sendJson(res, httpOk, {
+			counters: counters.snapshot(),
+			cpuMicros: user + system,
+			rssBytes: rss,
+			heapBytes: heapUsed,
+			uptimeSeconds: process.uptime()
+		})
+	})
+}
+
+/** Serves only health routes at `ip:port`. */
+export function startHealthServer(
+	address: string,
+	options: HealthOptions
+): Promise<Server> {
+	const app = polka()
+	addHealthRoutes(app, options)
+	return listen(app, address)
+}
+
+/** Listens at `ip:port` and resolves with the bound server. */
+export function listen(app: polka.Polka, address: string): Promise<Server> {
+	const separator = address.lastIndexOf(":")
+	const ip = address.slice(0, separator).replace(/^\[|\]$/g, "")
+	const port = Number(address.slice(separator + 1))
+	return new Promise((resolve, reject) => {
+		app.listen(port, ip)
+		const server = app.server
+		if (server === undefined) {
+			reject(new TypeError("the HTTP server did not start"))
+			return
+		}
+		server.once("error", reject)
+		server.once("listening", () => {
+			resolve(server)
+		})
+	})
+}
+
+export function sendJson(
+	res: ServerResponse,
+	status: number,
+	body: unknown,
+	headers: Record<string, string> = {}
+): void {
+	res.writeHead(status, {"content-type": "application/json", ...headers})
+	res.end(JSON.stringify(body))
+}
--- /dev/null
+++ b/src/spread/configStore.ts
@@ -0,0 +1,108 @@
+/**
+ * The accepted configuration as one process holds it. It only moves forward,
+ * and a generation becomes visible only with all its parts.
+ */
+import {Step, StepError} from "../contract/errors.js"
+import {
+	type ConfigPartContent,
+	type ConfigRoot,
+	findAdapterVersion,
+	hashPart,
+	listPartHashes,
+	type ResolvedAdapter
+} from "../contract/config/index.js"
+
+/** Parts by hash. */
+export type PartMap = Map<string, ConfigPartContent>
+
+/** How an attempt to install a generation ended. */
+export enum InstallOutcome {
+	Installed = "installed",
+	/** The process already holds this generation or a later one. */
+	NotNewer = "notNewer"
+}
+
+export class ConfigStore {
+	private current: ConfigRoot | undefined
+	private parts: PartMap = new Map()
+	private readonly listeners: ((root: ConfigRoot) => void)[] = []
+
+	/** 0 before the first generation was installed. */
+	get generation(): number {
+		return this.current?.generation ?? 0
+	}
+
+	get root(): ConfigRoot | undefined {
+		return this.current
+	}
+
+	/** The root; for use only after `isReady`. */
+	requireRoot(): ConfigRoot {
+		if (this.current !== undefined) return this.current
+		throw new StepError("no configuration is installed yet", {
+			step: Step.Spread
+		})
+	}
+
+	get isReady(): boolean {
+		return this.current !== undefined
+	}
+
+	/** Called after each installation. */
+	onInstall(listener: (root: ConfigRoot) => void): void {
+		this.listeners.push(listener)
+	}
+
+	/** Hashes of the root's parts that this process does not hold. */
+	listMissing(root: ConfigRoot): string[] {
+		return listPartHashes(root).filter(hash => !this.parts.has(hash))
+	}
+
+	part(hash: string): ConfigPartContent | undefined {
+		return this.parts.get(hash)
+	}
+
+	/**
+	 * Installs a generation with its parts, or ignores it when it is not newer.
+	 *
+	 * @throws StepError when a part is missing or does not match its hash
+	 */
+	install(root: ConfigRoot, fetched: PartMap): InstallOutcome {
+		if (root.generation <= this.generation) return InstallOutcome.NotNewer
+		const parts = this.collectParts(root, fetched)
+		this.current = root
+		this.parts = parts
+		for (const listener of this.listeners) listener(root)
+		return InstallOutcome.Installed
+	}
+
+	/** Finds the version that `base:adapter@version` names. */
+	findAdapter(model: string): ResolvedAdapter | undefined {
+		if (this.current === undefined) return undefined
+		return findAdapterVersion(this.current, this.parts, model)
+	}
+
+	private collectParts(root: ConfigRoot, fetched: PartMap): PartMap {
+		const parts: PartMap = new Map()
+		for (const hash of listPartHashes(root)) {
+			const part = this.parts.get(hash) ?? checkPart(hash, fetched.get(hash))
+			parts.set(hash, part)
+		}
+		return parts
+	}
+}
+
+function checkPart(
+	hash: string,
+	part: ConfigPartContent | undefined
+): ConfigPartContent {
+	if (part === undefined) {
+		throw new StepError(`configuration part ${hash} was not fetched`, {
+			step: Step.Spread
+		})
+	}
+	if (hashPart(part) === hash) return part
+	throw new StepError(`configuration part ${hash} does not match its hash`, {
+		step: Step.Spread
+	})
+}
--- /dev/null
+++ b/src/spread/index.ts
@@ -0,0 +1,3 @@
+export * from "./configStore.js"
+export * from "./fetch.js"
+export * from "./follower.js"
