--- /dev/null
+++ b/bench/deployment/childProcess.ts
@@ -0,0 +1,132 @@
+/** One child process of a bench or test, controlled by its pid. */
+import {type ChildProcess as NodeChild, spawn} from "node:child_process"
+import {once} from "node:events"
+import {readFileSync} from "node:fs"
+
+export interface ChildOptions {
+	name: string
+	/** Path of the JavaScript file. */
+	program: string
+	args?: string[]
+	env?: Record<string, string>
+}
+
+/** How a process ended: `signal` is null when it exited by itself. */
+export interface ChildExit {
+	code: number | null
+	signal: NodeJS.Signals | null
+}
+
+const maxStderrChars = 64_000
+const msPerTick = 10
+
+export class ChildProcess {
+	readonly name: string
+	private readonly options: ChildOptions
+	private child: NodeChild | undefined
+	private exit: Promise<ChildExit> = Promise.resolve({code: 0, signal: null})
+	private text = ""
+	/** CPU time of the processes that ended before the current one. */
+	private endedCpuMs = 0
+
+	constructor(options: ChildOptions) {
+		this.name = options.name
+		this.options = options
+	}
+
+	get isRunning(): boolean {
+		const {child} = this
+		return child?.exitCode === null && child.signalCode === null
+	}
+
+	get pid(): number {
+		return this.child?.pid ?? 0
+	}
+
+	/** The last part of what all starts of this process wrote to stderr. */
+	get stderr(): string {
+		return this.text
+	}
+
+	/** Resolves when the current process has ended. */
+	get exited(): Promise<ChildExit> {
+		return this.exit
+	}
+
+	start(): void {
+		if (this.isRunning) throw new Error(`${this.name} is running already`)
+		const {program, args = [], env = {}} = this.options
+		const child = spawn(process.execPath, [program, ...args], {
+			env: {...process.env, ...env},
+			stdio: ["ignore", "ignore", "pipe"]
+		})
+		this.child = child
+		this.exit = once(child, "exit").then(([code, signal]) => ({
+			code: code as number | null,
+			signal: signal as NodeJS.Signals | null
+		}))
+		child.stderr.setEncoding("utf8")
+		child.stderr.on("data", (text: string) => {
+			this.text = (this.text + text).slice(-maxStderrChars)
+		})
+		running.add(this)
+		void this.exit.then(() => running.delete(this))
+	}
+
+	/** Ends the process at once and waits until it is gone. */
+	async kill(): Promise<ChildExit> {
+		return this.endWith("SIGKILL")
+	}
+
+	/** Asks for a graceful shutdown and waits until the process is gone. */
+	async terminate(): Promise<ChildExit> {
+		return this.endWith("SIGTERM")
+	}
+
+	freeze(): void {
+		this.signal("SIGSTOP")
+	}
+
+	thaw(): void {
+		this.signal("SIGCONT")
+	}
+
+	/** Kills the process when it runs, then starts it again. */
+	async restart(): Promise<void> {
+		if (this.isRunning) await this.kill()
+		this.start()
+	}
+
+	/** CPU time of all starts, in milliseconds. */
+	readCpuMs(): number {
+		return this.endedCpuMs + this.readCurrentCpuMs()
+	}
+
+	signal(signal: NodeJS.Signals): void {
+		if (this.isRunning) this.child?.kill(signal)
+	}
+
+	private async endWith(signal: NodeJS.Signals): Promise<ChildExit> {
+		if (this.isRunning) this.endedCpuMs += this.readCurrentCpuMs()
+		this.signal(signal)
+		return this.exit
+	}
+
+	private readCurrentCpuMs(): number {
+		if (!this.isRunning) return 0
+		try {
+			const stat = readFileSync(`/proc/${this.pid}/stat`, "utf8")
+			// The name, in parentheses, may hold spaces.
+			const fields = stat.slice(stat.lastIndexOf(")") + 2).split(" ")
+			return (Number(fields[11]) + Number(fields[12])) * msPerTick
+		} catch {
+			return 0
+		}
+	}
+}
+
+const running = new Set<ChildProcess>()
+
+process.once("exit", () => {
+	for (const child of running) child.signal("SIGKILL")
+})
