Add an open-loop load tool that verifies every answer

Closed loops hide stalls, as callers that wait send less. Keyed calls of unknown end are repeated with the same key.

--- /dev/null
+++ b/bench/load/index.ts
@@ -0,0 +1,6 @@
+export * from "./bound.js"
+export * from "./caller.js"
+export * from "./plan.js"
+export * from "./random.js"
+export * from "./runLoad.js"
+export * from "./tally.js"
