--- a/src/endpoint/claims/claimTask.ts
+++ b/src/endpoint/claims/claimTask.ts
@@ -4,29 +4,64 @@
  */
 import {createHash} from "node:crypto"
 import {ulid} from "ulid"
-import {bucketOf, keyText} from "../../policy/claimHome.js"
+import {bucketOf, type KeyScope, keyText} from "../../policy/claimHome.js"
+import {
+	type ClaimOptions,
+	defaultClaimOptions,
+	type LogResult
+} from "../../policy/claimTypes.js"
 import {toClaimResult} from "./answers.js"
-import {BucketTask} from "./bucketTask.js"
+import {BucketTask, type BucketTaskOptions} from "./bucketTask.js"
+import {TicketTask} from "./ticketTask.js"
 import type {
 	ClaimCall,
 	ClaimResult,
 	ClaimTaskOptions,
+	MintedTicket,
 	Send,
 	SetTimer
 } from "./types.js"
 
 const keyHashBytes = 16
+const defaultTicketLifeMs = 10 * 60 * 1_000
 
 export class ClaimTask {
-	private readonly options: ClaimTaskOptions
 	private readonly buckets = new Map<number, BucketTask>()
-	private readonly processId: string
 	/** Highest incarnation known to be gone, by host id. */
 	private readonly gone = new Map<string, number>()
+	private readonly bucketCount: number
+	private readonly claims: Omit<ClaimOptions, "bucket">
+	private readonly io: Omit<BucketTaskOptions, "claims">
+	private readonly tickets: TicketTask
 
 	constructor(options: ClaimTaskOptions) {
-		this.options = options
-		this.processId = options.processId ?? ulid()
+		const {
+			platform,
+			buckets,
+			now = Date.now,
+			setTimer = makeSetTimer(now),
+			processId = ulid(),
+			ticketLifeMs: lifeMs = defaultTicketLifeMs,
+			...claims
+		} = options
+		this.bucketCount = buckets
+		this.claims = {...claims, processId}
+		this.io = {platform, now, setTimer}
+		const {owner} = options
+		const {retentionMs, maxAnswerChars} = {...defaultClaimOptions, ...claims}
+		this.tickets = new TicketTask({
+			owner,
+			now,
+			setTimer,
+			lifeMs,
+			retentionMs,
+			maxAnswerChars
+		})
+	}
+
+	/** Mints a key for one call, which then needs no write to the platform. */
+	mintTicket(scope: KeyScope): MintedTicket {
+		return this.tickets.mint(scope)
 	}
 
 	/**
@@ -34,15 +69,10 @@
 	 * all processes and attempts of the key, after the claim is in the log.
 	 */
 	async run(call: ClaimCall, send: Send): Promise<ClaimResult> {
-		const {scope, bodyHash, deadline, mayHaveBeenSent = false} = call
-		const key = hashKey(call)
-		const bucket = this.bucketTask(
-			bucketOf(scope, call.key, this.options.buckets)
-		)
-		const result = await bucket.run(
-			{key, bodyHash, deadline, mayHaveBeenSent},
-			send
-		)
+		const result =
+			call.ticket === true
+				? await this.tickets.run(call, send)
+				: await this.runClaimed(call, send)
 		return toClaimResult(result)
 	}
 
@@ -67,23 +97,25 @@
 		for (const bucket of this.buckets.values()) bucket.stop()
 	}
 
-	/** Number of keys that are remembered. */
+	/** Number of keys and tickets that are remembered. */
 	get size(): number {
-		let size = 0
+		let {size} = this.tickets
 		for (const bucket of this.buckets.values()) size += bucket.size
 		return size
 	}
 
+	private runClaimed(call: ClaimCall, send: Send): Promise<LogResult> {
+		const {scope, bodyHash, deadline, mayHaveBeenSent = false} = call
+		const bucket = bucketOf(scope, call.key, this.bucketCount)
+		const keyed = {key: hashKey(call), bodyHash, deadline, mayHaveBeenSent}
+		return this.bucketTask(bucket).run(keyed, send)
+	}
+
 	private bucketTask(bucket: number): BucketTask {
 		const known = this.buckets.get(bucket)
 		if (known !== undefined) return known
-		const {platform, now = Date.now, setTimer, ...claims} = this.options
-		const task = new BucketTask({
-			claims: {...claims, bucket, processId: this.processId},
-			platform,
-			now,
-			setTimer: setTimer ?? makeSetTimer(now)
-		})
+		const claims = {...this.claims, bucket}
+		const task = new BucketTask({claims, ...this.io})
 		this.buckets.set(bucket, task)
 		for (const [hostId, incarnation] of this.gone) {
 			task.noteGone(hostId, incarnation)
--- a/src/endpoint/claims/types.ts
+++ b/src/endpoint/claims/types.ts
@@ -51,6 +51,12 @@
 export type ClaimResult =
 	ClaimAnswered | NotRunResult | UnknownResult | RedirectResult
 
+export interface MintedTicket {
+	/** To be sent as the idempotency key of one call. */
+	ticket: string
+	expiresAt: number
+}
+
 /** Calls `callback` at a time; the result cancels it. */
 export type SetTimer = (callback: () => void, at: number) => () => void
 
--- a/src/policy/claimHome.ts
+++ b/src/policy/claimHome.ts
@@ -5,6 +5,9 @@
  */
 import murmurhash from "murmurhash"
 
+/** Number of buckets of a pool's claim log, alike in all processes. */
+export const claimBuckets = 64
+
 /** Who calls what: keys of different scopes are unrelated. */
 export interface KeyScope {
 	member: string
