Test the stand-ins and type their ground truths

A stream cut after N events delivered N - 1, since a chunk is flushed only on the next tick and the socket was destroyed before that; it is now destroyed after the flush.

--- /dev/null
+++ b/standins/__tests__/common.test.ts
@@ -0,0 +1,60 @@
+import {request} from "undici"
+import {afterEach, beforeEach, describe, expect, test} from "vitest"
+import {
+	startEngine,
+	startPlatform,
+	startService,
+	startWeightStore
+} from "../index.js"
+import {send} from "./client.js"
+
+const starters = {
+	platform: () => startPlatform(),
+	weightStore: () => startWeightStore(),
+	engine: () => startEngine({weightStoreUrl: "http://127.0.0.1:1"}),
+	service: () => startService()
+}
+
+type Started = Awaited<ReturnType<(typeof starters)[keyof typeof starters]>>
+
+describe.each(Object.entries(starters))("%s", (_name, start) => {
+	let standin: Started
+
+	beforeEach(async () => {
+		standin = await start()
+	})
+
+	afterEach(() => standin.close())
+
+	function setFaults(faults: object): Promise<{status: number}> {
+		return send("POST", `${standin.url}/control/faults`, faults)
+	}
+
+	test("listens on the loopback and is healthy", async () => {
+		expect(standin.url).toBe(`http://127.0.0.1:${standin.port}`)
+		expect((await send("GET", `${standin.url}/healthz`)).status).toBe(200)
+		expect((await send("GET", `${standin.url}/nothing`)).status).toBe(404)
+		const truth = await send("GET", `${standin.url}/control/truth`)
+		expect(truth.body).toEqual(standin.truth())
+	})
+
+	test("an outage destroys sockets until it ends", async () => {
+		await setFaults({outage: true})
+		await expect(request(`${standin.url}/healthz`)).rejects.toThrow()
+		await setFaults({outage: false, delayMs: 1})
+		expect((await send("GET", `${standin.url}/healthz`)).status).toBe(200)
+	})
+
+	test("a hanging call is destroyed by an outage", async () => {
+		await setFaults({hang: true})
+		const hanging = request(`${standin.url}/healthz`)
+		const cut = expect(hanging).rejects.toThrow()
+		await setFaults({outage: true})
+		await cut
+	})
+
+	test("unknown and malformed faults are refused", async () => {
+		expect((await setFaults({other: 1})).status).toBe(400)
+		expect((await setFaults({delayMs: -1})).status).toBe(400)
+	})
+})
--- a/standins/common/tally.ts
+++ b/standins/common/tally.ts
@@ -1,16 +1,19 @@
 /** Counts by name. */
+
+export type Counts = Record<string, number>
+
 export class Tally {
-	private readonly counts = new Map<string, number>()
+	private readonly values = new Map<string, number>()
 
 	add(name: string): void {
-		this.counts.set(name, (this.counts.get(name) ?? 0) + 1)
+		this.values.set(name, (this.values.get(name) ?? 0) + 1)
 	}
 
 	get sum(): number {
-		return [...this.counts.values()].reduce((sum, count) => sum + count, 0)
+		return [...this.values.values()].reduce((sum, count) => sum + count, 0)
 	}
 
-	toJSON(): Record<string, number> {
-		return Object.fromEntries(this.counts)
+	get counts(): Counts {
+		return Object.fromEntries(this.values)
 	}
 }
--- a/standins/engine/engine.ts
+++ b/standins/engine/engine.ts
@@ -8,6 +8,7 @@
 	type Answer,
 	type Call,
 	commonFaults,
+	type Counts,
 	Fence,
 	HttpError,
 	Lagged,
@@ -63,6 +64,22 @@
 	tokens: number
 }
 
+export interface EngineTruth {
+	/** Whole answers, in the order in which they ended. */
+	answers: EngineAnswer[]
+	/** Runs by request id. */
+	runsById: Counts
+	/** Sequences that lost their adapter before they ended. */
+	evictedInUse: number
+	coldRestarts: number
+	staleOrdersAccepted: number
+	staleOrdersRefused: number
+	loads: number
+	steps: number
+	tokenSum: number
+	batchEfficiency: number
+}
+
 const loadOrder = z.object({
 	lora_name: z.string().min(1),
 	lora_path: z.string().min(1)
@@ -145,10 +162,10 @@
 		this.addRoutes()
 	}
 
-	truth(): object {
+	truth(): EngineTruth {
 		return {
-			answers: this.answers,
-			runsById: this.runsById,
+			answers: [...this.answers],
+			runsById: this.runsById.counts,
 			evictedInUse: this.evictedInUse,
 			coldRestarts: this.coldRestarts,
 			staleOrdersAccepted: this.fence.staleAccepted,
--- a/standins/engine/sequence.ts
+++ b/standins/engine/sequence.ts
@@ -115,7 +115,10 @@
 	abort(): void {
 		if (!this.isActive) return
 		this.state = SequenceState.Aborted
-		for (const {res} of this.readers) res.destroy()
+		// Writes are flushed on the next tick, so destroy after that.
+		setImmediate(() => {
+			for (const {res} of this.readers) res.destroy()
+		})
 	}
 
 	private finish(): void {
--- a/standins/platform/platform.ts
+++ b/standins/platform/platform.ts
@@ -6,6 +6,7 @@
 	type Answer,
 	type Call,
 	commonFaults,
+	type Counts,
 	HttpError,
 	Lagged,
 	type ListenOptions,
@@ -43,6 +44,20 @@
 
 export type PlatformFaults = z.infer<typeof platformFaults>
 
+export interface PlatformTruth {
+	revision: number
+	reads: number
+	writes: number
+	readsByKind: Counts
+	writesByKind: Counts
+	/** Calls over the budget. */
+	refused: number
+	/** Writes that expected another version. */
+	conflicts: number
+	/** Writes that took effect without an answer. */
+	lost: number
+}
+
 const hostList = z.strictObject({
 	hosts: z.array(
 		z.strictObject({
@@ -102,13 +117,13 @@
 		this.addRoutes()
 	}
 
-	truth(): object {
+	truth(): PlatformTruth {
 		return {
 			revision: this.store.revision,
 			reads: this.reads.sum,
 			writes: this.writes.sum,
-			readsByKind: this.reads,
-			writesByKind: this.writes,
+			readsByKind: this.reads.counts,
+			writesByKind: this.writes.counts,
 			refused: this.refused,
 			conflicts: this.conflicts,
 			lost: this.lost
--- a/standins/service.ts
+++ b/standins/service.ts
@@ -8,6 +8,7 @@
 	type Answer,
 	type Call,
 	commonFaults,
+	type Counts,
 	Fence,
 	HttpError,
 	type ListenOptions,
@@ -38,6 +39,19 @@
 
 export type ServiceFaults = z.infer<typeof serviceFaults>
 
+export interface ServiceTruth {
+	runs: number
+	/** Runs by idempotency key. */
+	runsByKey: Counts
+	/** Runs by request id. */
+	runsByRequest: Counts
+	/** Runs by order. */
+	runsByBody: Counts
+	peakConcurrent: number
+	staleOrdersAccepted: number
+	staleOrdersRefused: number
+}
+
 type CountedFault = "failBefore" | "cutAfter" | "cutBefore"
 
 /** Other fields are taken as they are and answered back. */
@@ -88,12 +102,12 @@
 		this.addRoutes()
 	}
 
-	truth(): object {
+	truth(): ServiceTruth {
 		return {
 			runs: this.runs,
-			runsByKey: this.runsByKey,
-			runsByRequest: this.runsByRequest,
-			runsByBody: this.runsByBody,
+			runsByKey: this.runsByKey.counts,
+			runsByRequest: this.runsByRequest.counts,
+			runsByBody: this.runsByBody.counts,
 			peakConcurrent: this.peakConcurrent,
 			staleOrdersAccepted: this.fence.staleAccepted,
 			staleOrdersRefused: this.fence.staleRefused
--- a/standins/weightStore.ts
+++ b/standins/weightStore.ts
@@ -11,6 +11,7 @@
 	type Answer,
 	type Call,
 	commonFaults,
+	type Counts,
 	HttpError,
 	type ListenOptions,
 	noCommonFaults,
@@ -41,6 +42,15 @@
 
 export type WeightStoreFaults = z.infer<typeof weightStoreFaults>
 
+export interface WeightStoreTruth {
+	/** Loads that succeeded. */
+	loads: number
+	failed: number
+	peakInFlight: number
+	inFlight: number
+	loadsBySource: Counts
+}
+
 const msPerSecond = 1_000
 
 /** Starts a weight store stand-in. */
@@ -84,13 +94,13 @@
 		this.route("GET", "/v1/weights", call => this.load(call))
 	}
 
-	truth(): object {
+	truth(): WeightStoreTruth {
 		return {
 			loads: this.loadsBySource.sum,
 			failed: this.failed,
 			peakInFlight: this.peakInFlight,
 			inFlight: this.inFlight,
-			loadsBySource: this.loadsBySource
+			loadsBySource: this.loadsBySource.counts
 		}
 	}
 
@@ -160,9 +170,9 @@
 	}
 
 	private async transfer({res}: Call): Promise<void> {
-		const crowding = Math.max(1, this.inFlight / this.maxInFlight)
-		if (!res.destroyed)
-			await sleep((this.loadMs * crowding) / this.faults.speed)
+		if (res.destroyed) return
+		const crowding = crowdingOf(this.inFlight, this.maxInFlight)
+		await sleep((this.loadMs * crowding) / this.faults.speed)
 	}
 
 	private isFailing(): boolean {
@@ -173,3 +183,8 @@
 		return uniformFloat64(this.random) < this.faults.failRatio
 	}
 }
+
+/** Factor by which loads take longer with `inFlight` at a time. */
+export function crowdingOf(inFlight: number, maxInFlight: number): number {
+	return Math.max(1, inFlight / maxInFlight)
+}
