--- a/bench/deployment/commands.ts
+++ b/bench/deployment/commands.ts
@@ -101,7 +101,7 @@
 
 export function endpointCommand(
 	endpoint: EndpointAddresses,
-	{addresses, env}: ProgramOptions
+	{addresses, env, logLevel, drainMs}: ProgramOptions
 ): Command {
 	const {id, failureDomain, pool, link, health, workerUrls} = endpoint
 	return {
@@ -116,7 +116,9 @@
 			health,
 			workers: workerUrls.join(","),
 			platform: addresses.platformUrl,
-			entries: addresses.entries.map(entry => entry.link).join(",")
+			entries: addresses.entries.map(entry => entry.link).join(","),
+			"log-level": logLevel,
+			"drain-ms": drainMs
 		}),
 		readyUrl: `http://${health}/readyz`
 	}
--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -104,12 +104,23 @@
 		}
 	}
 
+	/** Waits until every process answers, ready or not. */
+	async waitHealthy(): Promise<void> {
+		const deadline = Date.now() + readyTimeoutMs
+		for (const [name, url] of this.readyUrls) {
+			const healthUrl = url.replace(/\/readyz$/, "/healthz")
+			await this.waitForOk(name, healthUrl, deadline)
+		}
+	}
+
 	/** Waits until the named processes, all by default, report ready. */
 	async waitReady(
 		names: Iterable<string> = this.children.keys()
 	): Promise<void> {
 		const deadline = Date.now() + readyTimeoutMs
-		for (const name of names) await this.waitReadyOne(name, deadline)
+		for (const name of names) {
+			await this.waitForOk(name, this.readyUrls.get(name) ?? "", deadline)
+		}
 	}
 
 	/** The process of that name: an entry, an endpoint or a stand-in. */
@@ -221,15 +232,18 @@
 		return {id, role, address, failureDomain, pool, state}
 	}
 
-	private async waitReadyOne(name: string, deadline: number): Promise<void> {
-		const url = this.readyUrls.get(name) ?? ""
+	private async waitForOk(
+		name: string,
+		url: string,
+		deadline: number
+	): Promise<void> {
 		while (!(await isOk(url))) {
 			const child = this.child(name)
 			if (!child.isRunning) {
 				throw new Error(`${name} ended before it was ready:\n${child.stderr}`)
 			}
 			if (Date.now() > deadline) {
-				throw new Error(`${name} is not ready (${url}):\n${child.stderr}`)
+				throw new Error(`${name} does not answer ${url}:\n${child.stderr}`)
 			}
 			await sleep(pollMs)
 		}
--- a/bench/deployment/index.ts
+++ b/bench/deployment/index.ts
@@ -1,5 +1,6 @@
 export * from "./addresses.js"
 export * from "./childProcess.js"
+export * from "./configure.js"
 export * from "./control.js"
 export * from "./deployment.js"
 export * from "./ports.js"
--- a/bench/load/__tests__/load.test.ts
+++ b/bench/load/__tests__/load.test.ts
@@ -210,9 +210,36 @@
 	})
 })
 
+describe("Caller with a balancer", () => {
+	it("prefers entries that are ready", async () => {
+		const echo: FakeHandler = ({res, body}) => {
+			sendJson(res, 200, JSON.parse(body) as object)
+		}
+		const [call] = planCalls({...options, kinds: [booking]})
+		if (call === undefined) throw new Error("no call was planned")
+		const unready = await startFakeEntry(echo)
+		entry = await startFakeEntry(echo)
+		const agent = new Agent()
+		const caller = new Caller({
+			agent,
+			entryUrls: [unready.url, entry.url],
+			isReady: url => url !== unready.url
+		})
+		for (let i = 0; i < 4; i++) await caller.send(call)
+		await agent.destroy()
+		await unready.close()
+		expect(unready.requests).toHaveLength(0)
+		expect(entry.requests).toHaveLength(4)
+	})
+})
+
 describe("runLoad", () => {
 	it("counts by route and Member, without the warm-up", async () => {
 		entry = await startFakeEntry(({req, res, body}) => {
+			if (req.url === "/readyz") {
+				sendJson(res, 200, {})
+				return
+			}
 			const id = req.url?.split("/").at(-1) ?? ""
 			if (req.method === "GET") sendJson(res, 200, {id})
 			else if (req.url === "/v1/completions") sendJson(res, 429, {})
--- a/bench/load/caller.ts
+++ b/bench/load/caller.ts
@@ -39,6 +39,8 @@
 	agent: Agent
 	/** Base URLs of the entries. */
 	entryUrls: readonly string[]
+	/** Entries that are not ready are tried last. */
+	isReady?: (url: string) => boolean
 	clock?: () => number
 }
 
@@ -142,11 +144,13 @@
 		return {status, headers, text: await body.text(), stream: undefined}
 	}
 
-	/** The entries, from the next one in turn. */
+	/** The entries from the next one in turn, those that are ready first. */
 	private rotateEntries(): string[] {
-		const {entryUrls} = this.options
+		const {entryUrls, isReady = () => true} = this.options
 		const first = this.next++ % entryUrls.length
-		return [...entryUrls.slice(first), ...entryUrls.slice(0, first)]
+		const urls = [...entryUrls.slice(first), ...entryUrls.slice(0, first)]
+		const ready = urls.filter(url => isReady(url))
+		return [...ready, ...urls.filter(url => !isReady(url))]
 	}
 
 	private now(): number {
--- a/bench/load/plan.ts
+++ b/bench/load/plan.ts
@@ -1,4 +1,5 @@
 /** Plans an open-loop load: which request arrives when, for whom. */
+import type {ModelVersion} from "../deployment/index.js"
 import {Random, Zipf} from "./random.js"
 
 export enum CallType {
@@ -21,13 +22,6 @@
 	path: string
 }
 
-/** An adapter version that callers may name. */
-export interface ModelVersion {
-	/** `base:adapter@version`. */
-	model: string
-	source: string
-}
-
 /** A change of the arrival rate or of popularity during the run. */
 export interface LoadStep {
 	/** Share of the run at which it takes effect. */
--- a/bench/load/runLoad.ts
+++ b/bench/load/runLoad.ts
@@ -1,6 +1,7 @@
 /** Runs a planned load in an open loop: arrivals never wait for answers. */
 import {Agent} from "undici"
 import {sleep} from "../../src/utils/common.js"
+import {Balancer} from "./balancer.js"
 import {Caller, CallEnd, type CallResult} from "./caller.js"
 import type {PlannedCall} from "./plan.js"
 import {type LoadSummary, LoadTally} from "./tally.js"
@@ -10,6 +11,8 @@
 	calls: readonly PlannedCall[]
 	/** Calls that arrive earlier are sent but not counted. */
 	warmupMs?: number
+	/** Called when any call ends, the warm-up included. */
+	onEnd?: (call: PlannedCall, result: CallResult) => void
 }
 
 /** Counted calls that arrived in one second. */
@@ -22,8 +25,6 @@
 	summary: LoadSummary
 	/** By second of arrival, the warm-up included. */
 	seconds: SecondCounts[]
-	/** Calls of the warm-up that got a wrong answer. */
-	wrongInWarmup: number
 }
 
 const maxConnectionsPerEntry = 512
@@ -33,18 +34,23 @@
 export async function runLoad({
 	entryUrls,
 	calls,
-	warmupMs = 0
+	warmupMs = 0,
+	onEnd
 }: RunLoadOptions): Promise<LoadResult> {
 	const agent = new Agent({connections: maxConnectionsPerEntry, pipelining: 1})
-	const caller = new Caller({agent, entryUrls})
+	const balancer = new Balancer(entryUrls)
+	const caller = new Caller({
+		agent,
+		entryUrls,
+		isReady: url => balancer.isReady(url)
+	})
 	const tally = new LoadTally()
 	const seconds: SecondCounts[] = []
-	let wrongInWarmup = 0
 
 	const record = (call: PlannedCall, result: CallResult): void => {
 		countSecond(seconds, call, result)
 		if (call.atMs >= warmupMs) tally.add(call, result)
-		else if (result.end === CallEnd.Wrong) wrongInWarmup += 1
+		onEnd?.(call, result)
 	}
 
 	const startedAt = Date.now()
@@ -58,8 +64,9 @@
 		running.push(ended)
 	}
 	await Promise.all(running)
+	balancer.close()
 	await agent.destroy()
-	return {summary: tally.summarize(), seconds, wrongInWarmup}
+	return {summary: tally.summarize(), seconds}
 }
 
 function countSecond(
--- /dev/null
+++ b/bench/scenario/index.ts
@@ -0,0 +1,7 @@
+export * from "./faults.js"
+export * from "./plot.js"
+export * from "./runScenario.js"
+export * from "./scenarios.js"
+export * from "./table.js"
+export * from "./truth.js"
+export * from "./usage.js"
