Add the entry process: callers' side, routing and retries

Three ends for a request: answered whole, not run, unknown. Entries and endpoint processes share one task that spreads the configuration.

--- a/src/endpoint/endpointTask.ts
+++ b/src/endpoint/endpointTask.ts
@@ -28,6 +28,7 @@
 	ServiceClient,
 	type TlsKeys
 } from "../link/index.js"
+import {claimBuckets} from "../policy/claimHome.js"
 import type {AdapterName, LoadShares} from "../policy/index.js"
 import {Counters} from "../program/counters.js"
 import {startHealthServer} from "../program/health.js"
@@ -46,7 +47,6 @@
 import {ServiceHost} from "./serviceHost.js"
 import type {EndpointSettings} from "./settings.js"
 
-const claimBuckets = 64
 const maxQueuedPerSeat = 64
 const maxQueuedCalls = 1024
 const drainNoticeMs = 300
@@ -81,9 +81,13 @@
 		this.counters = new Counters({statsd, role, hostId: id})
 		this.platform = new HttpPlatform({url: platform})
 		this.contacts = new EntryContacts({
+			selfAddress: settings.link,
+			failureDomain: settings.failureDomain,
 			seeds: settings.entries,
 			tls,
+			platform: this.platform,
 			store: this.store,
+			counters: this.counters,
 			log: this.log,
 			describe: () => this.describe()
 		})
@@ -332,7 +336,7 @@
 		this.contacts.hear(ack)
 		if (this.shares === undefined || this.engines === undefined) return
 		const now = Date.now()
-		this.shares.setProcesses(Math.max(1, ack.poolProcesses))
+		this.shares.setProcesses(Math.max(1, ack.loadingProcesses))
 		this.shares.setDemand(this.engines.snapshot().loadDemand)
 		this.shares.addFleetDemand(
 			{
--- a/src/endpoint/entryContacts.ts
+++ b/src/endpoint/entryContacts.ts
@@ -1,75 +1,107 @@
 /**
  * What an endpoint process knows of the entries: it announces itself to them
- * until they report streams, and follows their configuration.
+ * until they open report streams, and takes its configuration from them.
  */
 import type {MessageInitShape} from "@bufbuild/protobuf"
 import type {AnnounceSchema, ReportAck} from "../contract/gen/link_pb.js"
-import {LinkClient, type TlsKeys} from "../link/index.js"
+import {ClientPool, type Platform, type TlsKeys} from "../link/index.js"
+import type {Counters} from "../program/counters.js"
 import type {Log} from "../program/log.js"
-import {ConfigFollower, type ConfigStore} from "../spread/index.js"
+import {type ConfigStore, SpreadTask} from "../spread/index.js"
 import {sleep} from "../utils/common.js"
 
 export interface EntryContactsOptions {
+	selfAddress: string
+	failureDomain: string
 	/** Addresses from the settings. */
 	seeds: readonly string[]
 	tls: TlsKeys | undefined
+	platform: Platform
 	store: ConfigStore
+	counters: Counters
 	log: Log
 	describe: () => MessageInitShape<typeof AnnounceSchema>
 }
 
 const eagerIntervalMs = 250
 const idleIntervalMs = 5000
+const antiEntropyMs = 5000
+/** Time after which an entry that sent nothing is forgotten. */
+const silenceMs = 60_000
 
 export class EntryContacts {
 	private readonly options: EntryContactsOptions
-	private readonly clients = new Map<string, LinkClient>()
-	private readonly follower: ConfigFollower
+	private readonly clients: ClientPool
+	private readonly spread: SpreadTask
 	private readonly stop = new AbortController()
+	/** Time until which an entry heard on a stream counts as known. */
+	private readonly knownUntil = new Map<string, number>()
 
 	constructor(options: EntryContactsOptions) {
 		this.options = options
-		this.follower = new ConfigFollower(options.store, options.log)
-		for (const address of options.seeds) this.client(address)
+		this.clients = new ClientPool(options.tls)
+		this.spread = new SpreadTask({
+			selfAddress: options.selfAddress,
+			failureDomain: options.failureDomain,
+			isEntry: false,
+			platform: options.platform,
+			store: options.store,
+			client: address => this.clients.get(address),
+			counters: options.counters,
+			log: options.log,
+			antiEntropyMs
+		})
+		this.updatePeers()
 	}
 
-	/** Announces this process and pulls configuration until `close`. */
+	/** Announces this process until `close`. */
 	async run(): Promise<void> {
 		while (!this.stop.signal.aborted) {
 			await this.announce()
 			const {isReady} = this.options.store
 			const waitMs = isReady ? idleIntervalMs : eagerIntervalMs
 			await sleep(waitMs, this.stop.signal)
+			this.updatePeers()
 		}
 	}
 
 	/** Tells every known entry what this process is and whether it leaves. */
 	async announce(): Promise<void> {
-		const clients = [...this.clients.values()]
-		await Promise.allSettled(clients.map(client => this.announceTo(client)))
+		const addresses = this.listKnown()
+		await Promise.allSettled(addresses.map(entry => this.announceTo(entry)))
 	}
 
 	/** Takes an acknowledgement on a report stream. */
 	hear(ack: ReportAck): void {
-		const client = this.client(ack.entryAddress)
-		this.follower.hear(client, ack.generation)
+		const isNew = !this.knownUntil.has(ack.entryAddress)
+		this.knownUntil.set(ack.entryAddress, Date.now() + silenceMs)
+		if (isNew) this.updatePeers()
+		this.spread.hear(ack.entryAddress, ack.generation)
 	}
 
 	close(): void {
 		this.stop.abort()
-		for (const client of this.clients.values()) client.close()
+		this.spread.close()
+		this.clients.close()
 	}
 
-	private async announceTo(client: LinkClient): Promise<void> {
+	private async announceTo(address: string): Promise<void> {
+		const client = this.clients.get(address)
 		const {generation} = await client.announce(this.options.describe())
-		this.follower.hear(client, generation)
+		this.spread.hear(address, generation)
 	}
 
-	private client(address: string): LinkClient {
-		const known = this.clients.get(address)
-		if (known !== undefined) return known
-		const client = new LinkClient({address, tls: this.options.tls})
-		this.clients.set(address, client)
-		return client
+	private listKnown(): string[] {
+		const now = Date.now()
+		for (const [address, until] of this.knownUntil) {
+			if (until < now) this.knownUntil.delete(address)
+		}
+		return [...new Set([...this.options.seeds, ...this.knownUntil.keys()])]
+	}
+
+	private updatePeers(): void {
+		const known = this.listKnown()
+		this.clients.keepOnly(new Set(known))
+		this.spread.setPeers(known.map(id => ({id, failureDomain: ""})))
 	}
 }
--- /dev/null
+++ b/src/entry/entryTask.ts
@@ -0,0 +1,294 @@
+/**
+ * The entry process: takes requests from callers and routes them to endpoint
+ * processes. It keeps nothing that others depend on.
+ */
+import {timingSafeEqual} from "node:crypto"
+import {create} from "@bufbuild/protobuf"
+import * as grpc from "@grpc/grpc-js"
+import {
+	type Ack,
+	AckSchema,
+	type Announce,
+	type ConfigOffer,
+	type DrainRequest,
+	HostState,
+	type StatusResponse,
+	StatusResponseSchema
+} from "../contract/gen/link_pb.js"
+import {HostRole} from "../host/host.js"
+import {
+	checkPlainText,
+	ClientPool,
+	HttpPlatform,
+	LinkServer,
+	readTlsKeys,
+	RefusedCallError,
+	type TlsKeys
+} from "../link/index.js"
+import {
+	LeastLoadedRouter,
+	PolicyName,
+	ResidencyRouter,
+	RetryBudget,
+	type Router,
+	StaticHashRouter
+} from "../policy/index.js"
+import {MemberState} from "../policy/memberTypes.js"
+import {Counters, createLog, type Log, type Service} from "../program/index.js"
+import {answerConfigRequest, ConfigStore, SpreadTask} from "../spread/index.js"
+import {sleep} from "../utils/common.js"
+import {BurnTask} from "./burnTask.js"
+import {CallerServer} from "./callerServer.js"
+import {Fleet} from "./fleet.js"
+import {RequestHandler} from "./requestHandler.js"
+import type {EntrySettings} from "./settings.js"
+
+const peerIntervalMs = 1000
+const closeGraceMs = 500
+
+export class EntryTask implements Service {
+	private readonly log: Log
+	private readonly counters: Counters
+	private readonly platform: HttpPlatform
+	private readonly store = new ConfigStore()
+	private readonly clients: ClientPool
+	private readonly spread: SpreadTask
+	private readonly fleet: Fleet
+	private readonly burn: BurnTask
+	private budget = new RetryBudget()
+	private readonly stop = new AbortController()
+	private link: LinkServer | undefined
+	private callers: CallerServer | undefined
+	private state = HostState.LIVE
+
+	private constructor(
+		private readonly settings: EntrySettings,
+		private readonly tls: TlsKeys | undefined
+	) {
+		const {id, logLevel, statsd, platform, link, failureDomain} = settings
+		const role = HostRole.Entry
+		this.log = createLog({role, hostId: id, level: logLevel})
+		this.counters = new Counters({statsd, role, hostId: id})
+		this.platform = new HttpPlatform({url: platform})
+		this.clients = new ClientPool(tls)
+		this.burn = new BurnTask(id, this.platform)
+		this.spread = new SpreadTask({
+			selfAddress: link,
+			failureDomain,
+			isEntry: true,
+			platform: this.platform,
+			store: this.store,
+			client: address => this.clients.get(address),
+			counters: this.counters,
+			log: this.log
+		})
+		this.fleet = new Fleet({
+			selfId: id,
+			selfAddress: link,
+			platform: this.platform,
+			tls,
+			counters: this.counters,
+			log: this.log,
+			generation: () => this.store.generation,
+			onGeneration: (address, generation) => {
+				if (generation > this.store.generation) {
+					this.spread.hear(address, generation)
+				}
+			}
+		})
+	}
+
+	static async start(settings: EntrySettings): Promise<EntryTask> {
+		const tls = readTlsKeys(settings)
+		checkPlainText([settings.link], tls, settings.insecure)
+		if (settings.callerCert === "") {
+			checkPlainText([settings.listen], undefined, settings.insecure)
+		}
+		const task = new EntryTask(settings, tls)
+		await task.open()
+		return task
+	}
+
+	async drain(): Promise<void> {
+		this.log.info("draining")
+		this.state = HostState.LEAVING
+		const {drainMs, lameDuckMs} = this.settings
+		const deadline = Date.now() + drainMs
+		await this.callers?.drain(lameDuckMs, deadline)
+		await this.close()
+		this.log.info("stopped")
+	}
+
+	private async open(): Promise<void> {
+		const handler = new RequestHandler({
+			entryId: this.settings.id,
+			failureDomain: this.settings.failureDomain,
+			memberSecret: this.settings.memberSecret,
+			store: this.store,
+			fleet: this.fleet,
+			router: createRouter(this.settings.policy),
+			budget: () => this.budget,
+			counters: this.counters,
+			burn: this.burn
+		})
+		this.store.onInstall(root => {
+			this.burn.configure(root)
+			this.budget = new RetryBudget(root.settings.retryBudget)
+			this.fleet.acknowledgeAll()
+		})
+		await this.openLink()
+		this.callers = await CallerServer.start({
+			address: this.settings.listen,
+			handler,
+			isReady: () => this.isReady(),
+			counters: this.counters,
+			log: this.log,
+			callerCert: this.settings.callerCert,
+			callerKey: this.settings.callerKey
+		})
+		void this.fleet.run()
+		void this.followPeers()
+	}
+
+	private async openLink(): Promise<void> {
+		this.link = await LinkServer.start({
+			address: this.settings.link,
+			tls: this.tls,
+			handlers: {
+				config: req => Promise.resolve(answerConfigRequest(this.store, req)),
+				offer: offer => this.takeOffer(offer),
+				announce: announce => this.takeAnnounce(announce),
+				drain: req => this.drainHost(req),
+				status: () => Promise.resolve(this.status())
+			}
+		})
+	}
+
+	private isReady(): boolean {
+		if (!this.store.isReady) return false
+		const {pools} = this.store.requireRoot().settings
+		return pools.every(pool => this.fleet.isServing(pool.name))
+	}
+
+	/** Keeps the spread's list of entries in step with the host list. */
+	private async followPeers(): Promise<void> {
+		while (!this.stop.signal.aborted) {
+			this.updatePeers()
+			await sleep(peerIntervalMs, this.stop.signal)
+		}
+	}
+
+	private updatePeers(): void {
+		const entries = this.fleet
+			.hosts()
+			.filter(host => host.role === HostRole.Entry)
+			.map(({address, failureDomain}) => ({id: address, failureDomain}))
+		const listed = new Set(entries.map(({id}) => id))
+		const seeds = this.settings.peers
+			.filter(address => !listed.has(address))
+			.map(id => ({id, failureDomain: ""}))
+		this.spread.setPeers([...entries, ...seeds])
+	}
+
+	private async takeOffer(offer: ConfigOffer): Promise<Ack> {
+		await Promise.resolve()
+		if (offer.root.length > 0) {
+			this.checkToken(offer.token)
+			this.spread.takeOperatorOffer(offer)
+		} else {
+			this.spread.hear(offer.address, offer.generation)
+		}
+		return this.ack()
+	}
+
+	private takeAnnounce(announce: Announce): Promise<Ack> {
+		this.fleet.hearAnnounce(announce)
+		return Promise.resolve(this.ack())
+	}
+
+	/** Drains this entry, or passes the order on to an endpoint process. */
+	private async drainHost(req: DrainRequest): Promise<Ack> {
+		this.checkToken(req.token)
+		if (req.hostId === this.settings.id) {
+			void this.drain().then(() => process.exit(0))
+			return this.ack()
+		}
+		const link = this.fleet.link(req.hostId)
+		if (link !== undefined) return link.client.drain(req)
+		const message = `host ${JSON.stringify(req.hostId)} is not known`
+		throw new RefusedCallError(grpc.status.NOT_FOUND, message)
+	}
+
+	private checkToken(token: string): void {
+		const expected = Buffer.from(this.settings.operatorToken)
+		const given = Buffer.from(token)
+		const isEqual =
+			expected.length > 0 &&
+			expected.length === given.length &&
+			timingSafeEqual(expected, given)
+		if (isEqual) return
+		const message = "the operator token is missing or wrong"
+		throw new RefusedCallError(grpc.status.PERMISSION_DENIED, message)
+	}
+
+	private ack(): Ack {
+		return create(AckSchema, {generation: this.store.generation})
+	}
+
+	private status(): StatusResponse {
+		const {id, failureDomain, link} = this.settings
+		return create(StatusResponseSchema, {
+			self: {
+				hostId: id,
+				role: HostRole.Entry,
+				failureDomain,
+				address: link,
+				state: this.state,
+				generation: this.store.generation,
+				platformReachable: true
+			},
+			hosts: this.fleet.hosts().map(host => {
+				const report = this.fleet.link(host.id)?.report
+				return {
+					hostId: host.id,
+					role: host.role,
+					failureDomain: host.failureDomain,
+					pool: host.pool,
+					state:
+						host.state === MemberState.Leaving
+							? HostState.LEAVING
+							: HostState.LIVE,
+					generation: report?.generation ?? 0,
+					incarnation: host.incarnation,
+					address: host.address,
+					running: report?.running ?? 0,
+					queued: report?.queued ?? 0
+				}
+			}),
+			counters: JSON.stringify(this.counters.snapshot())
+		})
+	}
+
+	private async close(): Promise<void> {
+		this.stop.abort()
+		await this.burn.stop()
+		this.spread.close()
+		this.fleet.close()
+		await Promise.race([this.link?.drain(), sleep(closeGraceMs)])
+		this.link?.close()
+		this.clients.close()
+		await this.platform.close()
+		this.counters.close()
+	}
+}
+
+function createRouter(policy: PolicyName): Router {
+	switch (policy) {
+		case PolicyName.LeastLoaded:
+			return new LeastLoadedRouter()
+		case PolicyName.Static:
+			return new StaticHashRouter()
+		default:
+			return new ResidencyRouter()
+	}
+}
--- /dev/null
+++ b/src/entry/index.ts
@@ -0,0 +1,3 @@
+export * from "./entryTask.js"
+export * from "./identity.js"
+export * from "./settings.js"
--- /dev/null
+++ b/src/entry/outcome.ts
@@ -0,0 +1,158 @@
+/** How requests end towards the caller: statuses, headers and error bodies. */
+import type {ServerResponse} from "node:http"
+import {BadRequestError} from "../contract/errors.js"
+import {NotRunReason} from "../contract/gen/link_pb.js"
+import {sendJson} from "../program/health.js"
+
+/** The request was provably not run. */
+export interface NotRunOutcome {
+	kind: OutcomeKind.NotRun
+	reason: NotRunReason
+	detail: string
+	retryAfterMs: number
+	/** Endpoint process that refused it, empty when none did. */
+	peer: string
+}
+
+/** The request may have run. */
+export interface UnknownOutcome {
+	kind: OutcomeKind.Unknown
+	step: string
+	peer: string
+	detail: string
+}
+
+export enum OutcomeKind {
+	NotRun = "not_run",
+	Unknown = "unknown",
+	Rejected = "rejected"
+}
+
+export type FailedOutcome = NotRunOutcome | UnknownOutcome
+
+const status = {
+	tooManyRequests: 429,
+	unavailable: 503,
+	unprocessable: 422,
+	gone: 410,
+	badGateway: 502,
+	internal: 500
+} as const
+
+const minRetryAfterMs = 100
+const msPerSecond = 1000
+
+/** Reasons as callers see them. */
+const reasonNames: Record<NotRunReason, string> = {
+	[NotRunReason.UNSPECIFIED]: "unspecified",
+	[NotRunReason.DEADLINE]: "deadline_cannot_be_met",
+	[NotRunReason.OVERLOADED]: "overloaded",
+	[NotRunReason.LEAVING]: "host_leaving",
+	[NotRunReason.UNREACHABLE]: "endpoint_unreachable",
+	[NotRunReason.LOAD_FAILED]: "adapter_load_failed",
+	[NotRunReason.PLATFORM_UNAVAILABLE]: "platform_unavailable",
+	[NotRunReason.NOT_CONFIGURED]: "not_configured",
+	[NotRunReason.KEY_REUSED]: "key_reused",
+	[NotRunReason.TICKET_EXPIRED]: "ticket_expired",
+	[NotRunReason.ENDPOINT_REFUSED]: "endpoint_refused",
+	[NotRunReason.CANCELLED]: "cancelled"
+}
+
+export function notRunOutcome(
+	reason: NotRunReason,
+	detail: string,
+	retryAfterMs = 0,
+	peer = ""
+): NotRunOutcome {
+	return {kind: OutcomeKind.NotRun, reason, detail, retryAfterMs, peer}
+}
+
+export function unknownOutcome(
+	step: string,
+	peer: string,
+	detail: string
+): UnknownOutcome {
+	return {kind: OutcomeKind.Unknown, step, peer, detail}
+}
+
+export function isUnknown(outcome: FailedOutcome): outcome is UnknownOutcome {
+	return outcome.kind === OutcomeKind.Unknown
+}
+
+/** The JSON that describes a failure, also used inside a broken stream. */
+export function describeFailure(
+	outcome: FailedOutcome,
+	requestId: string
+): object {
+	const common = {
+		outcome: outcome.kind,
+		message: outcome.detail,
+		peer: outcome.peer,
+		request_id: requestId
+	}
+	if (isUnknown(outcome)) {
+		return {error: {type: "unknown_outcome", ...common, step: outcome.step}}
+	}
+	const reason = reasonNames[outcome.reason]
+	const retryAfterMs = chooseRetryAfterMs(outcome)
+	return {
+		error: {type: "not_run", ...common, reason, retry_after_ms: retryAfterMs}
+	}
+}
+
+/** Ends a request that was not answered. */
+export function sendFailure(
+	res: ServerResponse,
+	outcome: FailedOutcome,
+	requestId: string
+): void {
+	const headers: Record<string, string> = {"x-request-id": requestId}
+	if (!isUnknown(outcome)) {
+		const seconds = Math.ceil(chooseRetryAfterMs(outcome) / msPerSecond)
+		headers["retry-after"] = String(seconds)
+	}
+	const body = describeFailure(outcome, requestId)
+	sendJson(res, statusOf(outcome), body, headers)
+}
+
+/** Ends a request that the caller must correct, or that hit a fault of ours. */
+export function sendError(res: ServerResponse, err: unknown): void {
+	if (err instanceof BadRequestError) {
+		const {field, message, step} = err
+		sendJson(res, err.status, {
+			error: {
+				type: "invalid_request",
+				outcome: OutcomeKind.Rejected,
+				field,
+				message,
+				step
+			}
+		})
+		return
+	}
+	sendJson(res, status.internal, {
+		error: {
+			type: "internal",
+			outcome: OutcomeKind.Unknown,
+			message: "internal error"
+		}
+	})
+}
+
+function chooseRetryAfterMs(outcome: NotRunOutcome): number {
+	return Math.max(minRetryAfterMs, Math.round(outcome.retryAfterMs))
+}
+
+function statusOf(outcome: FailedOutcome): number {
+	if (isUnknown(outcome)) return status.badGateway
+	switch (outcome.reason) {
+		case NotRunReason.OVERLOADED:
+			return status.tooManyRequests
+		case NotRunReason.KEY_REUSED:
+			return status.unprocessable
+		case NotRunReason.TICKET_EXPIRED:
+			return status.gone
+		default:
+			return status.unavailable
+	}
+}
--- a/src/link/index.ts
+++ b/src/link/index.ts
@@ -1,3 +1,4 @@
+export * from "./clientPool.js"
 export * from "./engineClient.js"
 export * from "./httpPlatform.js"
 export * from "./linkClient.js"
--- a/src/link/linkClient.ts
+++ b/src/link/linkClient.ts
@@ -91,6 +91,15 @@
 		)
 	}
 
+	/** Resolves to true once connected, to false at `deadline`. */
+	waitForReady(deadline: number): Promise<boolean> {
+		return new Promise(resolve => {
+			this.client.waitForReady(deadline, err => {
+				resolve(err === undefined)
+			})
+		})
+	}
+
 	config(
 		req: MessageInitShape<typeof ConfigRequestSchema>
 	): Promise<ConfigResponse> {
--- a/src/link/linkServer.ts
+++ b/src/link/linkServer.ts
@@ -136,7 +136,7 @@
 			}
 		)
 	}
-	implementation[name] = handle
+	implementation[name] = handle as grpc.UntypedHandleCall
 }
 
 function statusOf(err: unknown): Partial<grpc.StatusObject> {
--- a/src/spread/configStore.ts
+++ b/src/spread/configStore.ts
@@ -14,6 +14,7 @@
 
 /** Parts by hash. */
 export type PartMap = Map<string, ConfigPartContent>
+export type ReadonlyPartMap = ReadonlyMap<string, ConfigPartContent>
 
 /** How an attempt to install a generation ended. */
 export enum InstallOutcome {
@@ -67,7 +68,7 @@
 	 *
 	 * @throws StepError when a part is missing or does not match its hash
 	 */
-	install(root: ConfigRoot, fetched: PartMap): InstallOutcome {
+	install(root: ConfigRoot, fetched: ReadonlyPartMap): InstallOutcome {
 		if (root.generation <= this.generation) return InstallOutcome.NotNewer
 		const parts = this.collectParts(root, fetched)
 		this.current = root
@@ -82,7 +83,7 @@
 		return findAdapterVersion(this.current, this.parts, model)
 	}
 
-	private collectParts(root: ConfigRoot, fetched: PartMap): PartMap {
+	private collectParts(root: ConfigRoot, fetched: ReadonlyPartMap): PartMap {
 		const parts: PartMap = new Map()
 		for (const hash of listPartHashes(root)) {
 			const part = this.parts.get(hash) ?? checkPart(hash, fetched.get(hash))
--- a/src/spread/fetch.ts
+++ b/src/spread/fetch.ts
@@ -45,14 +45,20 @@
 	return parts
 }
 
+/** What a peer holds; the root only when newer than asked for. */
+export interface PeerRoot {
+	generation: number
+	root: ConfigRoot | undefined
+}
+
 /** Reads a peer's root when it is newer than `knownGeneration`. */
 export async function readPeerRoot(
 	peer: LinkClient,
 	knownGeneration: number
-): Promise<ConfigRoot | undefined> {
-	const res = await peer.config({knownGeneration})
-	if (res.root.length === 0) return undefined
-	return decodeJson(res.root) as ConfigRoot
+): Promise<PeerRoot> {
+	const {generation, root} = await peer.config({knownGeneration})
+	if (root.length === 0) return {generation, root: undefined}
+	return {generation, root: decodeJson(root) as ConfigRoot}
 }
 
 /** Reads parts from a peer, some per call to bound the message size. */
--- a/src/spread/index.ts
+++ b/src/spread/index.ts
@@ -1,3 +1,3 @@
 export * from "./configStore.js"
 export * from "./fetch.js"
-export * from "./follower.js"
+export * from "./spreadTask.js"
