Take incarnations and tickets through their decision modules

The endpoint process drives the incarnation state machine, so that recording it goes on after an outage and a superseded process stops. Tickets are minted by endpoint processes and routed by the host that they name.

--- a/src/endpoint/claims/__tests__/claimTask.test.ts
+++ b/src/endpoint/claims/__tests__/claimTask.test.ts
@@ -165,8 +165,10 @@
 
 describe("in an outage", () => {
 	it("a fresh key is refused, a key in doubt is unknown", async () => {
-		platform.outage = OutageType.Refusing
 		const task = makeTask("1")
+		task.sync([0])
+		await clock.runUntil(clock.now + 100)
+		platform.outage = OutageType.Refusing
 		const fresh = task.run(makeCall("k"), () => sendAs("k"))
 		const result = await finish(fresh, 200)
 		expect(result).toMatchObject({
@@ -182,6 +184,13 @@
 		expect(sent).toEqual([])
 	})
 
+	it("a key is in doubt while the log was never read", async () => {
+		platform.outage = OutageType.Refusing
+		const run = makeTask("1").run(makeCall("k"), () => sendAs("k"))
+		expect((await finish(run, 200)).type).toBe(ClaimResultType.Unknown)
+		expect(sent).toEqual([])
+	})
+
 	it("answers are replayed, and recorded afterwards", async () => {
 		const task = makeTask("1")
 		const first = task.run(makeCall("k"), async () => {
--- a/src/endpoint/claims/bucketTask.ts
+++ b/src/endpoint/claims/bucketTask.ts
@@ -72,6 +72,16 @@
 		this.feed({type: ClaimEventType.OwnerGone, hostId, incarnation})
 	}
 
+	/** Reads the log before the first call needs it. */
+	sync(): void {
+		this.feed({type: ClaimEventType.Sync})
+	}
+
+	/** Notes that others may have appended unseen. */
+	doubt(): void {
+		this.feed({type: ClaimEventType.Doubt})
+	}
+
 	/** Resolves when everything is answered and recorded. */
 	flush(): Promise<void> {
 		this.feed({type: ClaimEventType.Flush})
--- a/src/endpoint/claims/claimTask.ts
+++ b/src/endpoint/claims/claimTask.ts
@@ -86,6 +86,22 @@
 		}
 	}
 
+	/**
+	 * Reads the log of buckets that this process is the home of, so that fresh
+	 * keys can be told from unread ones when an outage begins.
+	 */
+	sync(buckets: readonly number[]): void {
+		for (const bucket of buckets) this.bucketTask(bucket).sync()
+	}
+
+	/**
+	 * Call it after a pause of this process, or when buckets moved here and
+	 * back: until the log is read again, "not run" can't be told from unknown.
+	 */
+	doubt(): void {
+		for (const bucket of this.buckets.values()) bucket.doubt()
+	}
+
 	/** Resolves when all that ran is recorded; call it before leaving. */
 	async flush(): Promise<void> {
 		const flushes = [...this.buckets.values()].map(bucket => bucket.flush())
--- a/src/endpoint/endpointTask.ts
+++ b/src/endpoint/endpointTask.ts
@@ -14,7 +14,10 @@
 	Residency,
 	type RunEvent,
 	type StatusResponse,
-	StatusResponseSchema
+	StatusResponseSchema,
+	type Ticket,
+	type TicketRequest,
+	TicketSchema
 } from "../contract/gen/link_pb.js"
 import {HostRole} from "../host/host.js"
 import {
@@ -42,7 +45,7 @@
 import {EngineWorker} from "./engineWorker.js"
 import {EntryContacts} from "./entryContacts.js"
 import {notRun, type Sink, wrap} from "./generation.js"
-import {takeIncarnation} from "./incarnation.js"
+import {IncarnationTask} from "./incarnation.js"
 import {Reporter, type ReportFigures} from "./reporter.js"
 import {ServiceHost} from "./serviceHost.js"
 import type {EndpointSettings} from "./settings.js"
@@ -67,7 +70,7 @@
 	private shares: LoadShares | undefined
 	private pool: Pool | undefined
 	private incarnation = 0
-	private highestFence = 0
+	private fencing: IncarnationTask | undefined
 	private lastLoadMs = 0
 	private state = HostState.LIVE
 
@@ -130,7 +133,9 @@
 	async close(): Promise<void> {
 		this.reporter.close()
 		this.contacts.close()
+		this.fencing?.close()
 		this.engines?.close()
+		this.services?.close()
 		await Promise.race([this.link?.drain(), sleep(closeGraceMs)])
 		this.link?.close()
 		await Promise.all([...this.workers.values()].map(w => w.close()))
@@ -153,7 +158,8 @@
 				},
 				config: req => Promise.resolve(answerConfigRequest(this.store, req)),
 				drain: () => this.drainByOperator(),
-				status: () => Promise.resolve(this.status())
+				status: () => Promise.resolve(this.status()),
+				ticket: req => this.mintTicket(req)
 			}
 		})
 		if (health !== undefined) {
@@ -196,12 +202,10 @@
 			url => new EngineClient({url, fence: 0})
 		)
 		const reports = await Promise.allSettled(clients.map(c => c.report()))
-		for (const report of reports) {
-			if (report.status !== "fulfilled") continue
-			const {highestFence} = report.value
-			this.highestFence = Math.max(this.highestFence, highestFence)
-		}
-		await this.takeIncarnation()
+		const used = reports.flatMap(report =>
+			report.status === "fulfilled" ? [report.value.highestFence] : []
+		)
+		await this.takeIncarnation(used)
 		const {weightStore, objective} = root.settings
 		const processes = 1
 		this.shares = createLoadShares(this.settings.policy, {
@@ -288,13 +292,31 @@
 		})
 	}
 
-	private async takeIncarnation(): Promise<void> {
-		this.incarnation = await takeIncarnation({
+	private async takeIncarnation(used: readonly number[] = []): Promise<void> {
+		this.fencing = new IncarnationTask({
 			platform: this.platform,
 			address: this.settings.link,
-			highestSeen: this.highestFence,
-			log: this.log
+			used,
+			log: this.log,
+			onSuperseded: observed => {
+				this.stopFenced(this.settings.link, `incarnation ${observed} is in use`)
+			}
 		})
+		this.incarnation = await this.fencing.take()
+	}
+
+	private async mintTicket({member, route}: TicketRequest): Promise<Ticket> {
+		await Promise.resolve()
+		if (this.services === undefined || !this.isReady) {
+			return create(TicketSchema, {
+				refused: {
+					reason: NotRunReason.NOT_CONFIGURED,
+					detail: `host ${this.settings.id} mints no tickets`
+				}
+			})
+		}
+		const {ticket, expiresAt} = this.services.mintTicket({member, route})
+		return create(TicketSchema, {ticket, expiresMs: expiresAt})
 	}
 
 	private run(call: RunCall): void {
--- a/src/endpoint/serviceHost.ts
+++ b/src/endpoint/serviceHost.ts
@@ -16,6 +16,7 @@
 	ServiceError
 } from "../link/serviceClient.js"
 import {ClaimRefusal, ClaimResultType, SendEnd} from "../policy/claimTypes.js"
+import type {KeyScope} from "../policy/claimHome.js"
 import type {Counters} from "../program/counters.js"
 import {assertNever, messageOf} from "../utils/common.js"
 import {type CallQueue, createCallQueue} from "./callQueue.js"
@@ -86,6 +87,11 @@
 		}
 	}
 
+	/** Mints a key for calls that need no platform. */
+	mintTicket(scope: KeyScope): {ticket: string; expiresAt: number} {
+		return this.options.claims.mintTicket(scope)
+	}
+
 	/** Refuses new calls; resolves when the running ones are recorded. */
 	async drain(): Promise<void> {
 		this.isLeaving = true
@@ -93,6 +99,10 @@
 		await this.options.claims.flush()
 	}
 
+	close(): void {
+		this.options.claims.stop()
+	}
+
 	private dispatch(req: RunRequest): Promise<RunEvent["event"]> {
 		const isKeyed = !req.idempotent && req.idempotencyKey !== ""
 		if (isKeyed) return this.runClaimed(req)
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -83,12 +83,14 @@
 			"/v1/streams/:id",
 			this.wrap((req, res) => {
 				const {offset} = req.query as Record<string, unknown>
-				return handler.handleResume(req, res, req.params.id ?? "", offset)
+				return handler.handleResume(req, res, String(req.params.id), offset)
 			})
 		)
 		app.post(
 			"/v1/tickets/:route",
-			this.wrap((req, res) => handler.handleTicket(req, res, req.params.route))
+			this.wrap((req, res) =>
+				handler.handleTicket(req, res, String(req.params.route))
+			)
 		)
 		app.all(
 			`${servicePrefix}/*`,
--- a/src/entry/requestHandler.ts
+++ b/src/entry/requestHandler.ts
@@ -18,6 +18,7 @@
 	type RetryBudget,
 	type Router
 } from "../policy/index.js"
+import {parseTicket} from "../policy/tickets.js"
 import type {Counters} from "../program/counters.js"
 import {sendJson} from "../program/health.js"
 import type {ConfigStore} from "../spread/index.js"
@@ -39,7 +40,6 @@
 } from "./parseRequest.js"
 import {RouteTable} from "./routeTable.js"
 import {ServiceCall, type ServiceResult} from "./serviceCall.js"
-import {readTicketHost} from "./ticketName.js"
 
 export interface RequestHandlerOptions {
 	entryId: string
@@ -366,7 +366,7 @@
 	): Promise<ServiceResult> {
 		const {fleet, router, counters, failureDomain} = this.options
 		const budget = this.options.budget()
-		const ticketHost = readTicketHost(req.idempotencyKey)
+		const ticketHost = parseTicket(req.idempotencyKey)?.hostId ?? ""
 		req.ticket = ticketHost !== ""
 		const call = new ServiceCall({
 			route,
