--- a/src/endpoint/endpointTask.ts
+++ b/src/endpoint/endpointTask.ts
@@ -33,6 +33,7 @@
 } from "../link/index.js"
 import {claimBuckets} from "../policy/claimHome.js"
 import type {AdapterName, LoadShares} from "../policy/index.js"
+import {advertisedAddress} from "../program/commonSpecs.js"
 import {Counters} from "../program/counters.js"
 import {startHealthServer} from "../program/health.js"
 import {createLog, type Log} from "../program/log.js"
@@ -84,7 +85,7 @@
 		this.counters = new Counters({statsd, role, hostId: id})
 		this.platform = new HttpPlatform({url: platform})
 		this.contacts = new EntryContacts({
-			selfAddress: settings.link,
+			selfAddress: advertisedAddress(settings),
 			failureDomain: settings.failureDomain,
 			seeds: settings.entries,
 			tls,
@@ -273,14 +274,15 @@
 		const services = this.settings.workers.map(
 			url => new ServiceClient(url, this.incarnation)
 		)
-		const {id, link} = this.settings
+		const {id} = this.settings
+		const address = advertisedAddress(this.settings)
 		this.services = new ServiceHost({
 			services,
 			claims: new ClaimTask({
 				platform: this.platform,
 				pool: pool.name,
 				buckets: claimBuckets,
-				owner: {hostId: id, address: link, incarnation: this.incarnation}
+				owner: {hostId: id, address, incarnation: this.incarnation}
 			}),
 			counters: this.counters,
 			seats: pool.seats,
@@ -425,10 +427,10 @@
 		state: HostState
 		incarnation: number
 	} {
-		const {id, link, pool, failureDomain} = this.settings
+		const {id, pool, failureDomain} = this.settings
 		return {
 			hostId: id,
-			address: link,
+			address: advertisedAddress(this.settings),
 			pool,
 			failureDomain,
 			role: HostRole.Endpoint,
--- a/src/entry/entryTask.ts
+++ b/src/entry/entryTask.ts
@@ -34,7 +34,13 @@
 	StaticHashRouter
 } from "../policy/index.js"
 import {MemberState} from "../policy/memberTypes.js"
-import {Counters, createLog, type Log, type Service} from "../program/index.js"
+import {
+	advertisedAddress,
+	Counters,
+	createLog,
+	type Log,
+	type Service
+} from "../program/index.js"
 import {answerConfigRequest, ConfigStore, SpreadTask} from "../spread/index.js"
 import {sleep} from "../utils/common.js"
 import {BurnTask} from "./burnTask.js"
@@ -65,7 +71,8 @@
 		private readonly settings: EntrySettings,
 		private readonly tls: TlsKeys | undefined
 	) {
-		const {id, logLevel, statsd, platform, link, failureDomain} = settings
+		const {id, logLevel, statsd, platform, failureDomain} = settings
+		const selfAddress = advertisedAddress(settings)
 		const role = HostRole.Entry
 		this.log = createLog({role, hostId: id, level: logLevel})
 		this.counters = new Counters({statsd, role, hostId: id})
@@ -73,7 +80,7 @@
 		this.clients = new ClientPool(tls)
 		this.burn = new BurnTask(id, this.platform)
 		this.spread = new SpreadTask({
-			selfAddress: link,
+			selfAddress,
 			failureDomain,
 			isEntry: true,
 			platform: this.platform,
@@ -84,7 +91,7 @@
 		})
 		this.fleet = new Fleet({
 			selfId: id,
-			selfAddress: link,
+			selfAddress,
 			platform: this.platform,
 			tls,
 			counters: this.counters,
@@ -236,13 +243,13 @@
 	}
 
 	private status(): StatusResponse {
-		const {id, failureDomain, link} = this.settings
+		const {id, failureDomain} = this.settings
 		return create(StatusResponseSchema, {
 			self: {
 				hostId: id,
 				role: HostRole.Entry,
 				failureDomain,
-				address: link,
+				address: advertisedAddress(this.settings),
 				state: this.state,
 				generation: this.store.generation,
 				platformReachable: true
--- a/src/program/commonSpecs.ts
+++ b/src/program/commonSpecs.ts
@@ -22,6 +22,11 @@
 		description: "Address of links between processes",
 		placeholder: "ip:port"
 	},
+	advertise: {
+		schema: z.union([kinds.address, z.undefined()]),
+		description: "Address that peers reach the link at, when not --link",
+		placeholder: "ip:port"
+	},
 	platform: {
 		schema: kinds.url,
 		description: "URL of the platform's object API",
@@ -42,3 +47,11 @@
 		description: `Lowest level logged: ${logLevels.join(", ")}`
 	}
 }
+
+/** The address by which other processes reach this one's link server. */
+export function advertisedAddress(settings: {
+	link: string
+	advertise: string | undefined
+}): string {
+	return settings.advertise ?? settings.link
+}
