Take the bench's rates up to the last arrival

Rates were taken up to the last answer, up to forty seconds after the last arrival, which diluted CPU, bytes and platform calls.

--- a/bench/scenario/index.ts
+++ b/bench/scenario/index.ts
@@ -1,4 +1,5 @@
 export * from "./faults.js"
+export * from "./figures.js"
 export * from "./plot.js"
 export * from "./runScenario.js"
 export * from "./scenarios.js"
--- a/bench/scenario/runScenario.ts
+++ b/bench/scenario/runScenario.ts
@@ -9,6 +9,7 @@
 	readModels
 } from "../deployment/index.js"
 import {
+	CallType,
 	type CapacityBound,
 	computeBound,
 	type LoadSummary,
@@ -18,20 +19,24 @@
 	type SecondCounts
 } from "../load/index.js"
 import {runFaults} from "./faults.js"
+import {
+	compareTruth,
+	compareUsage,
+	type DraftRates,
+	type ProcessFigures,
+	rateDrafts,
+	type Snapshot,
+	type Snapshots,
+	type StandinFigures
+} from "./figures.js"
 import {
 	listCallKinds,
 	type Scenario,
 	shareOfDrafts,
 	windowsMs
 } from "./scenarios.js"
-import {
-	EndRecord,
-	readTruth,
-	sum,
-	type Truth,
-	type Violations
-} from "./truth.js"
-import {type ProcessUsage, readUsage} from "./usage.js"
+import {EndRecord, readTruth, type Violations} from "./truth.js"
+import {readUsage} from "./usage.js"
 
 export interface ScenarioOptions {
 	deploymentName: DeploymentName
@@ -44,39 +49,17 @@
 	onProgress?: (text: string) => void
 }
 
-export interface ProcessFigures {
-	id: string
-	/** Share of one core. */
-	cpuShare: number
-	bytesPerSecond: number
-	/** Before any request was sent. */
-	idleBytesPerSecond: number
-	idleCpuShare: number
-	rssBytes: number
-}
-
-export interface ScenarioResult {
+export interface ScenarioResult extends DraftRates, StandinFigures {
 	deployment: DeploymentName
 	scenario: string
 	policy: string
 	seed: number
 	seconds: number
 	warmupSeconds: number
-	/** Drafts that arrived a second, and answered whole in their window. */
-	draftsPerSecond: number
-	answeredDraftsPerSecond: number
 	bound: CapacityBound
 	summary: LoadSummary
 	perSecond: SecondCounts[]
 	faults: {atSecond: number; text: string}[]
-	loads: number
-	failedLoads: number
-	loadsPerThousandDrafts: number
-	batchEfficiency: number
-	retriesPerRequest: number
-	platformReadsPerSecond: number
-	platformWritesPerSecond: number
-	platformRefused: number
 	processes: ProcessFigures[]
 	violations: Violations
 }
@@ -87,12 +70,6 @@
 const minTokens = 24
 const maxTokens = 96
 
-/** Counts of the processes and stand-ins at one moment. */
-interface Snapshot {
-	truth: Truth
-	usage: ProcessUsage[]
-}
-
 export async function runScenario(
 	options: ScenarioOptions
 ): Promise<ScenarioResult> {
@@ -150,8 +127,10 @@
 			onProgress?.(`${atSecond.toFixed(0)} s: ${text}`)
 		}
 	)
-	const snapshot = sleep(measureAt - startAt).then(() =>
-		takeSnapshot(deployment)
+	const before = takeSnapshotAt(deployment, measureAt)
+	const arrivalsEnd = takeSnapshotAt(
+		deployment,
+		measureAt + seconds * msPerSecond
 	)
 	onProgress?.(`sending ${calls.length} calls`)
 	const load = await runLoad({
@@ -163,8 +142,11 @@
 		}
 	})
 	await faultsDone
-	const before = await snapshot
-	const after = await takeSnapshot(deployment)
+	const snapshots: Snapshots = {
+		before: await before,
+		arrivalsEnd: await arrivalsEnd,
+		after: await takeSnapshot(deployment)
+	}
 	return {
 		deployment: options.deploymentName,
 		scenario: scenario.name,
@@ -172,14 +154,14 @@
 		seed: options.seed,
 		seconds,
 		warmupSeconds,
-		...rateDrafts(load.summary, options),
+		...rateDrafts(load.summary, listDraftRoutes(options), seconds),
 		bound,
 		summary: load.summary,
 		perSecond: load.seconds,
 		faults,
-		...compareTruth(before, after, load.summary, deployment),
-		processes: compareUsage(before, after, idle),
-		violations: ends.check(after.truth)
+		...compareTruth(snapshots, load.summary, deployment.spec.engines.seats),
+		processes: compareUsage(snapshots.before, snapshots.arrivalsEnd, idle),
+		violations: ends.check(snapshots.after.truth)
 	}
 }
 
@@ -188,6 +170,14 @@
 	return {truth: await readTruth(deployment), usage}
 }
 
+async function takeSnapshotAt(
+	deployment: Deployment,
+	at: number
+): Promise<Snapshot> {
+	await sleep(at - Date.now())
+	return takeSnapshot(deployment)
+}
+
 /** Usage of the processes while no request is sent. */
 async function measureIdle(deployment: Deployment): Promise<ProcessFigures[]> {
 	const before = await takeSnapshot(deployment)
@@ -228,82 +218,11 @@
 	})
 }
 
-function rateDrafts(
-	summary: LoadSummary,
-	{deploymentName, scenario, seconds}: ScenarioOptions
-): Pick<ScenarioResult, "draftsPerSecond" | "answeredDraftsPerSecond"> {
+function listDraftRoutes({
+	deploymentName,
+	scenario
+}: ScenarioOptions): Set<string> {
 	const kinds = listCallKinds(deploymentName, scenario.mix)
-	const routes = new Set(kinds.slice(0, 2).map(kind => kind.route))
-	const drafts = summary.routes.filter(one => routes.has(one.route))
-	return {
-		draftsPerSecond: sum(drafts.map(one => one.calls)) / seconds,
-		answeredDraftsPerSecond: sum(drafts.map(one => one.ends.answered)) / seconds
-	}
-}
-
-function compareTruth(
-	{truth: before}: Snapshot,
-	{truth: after, usage}: Snapshot,
-	summary: LoadSummary,
-	{spec}: Deployment
-): Pick<
-	ScenarioResult,
-	| "loads"
-	| "failedLoads"
-	| "loadsPerThousandDrafts"
-	| "batchEfficiency"
-	| "retriesPerRequest"
-	| "platformReadsPerSecond"
-	| "platformWritesPerSecond"
-	| "platformRefused"
-> {
-	const elapsed = (after.at - before.at) / msPerSecond
-	const loads = after.weightStore.loads - before.weightStore.loads
-	const steps = sumOf(after, "steps") - sumOf(before, "steps")
-	const tokens = sumOf(after, "tokenSum") - sumOf(before, "tokenSum")
-	const drafts = summary.firstTokenMs.count
-	const retries = sum(usage.map(one => sumRetries(one.counters)))
-	return {
-		loads,
-		failedLoads: after.weightStore.failed - before.weightStore.failed,
-		loadsPerThousandDrafts: drafts === 0 ? 0 : (loads / drafts) * 1000,
-		batchEfficiency: steps === 0 ? 0 : tokens / (steps * spec.engines.seats),
-		retriesPerRequest: summary.calls === 0 ? 0 : retries / summary.calls,
-		platformReadsPerSecond:
-			(after.platform.reads - before.platform.reads) / elapsed,
-		platformWritesPerSecond:
-			(after.platform.writes - before.platform.writes) / elapsed,
-		platformRefused: after.platform.refused - before.platform.refused
-	}
-}
-
-function sumOf({engines}: Truth, field: "steps" | "tokenSum"): number {
-	return sum(engines.map(engine => engine[field]))
-}
-
-function sumRetries(counters: Record<string, number>): number {
-	const names = Object.keys(counters).filter(name => name.startsWith("retry."))
-	return sum(names.map(name => counters[name] ?? 0))
-}
-
-function compareUsage(
-	before: Snapshot,
-	after: Snapshot,
-	idle: ProcessFigures[]
-): ProcessFigures[] {
-	const elapsedMs = after.truth.at - before.truth.at
-	return after.usage.map((usage, index) => {
-		const old = before.usage[index]
-		const quiet = idle[index]
-		// A restarted process counts its bytes from zero.
-		const bytes = Math.max(0, usage.bytes - (old?.bytes ?? 0))
-		return {
-			id: usage.id,
-			cpuShare: (usage.cpuMs - (old?.cpuMs ?? 0)) / elapsedMs,
-			bytesPerSecond: (bytes / elapsedMs) * msPerSecond,
-			idleBytesPerSecond: quiet?.bytesPerSecond ?? 0,
-			idleCpuShare: quiet?.cpuShare ?? 0,
-			rssBytes: usage.rssBytes
-		}
-	})
+	const drafts = kinds.filter(kind => kind.type === CallType.Draft)
+	return new Set(drafts.map(kind => kind.route))
 }
--- a/bench/scenario/table.ts
+++ b/bench/scenario/table.ts
@@ -1,9 +1,11 @@
 /** Prints the result of a scenario as a table. */
 import type {DelaySummary} from "../load/index.js"
-import type {ProcessFigures, ScenarioResult} from "./runScenario.js"
+import type {ProcessFigures} from "./figures.js"
+import type {ScenarioResult} from "./runScenario.js"
 import {countViolations, sum} from "./truth.js"
 
 const maxReasons = 8
+const maxMembers = 4
 const bytesPerMegabyte = 1024 * 1024
 
 export function renderResult(result: ScenarioResult): string {
@@ -13,6 +15,7 @@
 		...renderBound(result),
 		...renderRoutes(result),
 		...renderReasons(result),
+		renderMembers(result),
 		...renderDelays(result),
 		...renderCosts(result),
 		...renderProcesses(result.processes),
@@ -57,6 +60,14 @@
 	return shown.map(({reason, count}) => `  ${count} x ${reason}`)
 }
 
+function renderMembers({summary}: ScenarioResult): string {
+	const shown = summary.members.slice(0, maxMembers)
+	const parts = shown.map(
+		({member, calls, answered}) => `${member} ${answered}/${calls}`
+	)
+	return `lowest Members: ${parts.join(", ")}`
+}
+
 function renderDelays({summary}: ScenarioResult): string[] {
 	return [
 		renderDelay("load stall", summary.loadStallMs),
