Document the stand-ins and let delayed calls outlive their caller

A call delayed by a fault was dropped when its caller had gone, because the body was read only after the delay. A slow store would carry it out, and a write that lands after its writer gave up is the case that claims must stand. The body is now read first, which also makes most handlers synchronous.

A load whose caller left the weight store's queue was counted, and could use up an injected failure; it no longer does. Samples of a lagged value were searched from the newest to drop the oldest; they are now dropped from the front.

--- a/standins/__tests__/platform.test.ts
+++ b/standins/__tests__/platform.test.ts
@@ -1,4 +1,5 @@
-import {afterEach, beforeEach, expect, test} from "vitest"
+import {request} from "undici"
+import {afterEach, beforeEach, expect, test, vi} from "vitest"
 import {HostRole, HostState} from "../../src/host/host.js"
 import {type PlatformStandin, startPlatform} from "../index.js"
 import {type Reply, send} from "./client.js"
@@ -185,3 +186,16 @@
 	const current = await send("GET", `${platform.url}/v1/hosts`)
 	expect(current.body).toEqual(hosts)
 })
+
+test("a delayed write takes effect after its caller has gone", async () => {
+	platform.setFaults({delayMs: 1500})
+	const aborter = new AbortController()
+	const {signal} = aborter
+	const url = `${platform.url}/v1/objects/claim/c`
+	const gone = request(url, {method: "PUT", headers: create, body: "1", signal})
+	const aborted = expect(gone).rejects.toThrow()
+	await vi.waitUntil(() => platform.openCalls === 1, 30_000)
+	aborter.abort()
+	await aborted
+	await vi.waitUntil(() => platform.truth().revision === 1, 30_000)
+})
--- a/standins/__tests__/weightStore.test.ts
+++ b/standins/__tests__/weightStore.test.ts
@@ -66,6 +66,7 @@
 	aborter.abort()
 	await expect(waiting).rejects.toThrow()
 	await vi.waitUntil(() => slow.truth().inFlight === 0, 30_000)
+	expect(slow.truth()).toMatchObject({loads: 1, failed: 0})
 	await slow.close()
 })
 
--- a/standins/bin/engine.ts
+++ b/standins/bin/engine.ts
@@ -34,8 +34,9 @@
 	},
 	start: async ({listen, count, ...options}) => {
 		const {ip, port} = parseListen(listen)
-		const ports = Array.from({length: count}, (_, index) => port + index)
-		const engines = ports.map(port => startEngine({ip, port, ...options}))
+		const engines = Array.from({length: count}, (_, index) =>
+			startEngine({ip, port: port + index, ...options})
+		)
 		return closeOnDrain(await Promise.all(engines))
 	}
 })
--- a/standins/common/fence.ts
+++ b/standins/common/fence.ts
@@ -19,7 +19,8 @@
 		if (number === undefined) return
 		if (this.checksOrders && number < this.highest) {
 			this.staleRefused += 1
-			throw new HttpError(409, "stale fencing number", {highest: this.highest})
+			const details = {highest: this.highest}
+			throw new HttpError(409, "stale fencing number", {details})
 		}
 		if (number < this.highestEver) this.staleAccepted += 1
 		this.highest = Math.max(this.highest, number)
--- a/standins/common/lagged.ts
+++ b/standins/common/lagged.ts
@@ -35,7 +35,6 @@
 
 	/** Keeps the last sample before `time`, which is still in force then. */
 	private dropBefore(time: number): void {
-		const kept = this.samples.findLastIndex(({setAt}) => setAt <= time)
-		if (kept > 0) this.samples.splice(0, kept)
+		while ((this.samples[1]?.setAt ?? Infinity) <= time) this.samples.shift()
 	}
 }
--- a/standins/common/standin.ts
+++ b/standins/common/standin.ts
@@ -21,12 +21,13 @@
 	port?: number
 }
 
-/** One request with its decoded path parameters and query. */
+/** One request, read to its end, with decoded path parameters and query. */
 export interface Call {
 	req: IncomingMessage
 	res: ServerResponse
 	params: Record<string, string>
 	query: Record<string, string>
+	body: string
 }
 
 /** What a route answers with, as JSON. */
@@ -41,13 +42,18 @@
 	call: Call
 ) => Answer | undefined | Promise<Answer | undefined>
 
+export interface HttpErrorOptions {
+	/** Further fields of the body. */
+	details?: object
+	headers?: OutgoingHttpHeaders
+}
+
 /** Ends a call with a status other than 200. */
 export class HttpError extends Error {
 	constructor(
 		readonly status: number,
 		message: string,
-		readonly details: object = {},
-		readonly headers: OutgoingHttpHeaders = {}
+		readonly options: HttpErrorOptions = {}
 	) {
 		super(message)
 	}
@@ -59,6 +65,7 @@
 	outage: z.boolean(),
 	/** Calls are accepted and never answered. */
 	hang: z.boolean(),
+	/** Calls are handled that much later, even if the caller has gone. */
 	delayMs: z.number().min(0)
 }
 
@@ -74,7 +81,7 @@
 	delayMs: 0
 }
 
-export const defaultBodyLimitBytes = 1_000_000
+const maxBodyBytes = 1_000_000
 const keepAliveMs = 60_000
 const controlPrefix = "/control/"
 
@@ -90,8 +97,8 @@
 		this.server.keepAliveTimeout = keepAliveMs
 		this.route("GET", "/healthz", () => ({body: {status: "ok"}}))
 		this.route("GET", "/control/truth", () => ({body: this.truth()}))
-		this.route("POST", "/control/faults", async call => {
-			this.setFaults((await readJson(call.req)) as Partial<F>)
+		this.route("POST", "/control/faults", call => {
+			this.setFaults(parseJson(call) as Partial<F>)
 			return {body: this.faults}
 		})
 	}
@@ -105,6 +112,11 @@
 		return `http://${address}:${port}`
 	}
 
+	/** Number of calls that wait or run. */
+	get openCalls(): number {
+		return this.calls.size
+	}
+
 	/** What really happened, for tests to compare with what callers saw. */
 	abstract truth(): object
 
@@ -113,7 +125,7 @@
 		const parsed = this.faultSchema.parse(changes) as Partial<F>
 		this.faults = {...this.faults, ...parsed}
 		if (this.faults.outage) this.destroyCalls()
-		this.applyFaults(parsed)
+		this.applyFaults?.(parsed)
 	}
 
 	async listen({ip = "127.0.0.1", port = 0}: ListenOptions): Promise<this> {
@@ -129,8 +141,8 @@
 		await closed
 	}
 
-	/** Called after a change of faults. */
-	protected abstract applyFaults(changes: Partial<F>): void
+	/** Called after a change; for faults that take effect at once. */
+	protected applyFaults?(changes: Partial<F>): void
 
 	protected route(
 		method: "GET" | "PUT" | "POST" | "DELETE",
@@ -138,7 +150,7 @@
 		handler: Handler
 	): void {
 		this.app.add(method, path, (req, res) => {
-			void this.serve(req, res, req.params as Record<string, string>, handler)
+			void this.serve(req, res, handler, req.params as Call["params"])
 		})
 	}
 
@@ -150,21 +162,15 @@
 	private async serve(
 		req: IncomingMessage,
 		res: ServerResponse,
-		params: Record<string, string>,
-		handler: Handler
+		handler: Handler,
+		rawParams: Call["params"]
 	): Promise<void> {
 		res.on("error", () => undefined)
 		try {
-			const call = {
-				req,
-				res,
-				params: decodeParams(params),
-				query: readQuery(req)
-			}
-			if (!isControl(req)) {
-				this.track(call)
-				if (!(await this.passFaults(call))) return
-			}
+			const params = decodeParams(rawParams)
+			const body = await readBody(req)
+			const call = {req, res, params, query: readQuery(req), body}
+			if (!isControl(req) && !(await this.passFaults(call))) return
 			const answer = await handler(call)
 			if (answer !== undefined) sendAnswer(res, answer)
 		} catch (err) {
@@ -172,40 +178,37 @@
 		}
 	}
 
-	private track(call: Call): void {
-		this.calls.add(call)
-		call.res.once("close", () => this.calls.delete(call))
-	}
-
 	/** Applies the common faults; false when the call must not be handled. */
-	private async passFaults({req}: Call): Promise<boolean> {
+	private async passFaults(call: Call): Promise<boolean> {
+		const {req, res} = call
+		this.calls.add(call)
+		res.once("close", () => this.calls.delete(call))
 		if (this.faults.delayMs > 0) await sleep(this.faults.delayMs)
 		if (this.faults.outage) req.socket.destroy()
 		return !this.faults.outage && !this.faults.hang
 	}
 }
 
-/** Reads a JSON body of at most `limitBytes`. */
-export async function readJson(
-	req: IncomingMessage,
-	limitBytes = defaultBodyLimitBytes
-): Promise<unknown> {
-	const chunks: Buffer[] = []
-	let size = 0
-	for await (const chunk of req as AsyncIterable<Buffer>) {
-		size += chunk.length
-		if (size <= limitBytes) chunks.push(chunk)
-	}
-	if (size > limitBytes) {
-		throw new HttpError(413, `body of ${size} bytes exceeds ${limitBytes}`)
-	}
+/** The body of a call as JSON. */
+export function parseJson({body}: Call): unknown {
 	try {
-		return JSON.parse(Buffer.concat(chunks).toString("utf8")) as unknown
+		return JSON.parse(body) as unknown
 	} catch (err) {
 		throw new HttpError(400, `body is not JSON: ${messageOf(err)}`)
 	}
 }
 
+/** An integer of the query that is not negative. */
+export function readInteger(
+	{query}: Call,
+	key: string,
+	fallback: number
+): number {
+	const value = Number(query[key] ?? fallback)
+	if (Number.isInteger(value) && value >= 0) return value
+	throw new HttpError(400, `${key} is not an integer: ${query[key] ?? ""}`)
+}
+
 /** The single value of a header, or undefined. */
 export function readHeader(
 	req: IncomingMessage,
@@ -215,6 +218,17 @@
 	return Array.isArray(value) ? value[0] : value
 }
 
+async function readBody(req: IncomingMessage): Promise<string> {
+	const chunks: Buffer[] = []
+	let size = 0
+	for await (const chunk of req as AsyncIterable<Buffer>) {
+		size += chunk.length
+		if (size <= maxBodyBytes) chunks.push(chunk)
+	}
+	if (size <= maxBodyBytes) return Buffer.concat(chunks).toString()
+	throw new HttpError(413, `body of ${size} bytes exceeds ${maxBodyBytes}`)
+}
+
 function isControl(req: IncomingMessage): boolean {
 	return req.url?.startsWith(controlPrefix) === true
 }
@@ -248,7 +262,8 @@
 
 function sendError(res: ServerResponse, err: unknown): void {
 	if (err instanceof HttpError) {
-		const {status, headers, message, details} = err
+		const {status, message, options} = err
+		const {headers = {}, details} = options
 		sendAnswer(res, {status, headers, body: {error: message, ...details}})
 		return
 	}
--- a/standins/engine/engine.ts
+++ b/standins/engine/engine.ts
@@ -7,20 +7,25 @@
 import {
 	type Answer,
 	type Call,
-	commonFaults,
-	type Counts,
 	Fence,
 	HttpError,
 	Lagged,
 	type ListenOptions,
 	noCommonFaults,
-	readJson,
+	parseJson,
+	readInteger,
 	Standin,
 	Tally
 } from "../common/index.js"
 import {Batch, type BatchCounts} from "./batch.js"
 import {Sequence, SequenceState} from "./sequence.js"
 import {Slots} from "./slots.js"
+import {
+	type EngineAnswer,
+	type EngineFaults,
+	engineFaults,
+	type EngineTruth
+} from "./types.js"
 
 export interface EngineOptions extends ListenOptions {
 	weightStoreUrl: string
@@ -36,50 +41,6 @@
 	loadLagMs?: number
 }
 
-const engineFaults = z.strictObject({
-	...commonFaults,
-	/** Restarts at once with nothing loaded. */
-	coldRestart: z.boolean(),
-	/** This many further loads fail. */
-	failLoads: z.number().int().min(0),
-	/** Loads and unloads are answered with 503. */
-	refuseOrders: z.boolean(),
-	msPerToken: z.number().positive(),
-	/** Cuts the next stream after this many events; zero for not. */
-	cutStreamsAfter: z.number().int().min(0),
-	/** Events name another model than the one that ran. */
-	wrongEcho: z.boolean(),
-	/** Skips one event of the next stream. */
-	dropEvent: z.boolean(),
-	loadLagMs: z.number().min(0)
-})
-
-export type EngineFaults = z.infer<typeof engineFaults>
-
-/** A completion that ended whole. */
-export interface EngineAnswer {
-	requestId: string
-	model: string
-	loraPath: string
-	tokens: number
-}
-
-export interface EngineTruth {
-	/** Whole answers, in the order in which they ended. */
-	answers: EngineAnswer[]
-	/** Runs by request id. */
-	runsById: Counts
-	/** Sequences that lost their adapter before they ended. */
-	evictedInUse: number
-	coldRestarts: number
-	staleOrdersAccepted: number
-	staleOrdersRefused: number
-	loads: number
-	steps: number
-	tokenSum: number
-	batchEfficiency: number
-}
-
 const loadOrder = z.object({
 	lora_name: z.string().min(1),
 	lora_path: z.string().min(1)
@@ -183,7 +144,7 @@
 		await super.close()
 	}
 
-	protected applyFaults(changes: Partial<EngineFaults>): void {
+	protected override applyFaults(changes: Partial<EngineFaults>): void {
 		this.batch.msPerToken = this.faults.msPerToken
 		this.batch.pause(this.faults.hang)
 		if (changes.coldRestart === true) this.restartCold()
@@ -192,7 +153,10 @@
 	private addRoutes(): void {
 		this.route("POST", "/v1/load_lora_adapter", call => this.load(call))
 		this.route("POST", "/v1/unload_lora_adapter", call => this.unload(call))
-		this.route("POST", "/v1/completions", call => this.complete(call))
+		this.route("POST", "/v1/completions", call => {
+			this.complete(call)
+			return undefined
+		})
 		this.route("GET", "/v1/streams/:id", call => {
 			this.resume(call)
 			return undefined
@@ -201,11 +165,9 @@
 		this.route("GET", "/v1/load", () => this.reportLoad())
 	}
 
-	private async load({req}: Call): Promise<Answer> {
-		const {lora_name: name, lora_path: path} = loadOrder.parse(
-			await readJson(req)
-		)
-		this.checkOrder(req)
+	private async load(call: Call): Promise<Answer> {
+		const {lora_name: name, lora_path: path} = loadOrder.parse(parseJson(call))
+		this.checkOrder(call)
 		if (this.faults.failLoads > 0) {
 			this.faults.failLoads -= 1
 			throw new HttpError(502, `load of ${path} failed`)
@@ -214,36 +176,32 @@
 		return {body: {lora_name: name, lora_path: path}}
 	}
 
-	private async unload({req}: Call): Promise<Answer> {
-		const {lora_name: name} = unloadOrder.parse(await readJson(req))
-		this.checkOrder(req)
+	private unload(call: Call): Answer {
+		const {lora_name: name} = unloadOrder.parse(parseJson(call))
+		this.checkOrder(call)
 		if (!this.slots.unload(name)) throw notLoaded(name)
 		this.batch.dropPrefixes(name)
 		this.evictedInUse += this.batch.abort(({options}) => options.model === name)
 		return {body: {lora_name: name}}
 	}
 
-	private checkOrder(req: Call["req"]): void {
+	private checkOrder({req}: Call): void {
 		if (this.faults.refuseOrders) throw new HttpError(503, "orders are refused")
 		this.fence.check(req)
 	}
 
-	private async complete({req, res}: Call): Promise<undefined> {
-		const body = completion.parse(await readJson(req))
+	private complete(call: Call): void {
+		const body = completion.parse(parseJson(call))
 		const loraPath = this.slots.pathOf(body.model)
 		if (loraPath === undefined) throw notLoaded(body.model)
 		if (this.batch.isFull) {
-			throw new HttpError(
-				429,
-				"too many requests wait",
-				{},
-				{"retry-after": "1"}
-			)
+			const headers = {"retry-after": "1"}
+			throw new HttpError(429, "too many requests wait", {headers})
 		}
 		const sequence = this.createSequence(body, loraPath)
 		this.dropExpired()
 		this.sequences.set(sequence.options.id, sequence)
-		sequence.addReader(res, 0)
+		sequence.addReader(call.res, 0)
 		this.batch.add(sequence)
 	}
 
@@ -265,15 +223,9 @@
 		})
 	}
 
-	private resume({params, query, res}: Call): void {
-		const offset = Number(query.offset ?? 0)
-		if (!Number.isInteger(offset) || offset < 0) {
-			throw new HttpError(
-				400,
-				`offset is not an integer: ${query.offset ?? ""}`
-			)
-		}
-		this.findSequence(params.id).addReader(res, offset)
+	private resume(call: Call): void {
+		const offset = readInteger(call, "offset", 0)
+		this.findSequence(call.params.id).addReader(call.res, offset)
 	}
 
 	private cancel({params}: Call): Answer {
@@ -307,9 +259,9 @@
 	private dropExpired(): void {
 		const now = performance.now()
 		for (const [id, {state, expiresAt}] of this.sequences) {
-			const isExpired = state === SequenceState.Finished && expiresAt <= now
-			if (isExpired || state === SequenceState.Aborted)
-				this.sequences.delete(id)
+			const isKept = state !== SequenceState.Finished || expiresAt > now
+			const isAborted = state === SequenceState.Aborted
+			if (isAborted || !isKept) this.sequences.delete(id)
 		}
 	}
 
--- a/standins/engine/index.ts
+++ b/standins/engine/index.ts
@@ -1,2 +1,3 @@
 export * from "./engine.js"
 export {expectedText} from "./text.js"
+export type * from "./types.js"
--- a/standins/engine/sequence.ts
+++ b/standins/engine/sequence.ts
@@ -93,6 +93,7 @@
 		res.once("close", () => {
 			this.removeReader(reader)
 		})
+		if (res.destroyed) this.removeReader(reader)
 	}
 
 	/** Appends one token and sends it. */
--- a/standins/index.ts
+++ b/standins/index.ts
@@ -1,3 +1,4 @@
+export type {CommonFaults, Counts, ListenOptions} from "./common/index.js"
 export * from "./engine/index.js"
 export * from "./platform/index.js"
 export * from "./service.js"
--- a/standins/platform/index.ts
+++ b/standins/platform/index.ts
@@ -1,2 +1,2 @@
-export * from "./objectStore.js"
 export * from "./platform.js"
+export type * from "./types.js"
--- a/standins/platform/platform.ts
+++ b/standins/platform/platform.ts
@@ -1,23 +1,26 @@
 /** Stand-in of the platform: the object API and the lagging list of hosts. */
-import {z} from "zod"
-import {HostRole, HostState} from "../../src/host/host.js"
 import type {HostRecord} from "../../src/link/platform.js"
 import {
 	type Answer,
 	type Call,
-	commonFaults,
-	type Counts,
 	HttpError,
 	Lagged,
 	type ListenOptions,
 	noCommonFaults,
+	parseJson,
 	readHeader,
-	readJson,
+	readInteger,
 	Standin,
 	Tally,
 	TokenBucket
 } from "../common/index.js"
 import {ObjectStore, type StoreResult} from "./objectStore.js"
+import {
+	hostList,
+	type PlatformFaults,
+	platformFaults,
+	type PlatformTruth
+} from "./types.js"
 
 export interface PlatformOptions extends ListenOptions {
 	writesPerSecond?: number
@@ -27,50 +30,6 @@
 	keptChanges?: number
 }
 
-const platformFaults = z.strictObject({
-	...commonFaults,
-	/** This many further writes take effect without an answer. */
-	loseAnswers: z.number().int().min(0),
-	/** Limits `loseAnswers` to one kind; empty for all. */
-	loseAnswersKind: z.string(),
-	/** Reads and lists show the state of that long ago. */
-	staleReadMs: z.number().min(0),
-	/** Every watch is answered with 410. */
-	watchGap: z.boolean(),
-	writesPerSecond: z.number().positive(),
-	readsPerSecond: z.number().positive(),
-	hostLagMs: z.number().min(0)
-})
-
-export type PlatformFaults = z.infer<typeof platformFaults>
-
-export interface PlatformTruth {
-	revision: number
-	reads: number
-	writes: number
-	readsByKind: Counts
-	writesByKind: Counts
-	/** Calls over the budget. */
-	refused: number
-	/** Writes that expected another version. */
-	conflicts: number
-	/** Writes that took effect without an answer. */
-	lost: number
-}
-
-const hostList = z.strictObject({
-	hosts: z.array(
-		z.strictObject({
-			id: z.string(),
-			role: z.enum(HostRole),
-			address: z.string(),
-			failureDomain: z.string(),
-			pool: z.string(),
-			state: z.enum(HostState)
-		})
-	)
-})
-
 const msPerSecond = 1_000
 const defaultWatchMs = 30_000
 const hostsKind = "hosts"
@@ -135,7 +94,7 @@
 		this.hosts.set(hosts)
 	}
 
-	protected applyFaults(): void {
+	protected override applyFaults(): void {
 		this.readBudget.setRate(this.faults.readsPerSecond)
 		this.writeBudget.setRate(this.faults.writesPerSecond)
 		this.wakeWatches()
@@ -150,8 +109,8 @@
 			call.query.watch === "1" ? this.watch(call) : this.list(call)
 		)
 		this.route("GET", "/v1/hosts", () => this.listHosts())
-		this.route("PUT", "/control/hosts", async ({req}) => {
-			const {hosts} = hostList.parse(await readJson(req))
+		this.route("PUT", "/control/hosts", call => {
+			const {hosts} = hostList.parse(parseJson(call))
 			this.setHosts(hosts)
 			return {body: {hosts}}
 		})
@@ -182,11 +141,11 @@
 		return {body: {hosts: this.hosts.read(this.faults.hostLagMs)}}
 	}
 
-	private async putObject(call: Call): Promise<Answer | undefined> {
+	private putObject(call: Call): Answer | undefined {
 		const {kind} = readPath(call)
 		const expected = readExpected(call)
 		this.admitWrite(kind)
-		const value = await readJson(call.req)
+		const value = parseJson(call)
 		if (value === null) throw new HttpError(400, "value is null")
 		return this.write(call, value, expected)
 	}
@@ -293,12 +252,8 @@
 		if (budget.take()) return
 		this.refused += 1
 		const seconds = Math.ceil(budget.waitMs / msPerSecond)
-		throw new HttpError(
-			429,
-			"over the call budget",
-			{},
-			{"retry-after": String(seconds)}
-		)
+		const headers = {"retry-after": String(seconds)}
+		throw new HttpError(429, "over the call budget", {headers})
 	}
 }
 
@@ -320,12 +275,6 @@
 	return Number(version)
 }
 
-function readInteger({query}: Call, key: string, fallback: number): number {
-	const value = Number(query[key] ?? fallback)
-	if (Number.isInteger(value) && value >= 0) return value
-	throw new HttpError(400, `${key} is not an integer: ${query[key] ?? ""}`)
-}
-
 function notFound(kind: string, name: string): HttpError {
 	return new HttpError(404, `no ${kind} object is named ${name}`)
 }
--- a/standins/service.ts
+++ b/standins/service.ts
@@ -13,8 +13,8 @@
 	HttpError,
 	type ListenOptions,
 	noCommonFaults,
+	parseJson,
 	readHeader,
-	readJson,
 	Standin,
 	Tally
 } from "./common/index.js"
@@ -114,10 +114,6 @@
 		}
 	}
 
-	protected applyFaults(): void {
-		// Every fault is read when a call needs it.
-	}
-
 	private addRoutes(): void {
 		const {Booking, Filing} = Product
 		this.route("POST", "/bookings", call => this.submit(call, Booking))
@@ -126,15 +122,12 @@
 		this.route("GET", "/filings/:id", call => this.readStatus(call, Filing))
 	}
 
-	private async submit(
-		call: Call,
-		product: Product
-	): Promise<Answer | undefined> {
-		const body = submission.parse(await readJson(call.req))
+	private submit(call: Call, product: Product): Promise<Answer | undefined> {
+		const body = submission.parse(parseJson(call))
 		this.fence.check(call.req)
 		return this.perform(call, () => {
 			const id = this.record(call.req, body.order, product)
-			return {[product]: id, ...body}
+			return {...body, [product]: id}
 		})
 	}
 
--- a/standins/weightStore.ts
+++ b/standins/weightStore.ts
@@ -109,11 +109,7 @@
 		await super.close()
 	}
 
-	protected applyFaults(): void {
-		// Every fault is read when a load needs it.
-	}
-
-	private async load(call: Call): Promise<Answer> {
+	private async load(call: Call): Promise<Answer | undefined> {
 		const {source = ""} = call.query
 		if (source === "") throw new HttpError(400, "source is not set")
 		if (this.faults.missing.includes(source)) {
@@ -123,7 +119,8 @@
 		this.peakInFlight = Math.max(this.peakInFlight, this.inFlight)
 		try {
 			await this.waitForStart(call)
-			await this.transfer(call)
+			if (call.res.destroyed) return undefined
+			await this.transfer()
 		} finally {
 			this.inFlight -= 1
 		}
@@ -169,8 +166,7 @@
 		start()
 	}
 
-	private async transfer({res}: Call): Promise<void> {
-		if (res.destroyed) return
+	private async transfer(): Promise<void> {
 		const crowding = crowdingOf(this.inFlight, this.maxInFlight)
 		await sleep((this.loadMs * crowding) / this.faults.speed)
 	}
