--- a/src/report/burnText.ts
+++ b/src/report/burnText.ts
@@ -75,7 +75,7 @@
 }
 
 function renderHidden(count: number): string[] {
-	return count === 0 ? [] : [`${count} more Members are not shown`]
+	return count === 0 ? [] : [`  Members not shown: ${count}`]
 }
 
 function alignColumns(rows: string[][]): string[] {
