Apply configurations by one conditional write, from the operator command

Parts are written first, each created if absent; the conditional write of the root is the acceptance. A lost answer is settled by reading back: the record of the generation after the base names the apply that won, since each later root keeps it. Ruled out: comparing the stored version only. A stale read shows the old version while the lost write, or a rival's, has taken effect, so that nothing follows from it; the write is then repeated under the same condition.

--- a/src/contract/config/parts.ts
+++ b/src/contract/config/parts.ts
@@ -113,20 +113,29 @@
 	return [...new Set(root.buckets)].filter(hash => hash !== "")
 }
 
+/** Hash of the part that would hold an adapter; undefined when none does. */
+export function hashOfAdapter(
+	root: ConfigRootContent,
+	id: string
+): string | undefined {
+	const parsed = parseAdapterId(id)
+	if (parsed === undefined) return undefined
+	const hash = root.buckets[bucketOf(adapterKey(parsed), root.buckets.length)]
+	return hash === "" ? undefined : hash
+}
+
 /** Finds an adapter by `base:name`, with or without a version. */
 export function findAdapter(
 	root: ConfigRootContent,
 	parts: ConfigParts,
 	id: string
 ): Adapter | undefined {
+	const hash = hashOfAdapter(root, id)
 	const parsed = parseAdapterId(id)
-	if (parsed === undefined) return undefined
-	const {base, name} = parsed
-	const bucket = bucketOf(adapterKey({base, name}), root.buckets.length)
-	const hash = root.buckets[bucket] ?? ""
-	if (hash === "") return undefined
+	if (hash === undefined || parsed === undefined) return undefined
+	const key = adapterKey(parsed)
 	const {adapters} = requirePart(hash, parts)
-	return adapters.find(entry => entry.base === base && entry.name === name)
+	return adapters.find(adapter => adapterKey(adapter) === key)
 }
 
 /** Finds the version that `base:name@version` names. */
--- /dev/null
+++ b/src/operator/changeCommands.ts
@@ -0,0 +1,197 @@
+/** Commands that check, compare and apply files. */
+import {
+	formatChange,
+	parseConfiguration,
+	summarizeChanges
+} from "../contract/config/index.js"
+import {SettingsError} from "../contract/errors.js"
+import type {Platform} from "../link/platform.js"
+import {ExitCode} from "../program/run.js"
+import {
+	applyConfiguration,
+	ApplyOutcome,
+	type ApplyResult,
+	planApply
+} from "./apply.js"
+import type {Context} from "./context.js"
+import {readConfigFiles} from "./files.js"
+import {handOver, type HandOver} from "./handOver.js"
+
+const maxListedChanges = 40
+
+export interface FileOptions {
+	files: readonly string[]
+	json: boolean
+}
+
+export interface ApplyFileOptions extends FileOptions {
+	dryRun: boolean
+}
+
+/** `validate`: checks the files alone. */
+export function validateFiles(
+	{output}: Pick<Context, "output">,
+	{files, json}: FileOptions
+): ExitCode {
+	const {settings, adapters} = parseConfiguration(readConfigFiles(files))
+	const counts = {
+		pools: settings.pools.length,
+		routes: settings.routes.length,
+		adapters: adapters.length
+	}
+	if (json) output.json({valid: true, ...counts})
+	else {
+		const {pools, routes} = counts
+		output.line(
+			`valid: ${pools} pools, ${routes} routes, ${counts.adapters} adapters`
+		)
+	}
+	return ExitCode.Ok
+}
+
+/** `diff`: what an apply of the files would change. */
+export async function diffFiles(
+	context: Context,
+	{files, json}: FileOptions
+): Promise<ExitCode> {
+	const {output} = context
+	const configuration = parseConfiguration(readConfigFiles(files))
+	const plan = await planApply(requirePlatform(context), configuration)
+	const generation = plan.base.root?.generation ?? 0
+	if (json) output.json({generation, changes: plan.changes})
+	else {
+		output.lines(plan.changes.map(formatChange))
+		const summary = summarizeChanges(plan.changes)
+		output.line(`against generation ${generation}: ${summary}`)
+	}
+	return ExitCode.Ok
+}
+
+/** `apply`: puts the files in force as a whole. */
+export async function applyFiles(
+	context: Context,
+	options: ApplyFileOptions
+): Promise<ExitCode> {
+	if (options.dryRun) return diffFiles(context, options)
+	const configuration = parseConfiguration(readConfigFiles(options.files))
+	const result = await applyConfiguration({
+		platform: requirePlatform(context),
+		configuration,
+		operator: context.operator,
+		applyId: context.createApplyId()
+	})
+	const handed = await handOverResult(context, result)
+	if (options.json) printJson(context, result, handed)
+	else printResult(context, result, handed)
+	return exitCodes[result.outcome]
+}
+
+const exitCodes: Readonly<Record<ApplyOutcome, ExitCode>> = {
+	[ApplyOutcome.Accepted]: ExitCode.Ok,
+	[ApplyOutcome.NoChange]: ExitCode.Ok,
+	[ApplyOutcome.Conflict]: ExitCode.Conflict,
+	[ApplyOutcome.Unknown]: ExitCode.Unknown
+}
+
+async function handOverResult(
+	{links, token}: Context,
+	{root, newParts}: ApplyResult
+): Promise<HandOver[]> {
+	if (root === undefined) return []
+	return handOver(links, root, newParts, token)
+}
+
+function printResult(
+	context: Context,
+	result: ApplyResult,
+	handed: readonly HandOver[]
+): void {
+	const {output} = context
+	const {outcome, generation, changes, applyId} = result
+	switch (outcome) {
+		case ApplyOutcome.Accepted:
+			printChanges(context, changes.map(formatChange))
+			output.line(
+				`accepted as generation ${generation}: ${summarizeChanges(changes)} (apply ${applyId})`
+			)
+			break
+		case ApplyOutcome.NoChange:
+			output.line(`no change: generation ${generation} has this content`)
+			break
+		case ApplyOutcome.Conflict:
+			printConflict(context, result)
+			break
+		case ApplyOutcome.Unknown:
+			printUnknown(context, result)
+			break
+	}
+	printHandOver(context, handed)
+}
+
+function printConflict(context: Context, result: ApplyResult): void {
+	const {output} = context
+	output.error("refused: another change was accepted first")
+	for (const {generation, operator, at, summary} of result.others) {
+		const time = new Date(at).toISOString()
+		output.error(
+			`generation ${generation} by ${operator} at ${time}: ${summary}`
+		)
+	}
+	const lines = result.otherChanges.map(formatChange)
+	for (const line of limitLines(lines)) output.error(`  ${line}`)
+	output.error(
+		"nothing of this apply is in force; run diff, then apply again if it is still right"
+	)
+}
+
+function printUnknown({output}: Context, {applyId}: ApplyResult): void {
+	output.error(
+		`it is not known whether apply ${applyId} took effect: the platform did not answer`
+	)
+	output.error(
+		`when it is back, run history: the change is in force if ${applyId} is listed`
+	)
+	output.error("running the same apply again is harmless")
+}
+
+function printHandOver({output}: Context, handed: readonly HandOver[]): void {
+	for (const {address, fault} of handed) {
+		if (fault === "") continue
+		output.error(`entry ${address} was not told: ${fault}`)
+	}
+	const told = handed.filter(({fault}) => fault === "").length
+	if (handed.length > 0) output.line(`told ${told} of ${handed.length} entries`)
+}
+
+function printChanges({output}: Context, lines: readonly string[]): void {
+	output.lines(limitLines(lines))
+}
+
+function limitLines(lines: readonly string[]): string[] {
+	if (lines.length <= maxListedChanges) return [...lines]
+	const rest = lines.length - maxListedChanges
+	const more = `… and ${rest} more; --json lists all`
+	return [...lines.slice(0, maxListedChanges), more]
+}
+
+function printJson(
+	{output}: Context,
+	result: ApplyResult,
+	handed: readonly HandOver[]
+): void {
+	const {outcome, applyId, generation, changes, others, otherChanges} = result
+	output.json({
+		outcome,
+		applyId,
+		generation,
+		changes,
+		others,
+		otherChanges,
+		entries: handed
+	})
+}
+
+function requirePlatform({platform}: Context): Platform {
+	if (platform !== undefined) return platform
+	throw new SettingsError(["--platform is not set"])
+}
--- /dev/null
+++ b/src/operator/files.ts
@@ -0,0 +1,38 @@
+/** Reads the operator's files from disk. */
+import {readdirSync, readFileSync, statSync} from "node:fs"
+import {join} from "node:path"
+import type {ConfigFile} from "../contract/config/index.js"
+import {SettingsError} from "../contract/errors.js"
+import {messageOf} from "../utils/common.js"
+
+/**
+ * Reads files, and every `.yaml` or `.yml` file of directories.
+ *
+ * @throws SettingsError naming each path that is unreadable
+ */
+export function readConfigFiles(paths: readonly string[]): ConfigFile[] {
+	if (paths.length === 0) {
+		throw new SettingsError(["no file is given: use -f FILE, more than once"])
+	}
+	const faults: string[] = []
+	const files: ConfigFile[] = []
+	for (const path of paths) {
+		try {
+			files.push(...listFiles(path).map(readFile))
+		} catch (err) {
+			faults.push(messageOf(err))
+		}
+	}
+	if (faults.length > 0) throw new SettingsError(faults)
+	return files
+}
+
+function listFiles(path: string): string[] {
+	if (!statSync(path).isDirectory()) return [path]
+	const names = readdirSync(path).filter(name => /\.ya?ml$/.test(name))
+	return names.sort().map(name => join(path, name))
+}
+
+function readFile(path: string): ConfigFile {
+	return {path, text: readFileSync(path, "utf8")}
+}
