--- /dev/null
+++ b/bench/policy/micro.ts
@@ -0,0 +1,172 @@
+/** Measures the time of single decisions and the heap that their state takes. */
+import {
+	AdapterScheduler,
+	DemandLoadShares,
+	RequestClass,
+	ResidencyRouter,
+	SchedulerActionKind,
+	SchedulerEventKind
+} from "../../src/policy/index.js"
+import type {
+	Draft,
+	EndpointView,
+	SchedulerAction
+} from "../../src/policy/index.js"
+import {createRandom, Zipf} from "./random.js"
+
+const routeDecisions = 20_000
+const schedulerSteps = 20_000
+const shareDecisions = 200_000
+const adapters = 3000
+const slots = 8
+const noneExcluded: ReadonlySet<string> = new Set()
+
+export function measureDecisions(seed: number): void {
+	for (const endpoints of [8, 40, 320]) measureRouter(endpoints, seed)
+	for (const queued of [16, 1000, 10_000]) measureScheduler(queued, seed)
+	measureShares()
+}
+
+function measureRouter(endpoints: number, seed: number): void {
+	const random = createRandom(seed)
+	const zipf = new Zipf(adapters)
+	const views = Array.from({length: endpoints}, (_, index) =>
+		createView(index, random)
+	)
+	const router = new ResidencyRouter()
+	const route = (): void => {
+		const query = {
+			adapter: `adapter-${zipf.draw(random)}`,
+			class: RequestClass.Interactive,
+			member: "member",
+			deadline: 30_000,
+			prefixHash: 0,
+			excluded: noneExcluded,
+			failureDomain: "domain-0"
+		}
+		router.choose(query, views, 0, random())
+	}
+	const us = timeEach(route, routeDecisions)
+	console.log(`router, ${endpoints} endpoints: ${us.toFixed(1)} us a choice`)
+}
+
+function createView(index: number, random: () => number): EndpointView {
+	const drawName = (): string => `adapter-${Math.floor(random() * adapters)}`
+	return {
+		id: `host-${index}`,
+		failureDomain: `domain-${index % 4}`,
+		admitting: true,
+		workers: 1,
+		seats: 8,
+		slots,
+		resident: new Set(Array.from({length: slots}, drawName)),
+		loading: new Set(),
+		running: Math.floor(random() * 8),
+		queued: Math.floor(random() * 4),
+		ownUnreported: 0,
+		loadMs: 250
+	}
+}
+
+/** Keeps the queue at a length: each step runs, ends or adds a request. */
+function measureScheduler(queued: number, seed: number): void {
+	const random = createRandom(seed)
+	const zipf = new Zipf(adapters)
+	const before = readHeap()
+	const scheduler = new AdapterScheduler({
+		workers: ["a", "b", "c", "d", "e"],
+		slots,
+		seats: 8,
+		objective: {loadStalls: 0.5, batchEfficiency: 0.5},
+		share: {loadsPerSecond: 1000, inFlight: 8},
+		msPerToken: 20,
+		loadMs: 250,
+		maxQueued: queued
+	})
+	let now = 0
+	let steps = 0
+	let stepMs = 0
+	const pending: SchedulerAction[] = []
+	const step = (event: Parameters<AdapterScheduler["step"]>[0]): void => {
+		const start = performance.now()
+		const actions = scheduler.step(event, now)
+		stepMs += performance.now() - start
+		steps += 1
+		for (const action of actions) {
+			if (action.kind === SchedulerActionKind.Run) pending.push(action)
+			if (action.kind === SchedulerActionKind.Load) pending.push(action)
+		}
+	}
+	const arrive = (): void => {
+		const draft = createDraft(steps, zipf.draw(random), now)
+		step({kind: SchedulerEventKind.Arrived, draft})
+	}
+	for (let count = 0; count < queued; count++) arrive()
+	const heapBytes = (readHeap() - before) / queued
+	steps = 0
+	stepMs = 0
+	while (steps < schedulerSteps) {
+		now += 1
+		const action = pending.shift()
+		if (action) end(action, step)
+		while (scheduler.snapshot().queued < queued - 1) arrive()
+		arrive()
+	}
+	const us = (1000 * stepMs) / steps
+	console.log(
+		`scheduler, ${queued} queued: ${us.toFixed(1)} us a step, ` +
+			`${heapBytes.toFixed(0)} heap bytes a request`
+	)
+}
+
+function end(
+	action: SchedulerAction,
+	step: (event: Parameters<AdapterScheduler["step"]>[0]) => void
+): void {
+	if (action.kind === SchedulerActionKind.Run) {
+		const {worker, id} = action
+		step({kind: SchedulerEventKind.RunEnded, worker, id})
+	}
+	if (action.kind === SchedulerActionKind.Load) {
+		const {worker, adapter} = action
+		const kind = SchedulerEventKind.LoadEnded
+		step({kind, worker, adapter, ok: true, tookMs: 250})
+	}
+}
+
+function createDraft(id: number, adapter: number, now: number): Draft {
+	return {
+		id: `request-${id}`,
+		adapter: `adapter-${adapter}`,
+		member: `member-${id % 200}`,
+		class: id % 2 === 0 ? RequestClass.Interactive : RequestClass.Deferrable,
+		deadline: now + 3_600_000,
+		arrivedAt: now,
+		maxTokens: 250,
+		prefixHash: 0
+	}
+}
+
+function measureShares(): void {
+	const limits = {loadsPerSecond: 5, inFlight: 8, loadMs: 250}
+	const shares = new DemandLoadShares({limits, processes: 320})
+	for (let entry = 0; entry < 40; entry++) {
+		const fleet = {entry: `entry-${entry}`, demand: entry, demanding: 8}
+		shares.addFleetDemand(fleet, 0)
+	}
+	const us = timeEach(() => shares.getShare(1), shareDecisions)
+	console.log(`load shares, 40 entries: ${us.toFixed(2)} us a share`)
+}
+
+function timeEach(call: () => void, times: number): number {
+	for (let count = 0; count < times / 10; count++) call()
+	const start = performance.now()
+	for (let count = 0; count < times; count++) call()
+	return (1000 * (performance.now() - start)) / times
+}
+
+/** Heap in use; exact only under `node --expose-gc`. */
+function readHeap(): number {
+	globalThis.gc?.()
+	return process.memoryUsage().heapUsed
+}
--- a/src/policy/baselines/fifoScheduler.ts
+++ b/src/policy/baselines/fifoScheduler.ts
@@ -2,6 +2,7 @@
  * A baseline scheduler: requests and loads in order of arrival, eviction of the
  * least recently used adapter, no admission control and no grouping.
  */
+import {KeyedHeap} from "../keyedHeap.js"
 import {LoadBudget} from "../loadBudget.js"
 import {
 	Scheduler,
@@ -25,6 +26,9 @@
 export class FifoScheduler extends Scheduler {
 	private readonly workers = new Map<string, Worker>()
 	private readonly waiting = new Map<string, Draft>()
+	/** Waiting requests of each adapter; both maps in order of arrival. */
+	private readonly byAdapter = new Map<AdapterName, Map<string, Draft>>()
+	private readonly byDeadline = new KeyedHeap<Draft>()
 	private readonly usedAt = new Map<AdapterName, number>()
 	private readonly budget: LoadBudget
 	private readonly maxQueued: number
@@ -57,14 +61,14 @@
 		const slots = workers.flatMap(worker => [...worker.slots.values()])
 		const namesIn = (state: SlotState): AdapterName[] =>
 			slots.filter(slot => slot.state === state).map(slot => slot.adapter)
-		const wanted = [...this.waiting.values()].map(draft => draft.adapter)
+		const wanted = [...this.byAdapter.keys()]
 		const missing = wanted.filter(adapter => !this.hasCopy(adapter))
 		return {
 			running: workers.reduce((sum, worker) => sum + worker.runs.size, 0),
 			queued: this.waiting.size,
 			resident: namesIn(SlotState.Resident),
 			loading: namesIn(SlotState.Loading),
-			loadDemand: new Set(missing).size
+			loadDemand: missing.length
 		}
 	}
 
@@ -98,20 +102,40 @@
 	}
 
 	private arrive(draft: Draft): void {
-		this.waiting.set(draft.id, draft)
+		this.add(draft)
 		if (this.waiting.size > this.maxQueued)
 			this.refuse(draft.id, RefusalReason.Overloaded)
 	}
 
-	private refuse(id: string, reason: RefusalReason): void {
+	private add(draft: Draft): void {
+		const {id, adapter, deadline} = draft
+		this.waiting.set(id, draft)
+		this.byDeadline.set(id, draft, deadline)
+		const queue = this.byAdapter.get(adapter) ?? new Map<string, Draft>()
+		queue.set(id, draft)
+		this.byAdapter.set(adapter, queue)
+	}
+
+	private remove(id: string): void {
+		const adapter = this.waiting.get(id)?.adapter
 		this.waiting.delete(id)
+		this.byDeadline.delete(id)
+		if (adapter === undefined) return
+		const queue = this.byAdapter.get(adapter)
+		queue?.delete(id)
+		if (queue?.size === 0) this.byAdapter.delete(adapter)
+	}
+
+	private refuse(id: string, reason: RefusalReason): void {
+		this.remove(id)
 		const kind = SchedulerActionKind.Refuse
 		this.actions.push({kind, id, reason, retryAfterMs})
 	}
 
 	private refuseLate(now: number): void {
-		for (const draft of [...this.waiting.values()]) {
-			if (draft.deadline < now) this.refuse(draft.id, RefusalReason.Deadline)
+		while ((this.byDeadline.peekPriority() ?? Infinity) < now) {
+			const draft = this.byDeadline.peek()
+			if (draft) this.refuse(draft.id, RefusalReason.Deadline)
 		}
 	}
 
@@ -156,22 +180,31 @@
 	}
 
 	private startRuns(now: number): void {
-		for (const draft of [...this.waiting.values()]) {
-			const worker = this.findWorker(draft.adapter)
-			if (worker) this.startRun(worker, draft, now)
+		for (const worker of this.workers.values()) {
+			while (countFreeSeats(worker) > 0) {
+				const draft = this.findFirst(worker)
+				if (!draft) break
+				this.startRun(worker, draft, now)
+			}
 		}
 	}
 
-	private findWorker(adapter: AdapterName): Worker | undefined {
-		return [...this.workers.values()].find(
-			worker => countFreeSeats(worker) > 0 && isResident(worker, adapter)
-		)
+	/** The request that arrived first of those whose adapter is resident. */
+	private findFirst(worker: Worker): Draft | undefined {
+		let first: Draft | undefined
+		for (const adapter of worker.slots.keys()) {
+			if (!isResident(worker, adapter)) continue
+			const draft = this.byAdapter.get(adapter)?.values().next().value
+			if (!draft) continue
+			if (!first || draft.arrivedAt < first.arrivedAt) first = draft
+		}
+		return first
 	}
 
 	private startRun(worker: Worker, draft: Draft, now: number): void {
 		const slot = worker.slots.get(draft.adapter)
 		if (!slot) return
-		this.waiting.delete(draft.id)
+		this.remove(draft.id)
 		this.usedAt.set(draft.adapter, now)
 		slot.pins += 1
 		worker.runs.set(draft.id, {draft, startedAt: now, isCancelled: false})
@@ -184,7 +217,7 @@
 	}
 
 	private startLoads(now: number): void {
-		for (const {adapter} of this.waiting.values()) {
+		for (const adapter of this.byAdapter.keys()) {
 			if (!this.budget.canStart(now)) return
 			if (!this.hasCopy(adapter)) this.startLoad(adapter, now)
 		}
