Serve deferrable drafts from spare loads until they are due

Cause: released deferrable requests competed with interactive ones for loads, although they still had most of their window; and with idle loads at hand they were held all the same. Adapters wanted by deferrable requests alone now form a second order, largest groups first, which only spare loads serve; when stalls weigh more, an idle share loads for a single one too.

--- a/bench/policy/measures.ts
+++ b/bench/policy/measures.ts
@@ -90,8 +90,8 @@
 	}
 
 	getAnsweredPerSecond(): number {
-		const {durationMs, warmUpMs} = this.scenario
-		return (1000 * this.inWindow) / (durationMs - warmUpMs)
+		const measuredMs = getMeasuredUntil(this.scenario) - this.scenario.warmUpMs
+		return (1000 * this.inWindow) / measuredMs
 	}
 
 	/** Time from `since` until the p95 stall of requests is steady again. */
@@ -112,11 +112,16 @@
 		return getQuantile(chosen, 0.95)
 	}
 
+	/** Requests count only when their windows close before the run ends. */
 	private isMeasured(at: number): boolean {
-		return at >= this.scenario.warmUpMs
+		return at >= this.scenario.warmUpMs && at < getMeasuredUntil(this.scenario)
 	}
 }
 
+function getMeasuredUntil(scenario: Scenario): number {
+	return scenario.durationMs - scenario.deferrableWindowMs
+}
+
 function getQuantile(stalls: readonly Stall[], share: number): number {
 	const sorted = stalls.map(stall => stall.ms).sort((a, b) => a - b)
 	return sorted[Math.floor((sorted.length - 1) * share)] ?? 0
--- a/bench/policy/scenarios.ts
+++ b/bench/policy/scenarios.ts
@@ -37,7 +37,7 @@
 	store: {loadsPerSecond: 5, inFlight: 8, loadMs: 250},
 	objective: {loadStalls: 0.7, batchEfficiency: 0.3},
 	msPerToken: 20,
-	durationMs: 360_000,
+	durationMs: 720_000,
 	warmUpMs: 120_000,
 	rates: [{at: 0, perSecond: 7}],
 	deferrableShare: 0.2,
@@ -54,10 +54,10 @@
 	engines: 6,
 	store: {loadsPerSecond: 2.5, inFlight: 8, loadMs: 250},
 	objective: {loadStalls: 0.3, batchEfficiency: 0.7},
-	durationMs: 900_000,
+	durationMs: 1_320_000,
 	rates: [
 		{at: 0, perSecond: 3},
-		{at: 120_000, perSecond: 10}
+		{at: 120_000, perSecond: 14}
 	],
 	deferrableShare: 0.85,
 	interactiveWindowMs: 30_000,
@@ -80,5 +80,13 @@
 		name: "Society, four cold restarts",
 		resetsAt: [0, 1, 2, 3].map(engine => ({at: 240_000, engine}))
 	},
-	serindit
+	serindit,
+	{
+		...serindit,
+		name: "Serindit, busy day",
+		rates: [
+			{at: 0, perSecond: 3},
+			{at: 120_000, perSecond: 10}
+		]
+	}
 ]
--- a/src/policy/adapterScheduler.ts
+++ b/src/policy/adapterScheduler.ts
@@ -363,7 +363,7 @@
 	private startLoads(now: number): void {
 		const skipped: AdapterName[] = []
 		while (this.budget.canStart(now) && skipped.length < maxPlacementTries) {
-			const adapter = this.loadOrder.next(skipped, this.budget.isIdle(now))
+			const adapter = this.loadOrder.next(skipped, this.budget.isIdle(now), now)
 			if (adapter === undefined) break
 			if (this.refuseHopeless(adapter, now)) continue
 			if (!this.tryLoad(adapter, now)) skipped.push(adapter)
@@ -478,7 +478,7 @@
 
 	/** Loads a second copy where seats are the limit of the first. */
 	private startReplicas(now: number): void {
-		if (this.workers.size < 2 || this.loadOrder.hasReady()) return
+		if (this.workers.size < 2 || this.loadOrder.hasUrgent()) return
 		const hasFreeSeat = [...this.workers.values()].some(
 			worker => countFreeSeats(worker) > 0
 		)
@@ -523,7 +523,7 @@
 	}
 
 	private canReload(now: number): boolean {
-		return !this.loadOrder.hasReady() && this.budget.isIdle(now)
+		return !this.loadOrder.hasUrgent() && this.budget.isIdle(now)
 	}
 
 	// State of adapters
@@ -535,9 +535,14 @@
 			this.loadOrder.delete(adapter)
 			return
 		}
-		const isReady = this.queue.firstReady(adapter) !== undefined
+		const isUrgent = this.isUrgent(adapter)
 		const readyAt = this.queue.readyAt(adapter)
-		this.loadOrder.set({adapter, count, readyAt, isReady})
+		this.loadOrder.set({adapter, count, readyAt, isUrgent})
+	}
+
+	private isUrgent(adapter: AdapterName): boolean {
+		const first = this.queue.firstReady(adapter)
+		return (first?.rank ?? Infinity) < getRank(RequestClass.Deferrable, 0)
 	}
 
 	private hasCopy(adapter: AdapterName): boolean {
@@ -605,14 +610,13 @@
 	}
 
 	private getNextLoadAt(now: number): number {
-		if (this.loadOrder.hasReady()) {
-			const at = this.budget.nextAt(now) ?? Infinity
-			return at > now ? at : now + placementRetryMs
-		}
 		const isWanted = this.loadOrder.size > 0 || this.lost.length > 0
 		if (!isWanted) return Infinity
-		const at = this.budget.nextIdleAt(now) ?? Infinity
-		return at > now ? at : now + placementRetryMs
+		const at = this.budget.nextAt(now) ?? Infinity
+		if (at > now) return at
+		const idleAt = this.budget.nextIdleAt(now) ?? Infinity
+		const retryAt = now + placementRetryMs
+		return idleAt > now ? Math.min(idleAt, retryAt) : retryAt
 	}
 }
 
--- a/src/policy/loadOrder.ts
+++ b/src/policy/loadOrder.ts
@@ -1,7 +1,7 @@
 /**
  * The order of loads: adapters by the time their requests have waited and by
- * the answers that a load gains. Adapters whose requests are all held back for
- * company form a second order that only spare capacity serves.
+ * the answers that a load gains. Adapters wanted only by deferrable requests
+ * that are not due form a second order that spare capacity serves.
  */
 import {KeyedHeap} from "./keyedHeap.js"
 import type {AdapterName, Objective} from "./types.js"
@@ -12,8 +12,8 @@
 	count: number
 	/** Earliest time at which one of them should be served. */
 	readyAt: number
-	/** False when all are held back. */
-	isReady: boolean
+	/** True when one of them no longer gives way. */
+	isUrgent: boolean
 }
 
 /** Time of waiting that each further request is worth. */
@@ -21,25 +21,30 @@
 /** Part of the slack that a request for an answer at once may be held. */
 const promptHoldShare = 0.25
 const maxHoldShare = 0.9
-/** Held requests that deserve a load of their own. */
+/** The same for deferrable requests. */
+const deferrableCompanyMs = 20_000
+/** Deferrable requests that are worth a spare load before they are ready. */
 const minCompany = 2
 
 export class LoadOrder {
 	private readonly holdShare: number
-	private readonly ready = new KeyedHeap<LoadDemand>()
-	private readonly held = new KeyedHeap<LoadDemand>()
+	/** True when load stalls weigh at least as much as batch efficiency. */
+	private readonly prefersStarts: boolean
+	private readonly urgent = new KeyedHeap<LoadDemand>()
+	private readonly spare = new KeyedHeap<LoadDemand>()
 	private readonly blocked = new KeyedHeap<AdapterName>()
 	private aside: LoadDemand[] = []
 
 	constructor(objective: Objective) {
 		const total = objective.loadStalls + objective.batchEfficiency
 		const share = total > 0 ? objective.batchEfficiency / total : 0
+		this.prefersStarts = objective.loadStalls >= objective.batchEfficiency
 		this.holdShare = Math.min(maxHoldShare, share)
 	}
 
 	/** Adapters wanted, but neither loaded nor loading. */
 	get size(): number {
-		return this.ready.size + this.held.size
+		return this.urgent.size + this.spare.size
 	}
 
 	/** Part of its slack for which a request waits for company. */
@@ -56,18 +61,18 @@
 		const {adapter} = demand
 		if (this.blocked.has(adapter)) return
 		this.dropAside(adapter)
-		if (demand.isReady) {
-			this.held.delete(adapter)
-			this.ready.set(adapter, demand, getPriority(demand))
+		if (demand.isUrgent) {
+			this.spare.delete(adapter)
+			this.urgent.set(adapter, demand, getPriority(demand))
 			return
 		}
-		this.ready.delete(adapter)
-		this.held.set(adapter, demand, getPriority(demand))
+		this.urgent.delete(adapter)
+		this.spare.set(adapter, demand, getPriority(demand))
 	}
 
 	delete(adapter: AdapterName): void {
-		this.ready.delete(adapter)
-		this.held.delete(adapter)
+		this.urgent.delete(adapter)
+		this.spare.delete(adapter)
 		this.dropAside(adapter)
 	}
 
@@ -92,21 +97,22 @@
 		return this.blocked.peekPriority() ?? Infinity
 	}
 
-	hasReady(): boolean {
-		return this.ready.size > 0
+	hasUrgent(): boolean {
+		return this.urgent.size > 0
 	}
 
 	/** The adapter to load next; `skipped` can't be placed now. */
 	next(
 		skipped: readonly AdapterName[],
-		hasSpareLoads: boolean
+		isIdle: boolean,
+		now: number
 	): AdapterName | undefined {
 		this.setAside(skipped)
-		const demand = this.ready.peek()
-		if (demand) return demand.adapter
-		const held = this.held.peek()
-		const isWorthwhile = held !== undefined && held.count >= minCompany
-		return hasSpareLoads && isWorthwhile ? held.adapter : undefined
+		const urgent = this.urgent.peek()
+		if (urgent) return urgent.adapter
+		const spare = this.spare.peek()
+		if (!spare) return undefined
+		return this.isWorthwhile(spare, isIdle, now) ? spare.adapter : undefined
 	}
 
 	/** Takes back what was set aside. */
@@ -120,7 +126,16 @@
 
 	/** Loads that come before one for a new request of the adapter. */
 	countAhead(adapter: AdapterName): number {
-		return this.ready.has(adapter) ? this.ready.size / 2 : this.ready.size
+		return this.urgent.has(adapter) ? this.urgent.size / 2 : this.urgent.size
+	}
+
+	private isWorthwhile(
+		spare: LoadDemand,
+		isIdle: boolean,
+		now: number
+	): boolean {
+		if (spare.readyAt <= now || spare.count >= minCompany) return true
+		return isIdle && this.prefersStarts
 	}
 
 	private dropAside(adapter: AdapterName): void {
@@ -129,7 +144,7 @@
 	}
 
 	private setAside(skipped: readonly AdapterName[]): void {
-		for (const heap of [this.ready, this.held]) {
+		for (const heap of [this.urgent, this.spare]) {
 			const demand = heap.peek()
 			if (!demand || !skipped.includes(demand.adapter)) continue
 			heap.pop()
@@ -139,5 +154,6 @@
 }
 
 function getPriority(demand: LoadDemand): number {
-	return demand.readyAt - companyMs * (demand.count - 1)
+	const eachMs = demand.isUrgent ? companyMs : deferrableCompanyMs
+	return demand.readyAt - eachMs * (demand.count - 1)
 }
