--- a/src/policy/adapterScheduler.ts
+++ b/src/policy/adapterScheduler.ts
@@ -323,7 +323,9 @@
 		if (first || !held) return first
 		const batch = Math.min(worker.seats, worker.runs.size + countHeld)
 		const isFull = batch >= this.loadOrder.getFillTarget(worker.seats)
-		return isFull || this.hasCompany(worker, held) ? held : undefined
+		const isSlotWanted = this.loadOrder.size > 0
+		const isTimely = isFull || isSlotWanted || this.hasCompany(worker, held)
+		return isTimely ? held : undefined
 	}
 
 	/** True when the adapter was loaded for the group of `held`. */
@@ -363,7 +365,12 @@
 	private startLoads(now: number): void {
 		const skipped: AdapterName[] = []
 		while (this.budget.canStart(now) && skipped.length < maxPlacementTries) {
-			const adapter = this.loadOrder.next(skipped, this.budget.isIdle(now), now)
+			const adapter = this.loadOrder.next({
+				skipped,
+				isIdle: this.budget.isIdle(now),
+				loadsPerSecond: this.budget.loadsPerSecond,
+				now
+			})
 			if (adapter === undefined) break
 			if (this.refuseHopeless(adapter, now)) continue
 			if (!this.tryLoad(adapter, now)) skipped.push(adapter)
--- a/src/policy/loadOrder.ts
+++ b/src/policy/loadOrder.ts
@@ -16,6 +16,15 @@
 	isUrgent: boolean
 }
 
+export interface NextLoadQuery {
+	/** Adapters that can't be placed now. */
+	skipped: readonly AdapterName[]
+	/** True when the share of loads has stood unused. */
+	isIdle: boolean
+	loadsPerSecond: number
+	now: number
+}
+
 /** Time of waiting that each further request is worth. */
 const companyMs = 4000
 /** Part of the slack that a request for an answer at once may be held. */
@@ -101,18 +110,14 @@
 		return this.urgent.size > 0
 	}
 
-	/** The adapter to load next; `skipped` can't be placed now. */
-	next(
-		skipped: readonly AdapterName[],
-		isIdle: boolean,
-		now: number
-	): AdapterName | undefined {
-		this.setAside(skipped)
+	/** The adapter to load next, if any is worth a load now. */
+	next(query: NextLoadQuery): AdapterName | undefined {
+		this.setAside(query.skipped)
 		const urgent = this.urgent.peek()
 		if (urgent) return urgent.adapter
 		const spare = this.spare.peek()
 		if (!spare) return undefined
-		return this.isWorthwhile(spare, isIdle, now) ? spare.adapter : undefined
+		return this.isWorthwhile(spare, query) ? spare.adapter : undefined
 	}
 
 	/** Takes back what was set aside. */
@@ -129,13 +134,12 @@
 		return this.urgent.has(adapter) ? this.urgent.size / 2 : this.urgent.size
 	}
 
-	private isWorthwhile(
-		spare: LoadDemand,
-		isIdle: boolean,
-		now: number
-	): boolean {
-		if (spare.readyAt <= now || spare.count >= minCompany) return true
-		return isIdle && this.prefersStarts
+	/** Waiting for company ends early enough for the backlog to drain. */
+	private isWorthwhile(spare: LoadDemand, query: NextLoadQuery): boolean {
+		const drainMs = (this.spare.size * 1000) / query.loadsPerSecond
+		if (spare.readyAt - drainMs <= query.now) return true
+		if (spare.count >= minCompany) return true
+		return query.isIdle && this.prefersStarts
 	}
 
 	private dropAside(adapter: AdapterName): void {
