Prove claims under random faults; merge segments; say when a key is in doubt

The head's list of segments grew without bound: 100,000 keys made some 1,500 references of 120 characters, rewritten with each append. Small segments are now merged into one of at most 512 KB, and a reference is shorter. Expired keys are dropped from the oldest on; the walk over all keys at each move made a call cost 236 to 331 microseconds.

"Not run" is now a statement about the key: while the log was never read, or an earlier attempt may have been sent elsewhere, a refusal is answered as unknown.

Three processes, three entries and impatient callers run against a platform that loses answers, lands writes late, serves stale reads and goes out, while processes restart and pause; the plain service's own list of runs is the truth. With a guard switched off the checks fail: a conflict or a lost write taken as written, sending before the claim is written, ignoring the claim of a process that is gone, stale heads taken, segments not read, an unknown outcome released, tickets of another incarnation run. Two first findings were faults of the harness: it counted a refusal as false while another attempt of the same caller was open, and entries could miss that a process had come back.

--- /dev/null
+++ b/bench/claims/fakeService.ts
@@ -0,0 +1,69 @@
+/** A plain service that remembers what it ran: the ground truth. */
+import {Step} from "../../src/contract/errors.js"
+import {SendEnd} from "../../src/policy/claimTypes.js"
+import type {SendResult} from "../../src/endpoint/claims/index.js"
+import type {VirtualClock} from "./virtualClock.js"
+
+export interface ServiceFaults {
+	/** Share of calls refused before they start. */
+	refused: number
+	/** Share of calls that run and lose their answer. */
+	lost: number
+	/** Share of calls that never arrive, without the sender knowing. */
+	vanished: number
+}
+
+export const noServiceFaults: Readonly<ServiceFaults> = {
+	refused: 0,
+	lost: 0,
+	vanished: 0
+}
+
+export interface FakeServiceOptions {
+	clock: VirtualClock
+	random: () => number
+	faults?: ServiceFaults
+	/** Longest time of one call; the shortest is a quarter of it. */
+	callMs?: number
+}
+
+export class FakeService {
+	/** Times at which each key ran. */
+	readonly runs = new Map<string, number[]>()
+	faults: ServiceFaults
+
+	constructor(private readonly options: FakeServiceOptions) {
+		this.faults = options.faults ?? noServiceFaults
+	}
+
+	/** The only answer a caller of this key may get. */
+	static answerOf(key: string): string {
+		return `{"booking":"${key}"}`
+	}
+
+	async call(key: string): Promise<SendResult> {
+		const {clock, random, callMs = 80} = this.options
+		await clock.sleep(1 + random() * 2)
+		const draw = random()
+		const {refused, lost, vanished} = this.faults
+		if (draw < refused) {
+			const detail = "no free chamber clerk"
+			return {end: SendEnd.NotStarted, detail, retryAfterMs: 100}
+		}
+		if (draw < refused + vanished) return unknown
+		const runs = this.runs.get(key) ?? []
+		runs.push(clock.now)
+		this.runs.set(key, runs)
+		await clock.sleep(callMs * (0.25 + 0.75 * random()))
+		if (draw < refused + vanished + lost) return unknown
+		const body = Buffer.from(FakeService.answerOf(key))
+		const contentType = "application/json"
+		return {end: SendEnd.Answered, status: 201, contentType, body}
+	}
+}
+
+const unknown: SendResult = {
+	end: SendEnd.Unknown,
+	step: Step.Send,
+	detail: "connection reset"
+}
--- a/src/endpoint/claims/answers.ts
+++ b/src/endpoint/claims/answers.ts
@@ -1,5 +1,5 @@
 /** Converts answers between bytes and the text that the claim log stores. */
-import {isUtf8} from "node:buffer"
+import {isAscii} from "node:buffer"
 import {BodyEncoding, type StoredAnswer} from "../../policy/claimLog.js"
 import {
 	ClaimResultType,
@@ -9,9 +9,12 @@
 } from "../../policy/claimTypes.js"
 import type {ClaimResult, SendResult, ServiceAnswer} from "./types.js"
 
+/** The stored text is ASCII, so that its length is its size in bytes. */
 export function toStoredAnswer(answer: ServiceAnswer): StoredAnswer {
 	const {status, contentType} = answer
-	const encoding = isUtf8(answer.body) ? BodyEncoding.Utf8 : BodyEncoding.Base64
+	const encoding = isAscii(answer.body)
+		? BodyEncoding.Utf8
+		: BodyEncoding.Base64
 	const body = Buffer.from(answer.body).toString(encoding)
 	return {status, contentType, encoding, body, size: body.length}
 }
--- a/src/endpoint/claims/bucketTask.ts
+++ b/src/endpoint/claims/bucketTask.ts
@@ -11,6 +11,7 @@
 	type ClaimHead,
 	type ClaimSegment,
 	headName,
+	segmentName,
 	type SegmentRef
 } from "../../policy/claimLog.js"
 import {ClaimBucket} from "../../policy/claims.js"
@@ -127,10 +128,10 @@
 				this.queueIo(() => this.writeHead(action.head, action.expected))
 				return
 			case ClaimActionType.WriteSegment:
-				this.queueIo(() => this.writeSegment(action.name, action.segment))
+				this.queueIo(() => this.writeSegment(action.id, action.segment))
 				return
 			case ClaimActionType.RemoveSegment:
-				void this.removeSegment(action.name)
+				void this.removeSegment(action.id)
 				return
 			case ClaimActionType.Send:
 				void this.send(action.key, action.attempt, action.callId)
@@ -163,7 +164,7 @@
 
 	private async readSegments(refs: SegmentRef[]): Promise<ClaimEvent> {
 		const {platform} = this.options
-		const reads = refs.map(({name}) => platform.read(claimKind, name))
+		const reads = refs.map(({id}) => platform.read(claimKind, this.nameOf(id)))
 		try {
 			const objects = await Promise.all(reads)
 			const segments = objects.map(
@@ -190,10 +191,11 @@
 	}
 
 	private async writeSegment(
-		name: string,
+		id: string,
 		segment: ClaimSegment
 	): Promise<ClaimEvent> {
 		const {platform} = this.options
+		const name = this.nameOf(id)
 		const {outcome} = await platform.write(
 			claimKind,
 			name,
@@ -204,8 +206,9 @@
 	}
 
 	/** Best effort: a segment that stays only takes room. */
-	private async removeSegment(name: string): Promise<WriteOutcome> {
+	private async removeSegment(id: string): Promise<WriteOutcome> {
 		const {platform} = this.options
+		const name = this.nameOf(id)
 		try {
 			const object = await platform.read(claimKind, name)
 			if (object === undefined) return WriteOutcome.Conflict
@@ -216,6 +219,11 @@
 		}
 	}
 
+	private nameOf(segmentId: string): string {
+		const {pool, bucket} = this.options.claims
+		return segmentName(pool, bucket, segmentId)
+	}
+
 	private async send(
 		key: string,
 		attempt: string,
--- a/src/endpoint/claims/claimTask.ts
+++ b/src/endpoint/claims/claimTask.ts
@@ -121,9 +121,16 @@
 	}
 
 	private runClaimed(call: ClaimCall, send: Send): Promise<LogResult> {
-		const {scope, bodyHash, deadline, mayHaveBeenSent = false} = call
+		const {scope, bodyHash, deadline} = call
+		const {mayHaveBeenSent = false, isFirstAttempt = false} = call
 		const bucket = bucketOf(scope, call.key, this.bucketCount)
-		const keyed = {key: hashKey(call), bodyHash, deadline, mayHaveBeenSent}
+		const keyed = {
+			key: hashKey(call),
+			bodyHash,
+			deadline,
+			mayHaveBeenSent,
+			isFirstAttempt
+		}
 		return this.bucketTask(bucket).run(keyed, send)
 	}
 
--- a/src/endpoint/claims/types.ts
+++ b/src/endpoint/claims/types.ts
@@ -24,6 +24,8 @@
 	ticket?: boolean
 	/** True when an earlier attempt of this key may have been sent elsewhere. */
 	mayHaveBeenSent?: boolean
+	/** True when the caller states that it never used this key before. */
+	isFirstAttempt?: boolean
 }
 
 /** A complete answer of the plain service. */
--- a/src/policy/claimHome.ts
+++ b/src/policy/claimHome.ts
@@ -45,6 +45,19 @@
 	return scored.map(({id}) => id)
 }
 
+/** Buckets whose home is the given host. */
+export function listHomeBuckets(
+	pool: string,
+	hostId: string,
+	hostIds: readonly string[]
+): number[] {
+	const buckets: number[] = []
+	for (let bucket = 0; bucket < claimBuckets; bucket += 1) {
+		if (rankHomes(pool, bucket, hostIds)[0] === hostId) buckets.push(bucket)
+	}
+	return buckets
+}
+
 /**
  * True when a host that went away recently, had it stayed, would come before
  * the present home: an earlier attempt of a key may have been sent by it.
--- a/src/policy/claimLog.ts
+++ b/src/policy/claimLog.ts
@@ -78,11 +78,13 @@
 
 /** Names a segment; it holds the batches numbered `from` to before `to`. */
 export interface SegmentRef {
-	name: string
+	/** Last part of the object's name. */
+	id: string
 	from: number
 	to: number
 	/** When its newest batch was written. */
 	newestAt: number
+	chars: number
 }
 
 /** An immutable run of batches that were moved out of the head. */
@@ -104,22 +106,14 @@
 	batches: []
 }
 
-const numberDigits = 12
-
 /** Name of the head object of a bucket. */
 export function headName(pool: string, bucket: number): string {
 	return `${pool}/${bucket}/head`
 }
 
-/** Name of a segment; the writer's batch id makes it unique. */
-export function segmentName(
-	pool: string,
-	bucket: number,
-	from: number,
-	batchId: string
-): string {
-	const padded = String(from).padStart(numberDigits, "0")
-	return `${pool}/${bucket}/${padded}-${batchId}`
+/** Name of a segment; its writer makes the id unique. */
+export function segmentName(pool: string, bucket: number, id: string): string {
+	return `${pool}/${bucket}/${id}`
 }
 
 /** Number of the oldest batch that the head itself holds. */
--- a/src/policy/claimRecords.ts
+++ b/src/policy/claimRecords.ts
@@ -76,6 +76,8 @@
 	queue: QueuedEntry[] = []
 	/** True when an attempt waits for the newest state of the log. */
 	wantsRead = false
+	/** True while claims of others may be in the log that were not read. */
+	isInDoubt = true
 
 	private readonly records = new Map<string, KeyRecord>()
 	private readonly waiting = new Map<string, Waiter[]>()
@@ -238,9 +240,12 @@
 		this.goneOwners.set(hostId, Math.max(known, incarnation))
 	}
 
-	/** Forgets keys that are past their retention. */
+	/** Forgets keys that are past their retention, from the oldest on. */
 	dropExpired(now: number): void {
-		for (const key of [...this.records.keys()]) this.currentRecord(key, now)
+		for (const [key, record] of this.records) {
+			if (!this.isExpired(key, record, now)) return
+			this.records.delete(key)
+		}
 	}
 
 	/** Earliest time at which `expireWaiters` has something to do. */
@@ -344,7 +349,6 @@
 	private applyReleased(entry: ClaimEntry, now: number): void {
 		const record = this.records.get(entry.key)
 		if (record?.attempt !== entry.attempt) return
-		if (!isReleasable(record)) return
 		this.records.delete(entry.key)
 		const waiters = this.takeWaiters(entry.key)
 		for (const {call} of waiters) this.addCall(call, now)
@@ -490,13 +494,17 @@
 		this.endUnclaimed(call, ClaimRefusal.PlatformUnavailable, outageMs)
 	}
 
-	/** "Not run" is a statement about the key, so earlier attempts count. */
+	/**
+	 * "Not run" is a statement about the key, not only about this attempt: it is
+	 * not made while an earlier attempt may have been sent by another process.
+	 */
 	private endUnclaimed(
 		call: KeyedCall,
 		reason: ClaimRefusal,
 		retryAfterMs: number
 	): void {
-		if (call.mayHaveBeenSent) {
+		const isDoubtful = this.isInDoubt && !call.isFirstAttempt
+		if (call.mayHaveBeenSent || isDoubtful) {
 			const detail = "an earlier attempt may have run; its claim was not read"
 			this.endUnknown(call, Step.Claim, detail)
 			return
@@ -539,7 +547,3 @@
 	}
 	return latest
 }
-
-function isReleasable({state}: KeyRecord): boolean {
-	return state === RecordState.Foreign || state === RecordState.Releasing
-}
--- a/src/policy/claimTypes.ts
+++ b/src/policy/claimTypes.ts
@@ -85,6 +85,8 @@
 	deadline: number
 	/** True when an earlier attempt of this key may have been sent elsewhere. */
 	mayHaveBeenSent: boolean
+	/** True when the caller states that it never used this key before. */
+	isFirstAttempt: boolean
 }
 
 export enum ClaimEventType {
@@ -96,6 +98,10 @@
 	ReadFailed = "readFailed",
 	CallEnded = "callEnded",
 	OwnerGone = "ownerGone",
+	/** Read the log before the first call needs it. */
+	Sync = "sync",
+	/** Others may have appended unseen: this process was paused or cut off. */
+	Doubt = "doubt",
 	/** Time has passed. */
 	Tick = "tick",
 	/** Record everything as soon as possible: the process is leaving. */
@@ -129,6 +135,8 @@
 			outcome: SendOutcome
 	  }
 	| {type: ClaimEventType.OwnerGone; hostId: string; incarnation: number}
+	| {type: ClaimEventType.Sync}
+	| {type: ClaimEventType.Doubt}
 	| {type: ClaimEventType.Tick}
 	| {type: ClaimEventType.Flush}
 
@@ -150,10 +158,10 @@
 	| {type: ClaimActionType.WriteHead; head: ClaimHead; expected: number}
 	| {
 			type: ClaimActionType.WriteSegment
-			name: string
+			id: string
 			segment: ClaimSegment
 	  }
-	| {type: ClaimActionType.RemoveSegment; name: string}
+	| {type: ClaimActionType.RemoveSegment; id: string}
 	| {
 			type: ClaimActionType.Send
 			key: string
@@ -187,6 +195,10 @@
 	maxAnswerChars?: number
 	/** A head that holds more is moved to a segment. */
 	maxHeadChars?: number
+	/** Segments are merged up to this size. */
+	maxSegmentChars?: number
+	/** Number of small segments that are merged into one. */
+	mergeCount?: number
 	maxBatchChars?: number
 }
 
@@ -195,12 +207,14 @@
 	jitter: 0.5,
 	groupMs: 2,
 	writeIntervalMs: 20,
-	outcomeDelayMs: 250,
+	outcomeDelayMs: 1_000,
 	claimWaitMs: 1_000,
 	retryBaseMs: 25,
 	retryMaxMs: 2_000,
 	retentionMs: 24 * 60 * 60 * 1_000,
 	maxAnswerChars: 16 * 1_024,
-	maxHeadChars: 32 * 1_024,
+	maxHeadChars: 16 * 1_024,
+	maxSegmentChars: 512 * 1_024,
+	mergeCount: 24,
 	maxBatchChars: 256 * 1_024
 }
--- a/src/policy/claims.ts
+++ b/src/policy/claims.ts
@@ -17,11 +17,19 @@
 	emptyHead,
 	firstOf,
 	type SegmentRef,
-	segmentName,
 	segmentsSince,
 	sizeOf
 } from "./claimLog.js"
 import {ClaimRecords, type QueuedEntry} from "./claimRecords.js"
+import {
+	appendTo,
+	batchesSince,
+	droppedSegments,
+	loadMerged,
+	planMove,
+	type SegmentMove,
+	withoutMerge
+} from "./claimSegments.js"
 import {
 	type ClaimAction,
 	ClaimActionType,
@@ -37,6 +45,7 @@
 	Idle,
 	ReadingHead,
 	ReadingSegments,
+	ReadingMerged,
 	WritingSegment,
 	WritingHead
 }
@@ -50,13 +59,6 @@
 	isUnsettled: boolean
 }
 
-/** Batches of the head that are being moved to a segment. */
-interface Spill {
-	ref: SegmentRef
-	batches: ClaimBatch[]
-	isWritten: boolean
-}
-
 interface HeadNews {
 	head: ClaimHead
 	version: number
@@ -78,7 +80,7 @@
 
 	private io = Io.Idle
 	private pending: PendingBatch | undefined
-	private spill: Spill | undefined
+	private move: SegmentMove | undefined
 	private news: HeadNews | undefined
 	private hasConflict = false
 	private failures = 0
@@ -140,9 +142,7 @@
 				this.takeSegments(event.segments, now)
 				return
 			case ClaimEventType.ReadFailed:
-				this.io = Io.Idle
-				this.news = undefined
-				this.noteFailure(now)
+				this.takeReadFailure(now)
 				return
 			case ClaimEventType.CallEnded:
 				this.records.endCall(event.key, event.attempt, event.outcome, now)
@@ -150,6 +150,12 @@
 			case ClaimEventType.OwnerGone:
 				this.records.addGoneOwner(event.hostId, event.incarnation)
 				return
+			case ClaimEventType.Sync:
+				this.records.wantsRead = true
+				return
+			case ClaimEventType.Doubt:
+				this.records.isInDoubt = true
+				return
 			case ClaimEventType.Tick:
 				this.records.expireWaiters(now)
 				return
@@ -190,14 +196,21 @@
 		this.io = Io.Idle
 		const isWritten =
 			outcome === WriteOutcome.Written || outcome === WriteOutcome.Conflict
-		if (this.spill !== undefined && isWritten) {
-			this.spill.isWritten = true
+		if (this.move !== undefined && isWritten) {
+			this.move.isWritten = true
 			return
 		}
 		if (this.pending?.isUnsettled === false) this.requeue(this.pending)
 		this.noteFailure(now)
 	}
 
+	private takeReadFailure(now: number): void {
+		if (this.io === Io.ReadingMerged) this.takeMerged([])
+		this.io = Io.Idle
+		this.news = undefined
+		this.noteFailure(now)
+	}
+
 	private takeHead(head: ClaimHead, version: number, now: number): void {
 		this.io = Io.Idle
 		if (this.isStale(head)) {
@@ -225,8 +238,13 @@
 		segments: (ClaimSegment | undefined)[],
 		now: number
 	): void {
+		const isMerge = this.io === Io.ReadingMerged
 		this.io = Io.Idle
 		const read = segments.filter(segment => segment !== undefined)
+		if (isMerge) {
+			this.takeMerged(read)
+			return
+		}
 		if (read.length < segments.length) {
 			this.news = undefined
 			this.retryAt = now + this.options.retryBaseMs
@@ -235,19 +253,28 @@
 		this.adoptNews(read, now)
 	}
 
+	private takeMerged(read: readonly ClaimSegment[]): void {
+		const {move} = this
+		if (move === undefined) return
+		const isComplete = read.length === move.merged.length
+		this.move = isComplete ? loadMerged(move, read) : withoutMerge(move)
+	}
+
 	/** Moves to a newer head and applies the batches not seen before. */
 	private adoptNews(segments: readonly ClaimSegment[], now: number): void {
 		const {news, pending} = this
 		if (news === undefined) return
 		const from = this.isSynced ? this.head.next : 0
-		const missed = missedBatches(news, segments, from)
-		const hasMoved = news.head.next > this.head.next || !this.isSynced
-		this.setHead(news.head, news.version)
+		const {head, version, refs} = news
+		const missed = batchesSince(head, refs, segments, from)
+		const hasMoved = head.next > this.head.next || !this.isSynced
+		this.setHead(head, version)
 		this.news = undefined
 		this.isSynced = true
+		this.records.isInDoubt = false
 		this.hasConflict = false
 		this.failures = 0
-		if (hasMoved) this.dropSpill()
+		if (hasMoved) this.dropMove()
 		if (pending !== undefined && hasMoved) this.pending = undefined
 		let hasLanded = false
 		for (const batch of missed) {
@@ -260,24 +287,19 @@
 	}
 
 	private commit(pending: PendingBatch, version: number, now: number): void {
-		const {spill, head: before} = this
+		const {move, head: before} = this
 		this.setHead(pending.head ?? before, version)
 		this.failures = 0
+		this.records.isInDoubt = false
 		this.pending = undefined
-		this.spill = undefined
+		this.move = undefined
 		this.nextWriteAt = now + this.options.writeIntervalMs
 		this.records.applyBatch(pending.batch, true, now)
-		if (spill === undefined) return
-		this.removeDropped(before, this.head)
-		this.records.dropExpired(now)
-	}
-
-	private removeDropped(before: ClaimHead, after: ClaimHead): void {
-		const kept = new Set(after.segments.map(({name}) => name))
-		for (const {name} of before.segments) {
-			if (kept.has(name)) continue
-			this.actions.push({type: ClaimActionType.RemoveSegment, name})
+		if (move === undefined) return
+		for (const {id} of droppedSegments(before, this.head)) {
+			this.actions.push({type: ClaimActionType.RemoveSegment, id})
 		}
+		this.records.dropExpired(now)
 	}
 
 	private noteFailure(now: number): void {
@@ -309,12 +331,10 @@
 			return
 		}
 		this.pending ??= this.formBatch(now)
-		this.spill ??= this.formSpill()
-		if (this.spill?.isWritten === false) {
-			this.writeSegment(this.spill)
-		} else {
-			this.writeHead(this.pending, now)
-		}
+		this.move ??= this.planMove()
+		if (this.move?.isLoaded === false) this.readMerged(this.move)
+		else if (this.move?.isWritten === false) this.writeSegment(this.move)
+		else this.writeHead(this.pending, now)
 	}
 
 	private nextIoAt(): number {
@@ -334,15 +354,21 @@
 		return !this.isSynced && this.records.queue.length > 0
 	}
 
-	private writeSegment({ref, batches}: Spill): void {
+	private readMerged({merged: refs}: SegmentMove): void {
+		this.io = Io.ReadingMerged
+		this.actions.push({type: ClaimActionType.ReadSegments, refs})
+	}
+
+	private writeSegment({ref, batches}: SegmentMove): void {
 		this.io = Io.WritingSegment
 		const type = ClaimActionType.WriteSegment
-		this.actions.push({type, name: ref.name, segment: {batches}})
+		this.actions.push({type, id: ref.id, segment: {batches}})
 	}
 
 	private writeHead(pending: PendingBatch, now: number): void {
 		this.io = Io.WritingHead
-		const head = this.nextHead(pending.batch, now)
+		const oldest = now - this.options.retentionMs
+		const head = appendTo(this.head, pending.batch, this.move, oldest)
 		pending.head = head
 		const expected = this.headVersion
 		this.actions.push({type: ClaimActionType.WriteHead, head, expected})
@@ -373,40 +399,18 @@
 		this.records.requeue(queued)
 	}
 
-	private formSpill(): Spill | undefined {
-		if (this.headChars <= this.options.maxHeadChars) return undefined
-		const {pool, bucket} = this.options
-		const {batches, next} = this.head
-		const from = firstOf(this.head)
-		const newestAt = batches.reduce((at, batch) => Math.max(at, batch.at), 0)
-		const name = segmentName(pool, bucket, from, this.makeId())
-		const ref = {name, from, to: next, newestAt}
-		return {ref, batches, isWritten: false}
+	private planMove(): SegmentMove | undefined {
+		return planMove(this.head, this.headChars, this.makeId(), this.options)
 	}
 
 	/** Another process moved the head on, so the segment is of no use. */
-	private dropSpill(): void {
-		const {spill} = this
-		this.spill = undefined
-		if (spill === undefined) return
-		const {name} = spill.ref
-		if (this.head.segments.some(ref => ref.name === name)) return
-		this.actions.push({type: ClaimActionType.RemoveSegment, name})
-	}
-
-	private nextHead(batch: ClaimBatch, now: number): ClaimHead {
-		const {head, spill} = this
-		const next = head.next + 1
-		if (spill === undefined) {
-			return {
-				next,
-				segments: head.segments,
-				batches: [...head.batches, batch]
-			}
-		}
-		const oldest = now - this.options.retentionMs
-		const kept = head.segments.filter(ref => ref.newestAt >= oldest)
-		return {next, segments: [...kept, spill.ref], batches: [batch]}
+	private dropMove(): void {
+		const {move} = this
+		this.move = undefined
+		if (move === undefined) return
+		const {id} = move.ref
+		if (this.head.segments.some(ref => ref.id === id)) return
+		this.actions.push({type: ClaimActionType.RemoveSegment, id})
 	}
 
 	private setHead(head: ClaimHead, version: number): void {
@@ -426,18 +430,3 @@
 		return `${this.options.processId}.${this.options.bucket}.${this.idsMade}`
 	}
 }
-
-function missedBatches(
-	{head, refs}: HeadNews,
-	segments: readonly ClaimSegment[],
-	from: number
-): ClaimBatch[] {
-	const missed: ClaimBatch[] = []
-	for (const [index, ref] of refs.entries()) {
-		const batches = segments[index]?.batches ?? []
-		missed.push(...batches.slice(Math.max(0, from - ref.from)))
-	}
-	const seenInHead = Math.max(0, from - firstOf(head))
-	missed.push(...head.batches.slice(seenInHead))
-	return missed
-}
