--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -5,7 +5,6 @@
  *   npm run demo
  *   npm run demo -- --keep
  */
-import {once} from "node:events"
 import {cac} from "cac"
 import {Agent, request} from "undici"
 import {HttpPlatform} from "../src/link/index.js"
@@ -14,7 +13,8 @@
 import {
 	Deployment,
 	DeploymentName,
-	deploymentSpecs
+	deploymentSpecs,
+	exitOnSignal
 } from "./deployment/index.js"
 import {startConfigured} from "./scenario/index.js"
 
@@ -58,7 +58,7 @@
 	await printBurn(deployment)
 	if (!keep) return
 	printCommands(entry, deployment)
-	await Promise.race([once(process, "SIGINT"), once(process, "SIGTERM")])
+	await new Promise(() => undefined)
 }
 
 async function sendDraft(entry: string): Promise<void> {
@@ -142,6 +142,7 @@
 goldcrestloom-burn --platform ${platformUrl}`)
 }
 
+exitOnSignal()
 try {
 	await main()
 } catch (err) {
--- a/bench/deployment/childProcess.ts
+++ b/bench/deployment/childProcess.ts
@@ -127,6 +127,13 @@
 
 const running = new Set<ChildProcess>()
 
+/** Ends the program, and with it all child processes, on SIGINT or SIGTERM. */
+export function exitOnSignal(): void {
+	for (const signal of ["SIGINT", "SIGTERM"] as const) {
+		process.once(signal, () => process.exit(1))
+	}
+}
+
 process.once("exit", () => {
 	for (const child of running) child.signal("SIGKILL")
 })
--- a/bench/main.ts
+++ b/bench/main.ts
@@ -10,7 +10,7 @@
 import {PolicyName} from "../src/policy/policyName.js"
 import {ExitCode, exitOnFault} from "../src/program/index.js"
 import {messageOf} from "../src/utils/common.js"
-import {DeploymentName} from "./deployment/index.js"
+import {DeploymentName, exitOnSignal} from "./deployment/index.js"
 import {
 	countViolations,
 	plotResult,
@@ -88,6 +88,7 @@
 	return `Runs a scenario\n${lines.join("\n")}`
 }
 
+exitOnSignal()
 try {
 	await main()
 } catch (err) {
