Yield shares only when loads are slower than a fully used store

Cause: demand shares used 4.6 of 5 loads a second at the lunch hour, as their scale yielded whenever loads took four times the time of one on an idle store. With 8 in flight at 5 a second each takes 1.6 s by Little's law, so yielding now starts at 1.5 times that.

--- a/bench/policy/measures.ts
+++ b/bench/policy/measures.ts
@@ -19,6 +19,8 @@
 	inWindow = 0
 	refused = 0
 	loads = 0
+	/** Answers between the warm-up and the end of the run. */
+	private ended = 0
 	private readonly stalls: Stall[] = []
 	private busyMs = 0
 	private seatMs = 0
@@ -35,10 +37,11 @@
 	}
 
 	load(now: number): void {
-		if (this.isMeasured(now)) this.loads += 1
+		if (this.isWarm(now)) this.loads += 1
 	}
 
 	answer(draft: Draft, stallMs: number, now: number): void {
+		if (this.isWarm(now)) this.ended += 1
 		const isDeferrable = draft.class === RequestClass.Deferrable
 		this.stalls.push({at: draft.arrivedAt, ms: stallMs, isDeferrable})
 		if (!this.isMeasured(draft.arrivedAt)) return
@@ -50,7 +53,7 @@
 	addBatchTime(host: string, running: number, now: number): void {
 		const since = this.changedAt.get(host) ?? now
 		this.changedAt.set(host, now)
-		if (running === 0 || !this.isMeasured(since)) return
+		if (running === 0 || !this.isWarm(since)) return
 		this.busyMs += now - since
 		this.seatMs += (now - since) * running
 	}
@@ -80,18 +83,18 @@
 	}
 
 	getLoadsPerThousand(): number {
-		return (1000 * this.loads) / Math.max(1, this.answered)
+		return (1000 * this.loads) / Math.max(1, this.ended)
 	}
 
 	/** Answers a second that the weight store permits at this loads per answer. */
 	getBoundPerSecond(): number {
-		const perAnswer = this.loads / Math.max(1, this.answered)
+		const perAnswer = this.loads / Math.max(1, this.ended)
 		return this.scenario.store.loadsPerSecond / perAnswer
 	}
 
 	getAnsweredPerSecond(): number {
-		const measuredMs = getMeasuredUntil(this.scenario) - this.scenario.warmUpMs
-		return (1000 * this.inWindow) / measuredMs
+		const {durationMs, warmUpMs} = this.scenario
+		return (1000 * this.ended) / (durationMs - warmUpMs)
 	}
 
 	/** Time from `since` until the p95 stall of requests is steady again. */
@@ -112,6 +115,10 @@
 		return getQuantile(chosen, 0.95)
 	}
 
+	private isWarm(at: number): boolean {
+		return at >= this.scenario.warmUpMs
+	}
+
 	/** Requests count only when their windows close before the run ends. */
 	private isMeasured(at: number): boolean {
 		return at >= this.scenario.warmUpMs && at < getMeasuredUntil(this.scenario)
--- a/src/policy/loadShares.ts
+++ b/src/policy/loadShares.ts
@@ -47,7 +47,7 @@
 /** Part of the store that is split evenly among those that demand loads. */
 const evenShare = 0.25
 const sightingMs = 10_000
-const slowLoadFactor = 4
+const slowLoadFactor = 1.5
 const decreaseFactor = 0.85
 const increaseStep = 0.05
 const minScale = 0.5
@@ -87,7 +87,7 @@
 		this.meanMs += smoothing * (tookMs - this.meanMs)
 		if (now < this.adaptAt) return
 		this.adaptAt = now + adaptIntervalMs
-		const isSlow = this.meanMs > this.limits.loadMs * slowLoadFactor
+		const isSlow = this.meanMs > getBusyLoadMs(this.limits) * slowLoadFactor
 		this.scale = isSlow
 			? Math.max(minScale, this.scale * decreaseFactor)
 			: Math.min(1, this.scale + increaseStep)
@@ -121,3 +121,9 @@
 		return largest
 	}
 }
+
+/** Time of a load when the store is fully used, by Little's law. */
+function getBusyLoadMs(limits: StoreLimits): number {
+	const queuedMs = (1000 * limits.inFlight) / limits.loadsPerSecond
+	return Math.max(limits.loadMs, queuedMs)
+}
