Sync the claims of home buckets, and leave hosts that miss heartbeats

Cause: the first keyed call of a bucket in a platform outage ended as unknown, since nobody had read that bucket's log (seen in the test of a platform that is down). Entries now tell each service host the hosts of its pool, so that it reads its own buckets beforehand, and a caller may state that a key is new. Cause: a stream on a frozen host stayed open until the transport noticed; a missed heartbeat now ends the attempt and the draft reruns elsewhere. Refusals of a plain service count as not run only with an explicit header.

--- a/src/endpoint/endpointTask.ts
+++ b/src/endpoint/endpointTask.ts
@@ -51,6 +51,8 @@
 import {ServiceHost} from "./serviceHost.js"
 import type {EndpointSettings} from "./settings.js"
 
+/** Longest wait of a call for its claim while the platform is slow. */
+const claimWaitMs = 4000
 const maxQueuedPerSeat = 64
 const maxQueuedCalls = 1024
 const drainNoticeMs = 300
@@ -282,6 +284,7 @@
 				platform: this.platform,
 				pool: pool.name,
 				buckets: claimBuckets,
+				claimWaitMs,
 				owner: {hostId: id, address, incarnation: this.incarnation}
 			}),
 			counters: this.counters,
@@ -290,6 +293,9 @@
 			callMs: pool.callMs,
 			onChange: () => {
 				this.reporter.noteChange()
+			},
+			onFenced: (service, detail) => {
+				this.stopFenced(service, detail)
 			}
 		})
 	}
@@ -358,6 +364,10 @@
 
 	private hearEntry(ack: ReportAck): void {
 		this.contacts.hear(ack)
+		if (ack.hasPoolHosts) {
+			const {pool, id} = this.settings
+			this.services?.syncHomes(pool, id, ack.poolHosts)
+		}
 		if (this.shares === undefined || this.engines === undefined) return
 		const now = Date.now()
 		this.shares.setProcesses(Math.max(1, ack.loadingProcesses))
--- a/src/endpoint/serviceHost.ts
+++ b/src/endpoint/serviceHost.ts
@@ -16,7 +16,7 @@
 	ServiceError
 } from "../link/serviceClient.js"
 import {ClaimRefusal, ClaimResultType, SendEnd} from "../policy/claimTypes.js"
-import type {KeyScope} from "../policy/claimHome.js"
+import {type KeyScope, listHomeBuckets} from "../policy/claimHome.js"
 import type {Counters} from "../program/counters.js"
 import {assertNever, messageOf} from "../utils/common.js"
 import {type CallQueue, createCallQueue} from "./callQueue.js"
@@ -34,6 +34,8 @@
 	/** Expected time of one call. */
 	callMs: number
 	onChange: () => void
+	/** The service obeys a process with a higher fencing number. */
+	onFenced: (service: string, detail: string) => void
 }
 
 const refusalReasons: Record<ClaimRefusal, NotRunReason> = {
@@ -49,6 +51,8 @@
 	private readonly options: ServiceHostOptions
 	private readonly queue: CallQueue
 	private readonly inFlight = new Set<Promise<unknown>>()
+	/** Buckets whose keys are routed here, as far as the entries told. */
+	private homes: ReadonlySet<number> = new Set()
 	private nextService = 0
 	private isLeaving = false
 
@@ -87,6 +91,14 @@
 		}
 	}
 
+	/** Reads the claims of the keys that are routed to this process. */
+	syncHomes(pool: string, selfId: string, hostIds: readonly string[]): void {
+		const buckets = listHomeBuckets(pool, selfId, hostIds)
+		const fresh = buckets.filter(bucket => !this.homes.has(bucket))
+		this.homes = new Set(buckets)
+		this.options.claims.sync(fresh)
+	}
+
 	/** Mints a key for calls that need no platform. */
 	mintTicket(scope: KeyScope): {ticket: string; expiresAt: number} {
 		return this.options.claims.mintTicket(scope)
@@ -153,7 +165,8 @@
 			bodyHash: hashCall(req),
 			deadline: req.deadlineMs,
 			ticket: req.ticket,
-			mayHaveBeenSent: req.mayHaveBeenSent
+			mayHaveBeenSent: req.mayHaveBeenSent,
+			isFirstAttempt: req.firstAttempt
 		}
 		const result = await this.options.claims.run(call, () => this.enqueue(req))
 		return explainClaim(result)
@@ -194,6 +207,7 @@
 		const detail = messageOf(err)
 		if (err instanceof ServiceError && err.isNotRun) {
 			this.options.counters.add("service.refused")
+			if (err.isFenced) this.options.onFenced(err.peer, detail)
 			const retryAfterMs = this.options.callMs
 			return {end: SendEnd.NotStarted, detail, retryAfterMs}
 		}
--- a/src/entry/endpointLink.ts
+++ b/src/entry/endpointLink.ts
@@ -25,6 +25,8 @@
 	fleetLoadDemand: number
 	fleetDemanding: number
 	loadingProcesses: number
+	/** Hosts of the endpoint's pool that take work. */
+	poolHosts: string[]
 }
 
 export interface EndpointLinkOptions {
@@ -47,10 +49,13 @@
 	private readonly options: EndpointLinkOptions
 	private readonly resident = new Set<AdapterName>()
 	private readonly loading = new Set<AdapterName>()
+	private readonly suspectListeners = new Set<() => void>()
 	private stream: ReportStream | undefined
 	private ownInFlight = 0
 	private ownAtReport = 0
 	private isClosed = false
+	/** Pool hosts as told last on the open stream. */
+	private toldHosts = ""
 
 	constructor(options: EndpointLinkOptions) {
 		this.options = options
@@ -77,11 +82,18 @@
 		stream.on("error", reset)
 		stream.on("end", reset)
 		this.stream = stream
+		this.toldHosts = ""
 	}
 
 	/** Sends an acknowledgement when the stream is open. */
 	acknowledge(figures: AckFigures): void {
-		this.stream?.write(create(ReportAckSchema, figures))
+		if (this.stream === undefined) return
+		const {poolHosts, ...others} = figures
+		const text = poolHosts.join()
+		const hasPoolHosts = text !== this.toldHosts
+		this.toldHosts = text
+		const hosts = hasPoolHosts ? {hasPoolHosts, poolHosts} : {}
+		this.stream.write(create(ReportAckSchema, {...others, ...hosts}))
 	}
 
 	/** Starts a request and counts it until its stream ends. */
@@ -99,6 +111,22 @@
 		return stream
 	}
 
+	/**
+	 * Calls `listener` when the host stops answering while a request runs there;
+	 * returns the function that removes it.
+	 */
+	onSuspect(listener: () => void): () => void {
+		this.suspectListeners.add(listener)
+		return () => {
+			this.suspectListeners.delete(listener)
+		}
+	}
+
+	/** The host missed its heartbeats. */
+	suspect(): void {
+		for (const listener of [...this.suspectListeners]) listener()
+	}
+
 	/** What the router needs to know of this endpoint process. */
 	view(admitting: boolean): EndpointView {
 		const {report} = this
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -155,6 +155,11 @@
 		this.links.clear()
 	}
 
+	private isSuspect(hostId: string): boolean {
+		const host = this.hosts().find(({id}) => id === hostId)
+		return host?.state === MemberState.Suspect
+	}
+
 	private poolHosts(pool: string): MemberHost[] {
 		return this.membership.hosts().filter(host => host.pool === pool)
 	}
@@ -196,6 +201,7 @@
 				return
 			case MembershipActionType.StopNewWork:
 				this.options.log.info("host gets no new work", {peer: hostId})
+				if (this.isSuspect(hostId)) this.links.get(hostId)?.suspect()
 		}
 	}
 
@@ -277,6 +283,12 @@
 		return sum
 	}
 
+	/** Only the hosts of plain services need to know each other. */
+	private listServiceHosts(report: Report | undefined): string[] {
+		if (report === undefined || report.slots > 0) return []
+		return this.admitting(report.pool).sort()
+	}
+
 	private ackFor(link: EndpointLink, sum: FleetDemand): AckFigures {
 		const own = link.report?.loadDemand ?? 0
 		return {
@@ -285,7 +297,8 @@
 			generation: this.options.generation(),
 			fleetLoadDemand: Math.max(0, sum.demand - own),
 			fleetDemanding: Math.max(0, sum.demanding - (own > 0 ? 1 : 0)),
-			loadingProcesses: Math.max(1, sum.processes)
+			loadingProcesses: Math.max(1, sum.processes),
+			poolHosts: this.listServiceHosts(link.report)
 		}
 	}
 }
--- a/src/entry/generationCall.ts
+++ b/src/entry/generationCall.ts
@@ -153,6 +153,7 @@
 			}
 			const settle = (attempt: Attempt): void => {
 				signal.removeEventListener("abort", abort)
+				forgetSuspicion()
 				resolve(attempt)
 			}
 			const fail = (step: Step, detail: string): void => {
@@ -160,6 +161,10 @@
 				stream.cancel()
 			}
 			signal.addEventListener("abort", abort)
+			// A frozen host holds the stream open without sending anything.
+			const forgetSuspicion = link.onSuspect(() => {
+				if (this.options.route.idempotent) fail(Step.Stream, "no heartbeat")
+			})
 			stream.on("data", ({event}: RunEvent) => {
 				switch (event.case) {
 					case "started":
--- a/src/entry/parseRequest.ts
+++ b/src/entry/parseRequest.ts
@@ -13,6 +13,8 @@
 	/** Absolute time in epoch milliseconds. */
 	deadline: number
 	idempotencyKey: string
+	/** The caller states that it never used this key before. */
+	isFirstAttempt: boolean
 	routeName: string
 }
 
@@ -82,6 +84,7 @@
 		requestId: parseRequestId(headers),
 		deadline: parseDeadline(headers, now),
 		idempotencyKey: parseKey(headers),
+		isFirstAttempt: readHeader(headers, "x-first-attempt") === "true",
 		routeName: readHeader(headers, "x-route")
 	}
 }
--- a/src/entry/requestHandler.ts
+++ b/src/entry/requestHandler.ts
@@ -248,6 +248,7 @@
 		req.path = path
 		req.body = body
 		req.idempotencyKey = envelope.idempotencyKey
+		req.firstAttempt = envelope.isFirstAttempt
 		return req
 	}
 
--- a/src/entry/serviceCall.ts
+++ b/src/entry/serviceCall.ts
@@ -111,12 +111,9 @@
 		const admitting = fleet.admitting(route.pool)
 		const ranked = rankHomes(route.pool, this.bucket, admitting)
 		const gone = fleet.recentlyGone(route.pool)
-		this.mayHaveBeenSent ||= hasMovedHome(
-			route.pool,
-			this.bucket,
-			admitting,
-			gone
-		)
+		const isFresh = req.firstAttempt && this.attempts === 0
+		this.mayHaveBeenSent ||=
+			!isFresh && hasMovedHome(route.pool, this.bucket, admitting, gone)
 		req.mayHaveBeenSent = this.mayHaveBeenSent
 		const fresh = ranked.filter(id => !this.excluded.has(id))
 		return fresh.length > 0 ? fresh : ranked
--- a/src/link/serviceClient.ts
+++ b/src/link/serviceClient.ts
@@ -25,7 +25,9 @@
 		peer: string,
 		/** True when the service cannot have started the call. */
 		readonly isNotRun: boolean,
-		message: string
+		message: string,
+		/** True when it refused the fencing number as too low. */
+		readonly isFenced = false
 	) {
 		super(message, {step: Step.Send, peer})
 	}
@@ -101,7 +103,8 @@
 		if (headers[notRunHeader] === undefined) return
 		if (status === staleFenceStatus || status === unavailableStatus) {
 			const reason = `the service refused the call with status ${status}`
-			throw new ServiceError(this.url, true, reason)
+			const isFenced = status === staleFenceStatus
+			throw new ServiceError(this.url, true, reason, isFenced)
 		}
 	}
 }
--- a/standins/__tests__/service.test.ts
+++ b/standins/__tests__/service.test.ts
@@ -63,7 +63,9 @@
 
 test("calls fail or lose their socket before the run", async () => {
 	service.setFaults({failBefore: 1})
-	expect((await book("o1")).status).toBe(503)
+	const refused = await book("o1")
+	expect(refused.status).toBe(503)
+	expect(refused.headers["x-not-run"]).toBe("true")
 	service.setFaults({cutBefore: 1})
 	await expect(book("o1")).rejects.toThrow()
 	expect(service.truth().runs).toBe(0)
--- a/standins/common/fence.ts
+++ b/standins/common/fence.ts
@@ -4,6 +4,9 @@
 
 export const fencingHeader = "x-fencing-number"
 
+/** Marks a refusal that was made before the call started. */
+export const notRunHeaders = {"x-not-run": "true"}
+
 export class Fence {
 	highest = 0
 	staleAccepted = 0
@@ -20,7 +23,8 @@
 		if (this.checksOrders && number < this.highest) {
 			this.staleRefused += 1
 			const details = {highest: this.highest}
-			throw new HttpError(409, "stale fencing number", {details})
+			const headers = notRunHeaders
+			throw new HttpError(409, "stale fencing number", {details, headers})
 		}
 		if (number < this.highestEver) this.staleAccepted += 1
 		this.highest = Math.max(this.highest, number)
--- a/standins/service.ts
+++ b/standins/service.ts
@@ -10,6 +10,7 @@
 	commonFaults,
 	type Counts,
 	Fence,
+	notRunHeaders,
 	HttpError,
 	type ListenOptions,
 	noCommonFaults,
@@ -33,6 +34,8 @@
 	cutAfter: z.number().int().min(0),
 	/** This many further calls lose their socket without being run. */
 	cutBefore: z.number().int().min(0),
+	/** Replaces the time that a call takes after its effect. */
+	callMs: z.number().min(0).nullable(),
 	/** Limits the counted faults to paths with this prefix. */
 	faultPath: z.string()
 })
@@ -41,6 +44,8 @@
 
 export interface ServiceTruth {
 	runs: number
+	/** Calls that took effect and are not answered yet. */
+	running: number
 	/** Runs by idempotency key. */
 	runsByKey: Counts
 	/** Runs by request id. */
@@ -95,6 +100,7 @@
 			failBefore: 0,
 			cutAfter: 0,
 			cutBefore: 0,
+			callMs: null,
 			faultPath: ""
 		})
 		this.callMs = callMs
@@ -105,6 +111,7 @@
 	truth(): ServiceTruth {
 		return {
 			runs: this.runs,
+			running: this.concurrent,
 			runsByKey: this.runsByKey.counts,
 			runsByRequest: this.runsByRequest.counts,
 			runsByBody: this.runsByBody.counts,
@@ -152,13 +159,14 @@
 			return undefined
 		}
 		if (this.takeFault(call, "failBefore")) {
-			throw new HttpError(503, "service is unavailable")
+			const headers = notRunHeaders
+			throw new HttpError(503, "service is unavailable", {headers})
 		}
 		const isCut = this.takeFault(call, "cutAfter")
 		this.concurrent += 1
 		this.peakConcurrent = Math.max(this.peakConcurrent, this.concurrent)
 		const body = effect()
-		await sleep(this.callMs)
+		await sleep(this.faults.callMs ?? this.callMs)
 		this.concurrent -= 1
 		if (!isCut) return {body}
 		call.req.socket.destroy()
