--- a/src/operator/apply.ts
+++ b/src/operator/apply.ts
@@ -166,7 +166,7 @@
 }
 
 /** Waits longer after each attempt. */
-function waitLonger(attempt: number): Promise<void> {
+export function waitLonger(attempt: number): Promise<void> {
 	return sleep(attempt * retryStepMs)
 }
 
@@ -242,12 +242,10 @@
 async function settle(apply: Apply): Promise<ApplyResult | undefined> {
 	const {platform, root, applyId} = apply
 	const found = await readRootQuietly(platform)
-	if (found === undefined || found.generation < root.generation)
-		return undefined
-	const winner = found.applies.find(
+	const winner = found?.applies.find(
 		({generation}) => generation === root.generation
 	)
-	if (winner === undefined) return undefined
+	if (found === undefined || winner === undefined) return undefined
 	const isOurs = winner.id === applyId
 	const outcome = isOurs ? ApplyOutcome.Accepted : ApplyOutcome.Conflict
 	return finish(apply, outcome, isOurs ? root : found)
--- a/src/operator/changeCommands.ts
+++ b/src/operator/changeCommands.ts
@@ -78,7 +78,8 @@
 		platform: requirePlatform(context),
 		configuration,
 		operator: context.operator,
-		applyId: context.createApplyId()
+		applyId: context.createApplyId(),
+		wait: context.wait
 	})
 	const handed = await handOverResult(context, result)
 	if (options.json) printJson(context, result, handed)
--- a/src/operator/context.ts
+++ b/src/operator/context.ts
@@ -2,6 +2,7 @@
 import {ulid} from "ulid"
 import {HttpPlatform} from "../link/httpPlatform.js"
 import type {Platform} from "../link/platform.js"
+import {waitLonger} from "./apply.js"
 import {createLinkOpener, type EntryLink, type OpenLink} from "./entryLink.js"
 import type {Output} from "./output.js"
 import type {OperatorSettings} from "./settings.js"
@@ -15,6 +16,8 @@
 	operator: string
 	token: string
 	createApplyId: () => string
+	/** Waits after a failed attempt, counted from 1. */
+	wait: (attempt: number) => Promise<void>
 	close: () => Promise<void>
 }
 
@@ -35,6 +38,7 @@
 		operator: settings.operator,
 		token: settings.operatorToken,
 		createApplyId: ulid,
+		wait: waitLonger,
 		async close() {
 			for (const link of links) link.close()
 			await platform?.close()
--- a/src/operator/program.ts
+++ b/src/operator/program.ts
@@ -86,7 +86,7 @@
 export function reportFault(err: unknown, output: Output): ExitCode {
 	if (err instanceof ConfigError) {
 		for (const fault of err.faults) output.error(formatFault(fault))
-		output.error(`${err.faults.length} faults; nothing was applied`)
+		output.error(`${err.faults.length} faults found`)
 		return ExitCode.Usage
 	}
 	if (err instanceof SettingsError) {
