Refuse at once what would wait too long for its load

Cause: in the lunch hour loads are the limit, so a longer queue of loads gains no answers, but every request in it waits: interactive requests were admitted whenever their slack covered the queue, stalled 25 s at p95, and 971 of them were overtaken and refused at their deadline. The wait for a load is now bounded by a part of the slack that falls with the weight of load stalls.

--- a/src/policy/adapterScheduler.ts
+++ b/src/policy/adapterScheduler.ts
@@ -542,14 +542,10 @@
 			this.loadOrder.delete(adapter)
 			return
 		}
-		const isUrgent = this.isUrgent(adapter)
-		const readyAt = this.queue.readyAt(adapter)
-		this.loadOrder.set({adapter, count, readyAt, isUrgent})
-	}
-
-	private isUrgent(adapter: AdapterName): boolean {
 		const first = this.queue.firstReady(adapter)
-		return (first?.rank ?? Infinity) < getRank(RequestClass.Deferrable, 0)
+		const isUrgent = first !== undefined && isUrgentRank(first.rank)
+		const readyAt = isUrgent ? first.readyAt : this.queue.readyAt(adapter)
+		this.loadOrder.set({adapter, count, readyAt, isUrgent})
 	}
 
 	private hasCopy(adapter: AdapterName): boolean {
@@ -581,13 +577,15 @@
 	private getBacklog(draft: Draft): Backlog {
 		const workers = [...this.workers.values()].filter(worker => worker.isUp)
 		const {adapter} = draft
+		const isDeferrable = draft.class === RequestClass.Deferrable
 		return {
 			seats: this.countSeats(),
 			freeSeats: sum(workers, countFreeSeats),
 			runnable: sum(workers, worker => this.countRunnable(worker)),
-			loadsAhead: this.loadOrder.countAhead(adapter),
+			loadsAhead: this.loadOrder.countAhead(adapter, isDeferrable),
 			loadsPerSecond: this.budget.loadsPerSecond,
 			loadMs: this.estimates.loadMs,
+			maxLoadWaitShare: this.loadOrder.getMaxWaitShare(isDeferrable),
 			isResident: workers.some(worker => isResident(worker, adapter)),
 			isLoading: this.isLoading(adapter),
 			serviceMs: this.estimates.serviceMs(draft),
@@ -627,6 +625,11 @@
 	}
 }
 
+/** True for requests that don't give way, or no longer do. */
+function isUrgentRank(rank: number): boolean {
+	return rank < getRank(RequestClass.Deferrable, 0)
+}
+
 function getFirst(
 	a: Waiting | undefined,
 	b: Waiting | undefined
--- a/src/policy/admission.ts
+++ b/src/policy/admission.ts
@@ -15,6 +15,8 @@
 	loadsAhead: number
 	loadsPerSecond: number
 	loadMs: number
+	/** Part of its slack that the request may wait for its load. */
+	maxLoadWaitShare: number
 	isResident: boolean
 	isLoading: boolean
 	/** Expected seat time of the request, and of those ahead of it. */
@@ -32,8 +34,11 @@
 const maxRetryAfterMs = 60_000
 
 export function admit(draft: Draft, backlog: Backlog, now: number): Verdict {
-	const waitMs = Math.max(getSeatWaitMs(backlog), getLoadWaitMs(backlog))
-	const lateMs = now + waitMs + backlog.serviceMs - draft.deadline
+	const loadWaitMs = getLoadWaitMs(backlog)
+	const waitMs = Math.max(getSeatWaitMs(backlog), loadWaitMs)
+	const slackMs = draft.deadline - now - backlog.serviceMs
+	const stalledMs = loadWaitMs - slackMs * backlog.maxLoadWaitShare
+	const lateMs = Math.max(waitMs - slackMs, stalledMs)
 	return {
 		isAdmitted: lateMs <= 0,
 		waitMs,
--- a/src/policy/loadOrder.ts
+++ b/src/policy/loadOrder.ts
@@ -29,6 +29,8 @@
 const companyMs = 4000
 /** Part of the slack that a request for an answer at once may be held. */
 const promptHoldShare = 0.25
+/** Part of the slack that is closed to waiting when only stalls count. */
+const stallCut = 1
 const maxHoldShare = 0.9
 /** The same for deferrable requests. */
 const deferrableCompanyMs = 20_000
@@ -37,6 +39,7 @@
 
 export class LoadOrder {
 	private readonly holdShare: number
+	private readonly maxWaitShare: number
 	/** True when load stalls weigh at least as much as batch efficiency. */
 	private readonly prefersStarts: boolean
 	private readonly urgent = new KeyedHeap<LoadDemand>()
@@ -48,6 +51,7 @@
 		const total = objective.loadStalls + objective.batchEfficiency
 		const share = total > 0 ? objective.batchEfficiency / total : 0
 		this.prefersStarts = objective.loadStalls >= objective.batchEfficiency
+		this.maxWaitShare = 1 - stallCut * (1 - share)
 		this.holdShare = Math.min(maxHoldShare, share)
 	}
 
@@ -61,6 +65,11 @@
 		return isDeferrable ? this.holdShare : promptHoldShare
 	}
 
+	/** Part of its slack that a request may wait for its load. */
+	getMaxWaitShare(isDeferrable: boolean): number {
+		return isDeferrable ? 1 : this.maxWaitShare
+	}
+
 	/** Running requests from which held ones may join a batch. */
 	getFillTarget(seats: number): number {
 		return Math.max(1, Math.floor(seats * this.holdShare))
@@ -130,8 +139,11 @@
 	}
 
 	/** Loads that come before one for a new request of the adapter. */
-	countAhead(adapter: AdapterName): number {
-		return this.urgent.has(adapter) ? this.urgent.size / 2 : this.urgent.size
+	countAhead(adapter: AdapterName, isDeferrable: boolean): number {
+		const isWanted = this.urgent.has(adapter) || this.spare.has(adapter)
+		const spare = isDeferrable ? this.spare.size / 2 : 0
+		const ahead = this.urgent.size + spare
+		return isWanted ? ahead / 2 : ahead
 	}
 
 	/** Waiting for company ends early enough for the backlog to drain. */
--- a/src/policy/waitQueue.ts
+++ b/src/policy/waitQueue.ts
@@ -144,6 +144,7 @@
 		if (now >= waiting.dueAt) {
 			const at = waiting.rank % rankPerClass
 			waiting.rank = getRank(RequestClass.Interactive, at)
+			waiting.readyAt = waiting.dueAt
 			this.byLeastRank.set(waiting.draft.id, waiting, -waiting.rank)
 		}
 		this.insert(queue, waiting)
