Tell load stalls of interactive drafts from those that can wait

One histogram held both, so the p95 of 33 s in a lunch crowd was that of summaries parked on purpose. Stall and first token are now given by route.

--- a/bench/scenario/figures.ts
+++ b/bench/scenario/figures.ts
@@ -73,7 +73,7 @@
 	const loads = after.weightStore.loads - before.weightStore.loads
 	const steps = sumOf(after, "steps") - sumOf(before, "steps")
 	const tokens = sumOf(after, "tokenSum") - sumOf(before, "tokenSum")
-	const drafts = summary.firstTokenMs.count
+	const drafts = sum(summary.routes.map(one => one.firstTokenMs.count))
 	const retries = sum(last.usage.map(one => sumRetries(one.counters)))
 	return {
 		loads,
--- a/bench/scenario/table.ts
+++ b/bench/scenario/table.ts
@@ -69,11 +69,12 @@
 }
 
 function renderDelays({summary}: ScenarioResult): string[] {
-	return [
-		renderDelay("load stall", summary.loadStallMs),
-		renderDelay("first token", summary.firstTokenMs),
-		renderDelay("between tokens", summary.betweenTokensMs)
-	]
+	const drafts = summary.routes.filter(one => one.firstTokenMs.count > 0)
+	const lines = drafts.flatMap(({route, loadStallMs, firstTokenMs}) => [
+		renderDelay(`${route}: load stall`, loadStallMs),
+		renderDelay(`${route}: first token`, firstTokenMs)
+	])
+	return [...lines, renderDelay("between tokens", summary.betweenTokensMs)]
 }
 
 function renderDelay(name: string, delay: DelaySummary): string {
