Split the claim records; bound the flush at a planned stop

The records file held queue, waiters, backoff and results; each is a module now, and tickets share the results.

A flush in an outage never ended, so a planned stop would have hung until it was killed. It now ends at a deadline, five seconds unless given, and says whether all was recorded. A claim by another process at this address counts as gone whatever its incarnation, as a redirect would lead back here.

--- a/src/endpoint/claims/__tests__/claimTask.test.ts
+++ b/src/endpoint/claims/__tests__/claimTask.test.ts
@@ -163,6 +163,21 @@
 	})
 })
 
+describe("flush", () => {
+	it("records what ran, or says at the deadline that it could not", async () => {
+		const task = makeTask("1")
+		const first = task.run(makeCall("k"), () => sendAs("k"))
+		await finish(first, 200)
+		expect(await finish(task.flush())).toBe(true)
+		const second = task.run(makeCall("k2"), async () => {
+			platform.outage = OutageType.Silent
+			return sendAs("k2")
+		})
+		await finish(second, 500)
+		expect(await finish(task.flush(clock.now + 3_000))).toBe(false)
+	})
+})
+
 describe("in an outage", () => {
 	it("a fresh key is refused, a key in doubt is unknown", async () => {
 		const task = makeTask("1")
--- a/src/endpoint/claims/bucketTask.ts
+++ b/src/endpoint/claims/bucketTask.ts
@@ -83,12 +83,21 @@
 		this.feed({type: ClaimEventType.Doubt})
 	}
 
-	/** Resolves when everything is answered and recorded. */
-	flush(): Promise<void> {
+	/**
+	 * Resolves to true when everything is answered and recorded, and to false
+	 * when that is not so at the deadline.
+	 */
+	flush(deadline: number): Promise<boolean> {
 		this.feed({type: ClaimEventType.Flush})
-		if (this.bucket.isIdle) return Promise.resolve()
+		if (this.bucket.isIdle) return Promise.resolve(true)
 		return new Promise(resolve => {
-			this.idleWaiters.push(resolve)
+			const cancel = this.options.setTimer(() => {
+				resolve(false)
+			}, deadline)
+			this.idleWaiters.push(() => {
+				cancel()
+				resolve(true)
+			})
 		})
 	}
 
@@ -102,7 +111,7 @@
 		}
 		this.setTick(this.bucket.nextTickAt())
 		if (!this.bucket.isIdle) return
-		for (const resolve of this.idleWaiters.splice(0)) resolve()
+		for (const notify of this.idleWaiters.splice(0)) notify()
 	}
 
 	private setTick(at: number): void {
--- a/src/endpoint/claims/claimTask.ts
+++ b/src/endpoint/claims/claimTask.ts
@@ -23,6 +23,7 @@
 } from "./types.js"
 
 const keyHashBytes = 16
+const defaultFlushMs = 5_000
 const defaultTicketLifeMs = 10 * 60 * 1_000
 
 export class ClaimTask {
@@ -102,10 +103,16 @@
 		for (const bucket of this.buckets.values()) bucket.doubt()
 	}
 
-	/** Resolves when all that ran is recorded; call it before leaving. */
-	async flush(): Promise<void> {
-		const flushes = [...this.buckets.values()].map(bucket => bucket.flush())
-		await Promise.all(flushes)
+	/**
+	 * Records all that ran; call it before leaving. Resolves to false when the
+	 * platform did not take it before the deadline: retries of those keys are
+	 * then answered as unknown.
+	 */
+	async flush(deadline = this.io.now() + defaultFlushMs): Promise<boolean> {
+		const buckets = [...this.buckets.values()]
+		const flushes = buckets.map(bucket => bucket.flush(deadline))
+		const recorded = await Promise.all(flushes)
+		return recorded.every(isRecorded => isRecorded)
 	}
 
 	/** Stops the timers; attempts that still wait are not answered. */
--- a/src/policy/claimRecords.ts
+++ b/src/policy/claimRecords.ts
@@ -13,6 +13,16 @@
 	type OutcomeEntry,
 	type StoredAnswer
 } from "./claimLog.js"
+import {ClaimQueue, type QueuedEntry} from "./claimQueue.js"
+import {
+	keyReused,
+	notRun,
+	replay,
+	resultOf,
+	stillRunning,
+	trimAnswer,
+	unknown
+} from "./claimResults.js"
 import {
 	type ClaimAction,
 	ClaimActionType,
@@ -23,6 +33,7 @@
 	SendEnd,
 	type SendOutcome
 } from "./claimTypes.js"
+import {ClaimWaiters} from "./claimWaiters.js"
 
 enum RecordState {
 	/** Our claim is queued or being written; nothing was sent. */
@@ -46,20 +57,6 @@
 	answer?: StoredAnswer
 }
 
-interface Waiter {
-	call: KeyedCall
-	/** When the wait for the claim ends. */
-	giveUpAt: number
-	isSender: boolean
-}
-
-/** An entry that is not yet part of a batch. */
-export interface QueuedEntry {
-	entry: ClaimEntry
-	/** Time by which it should be written. */
-	dueAt: number
-}
-
 export interface ClaimRecordsOptions {
 	owner: ClaimOwner
 	groupMs: number
@@ -73,14 +70,14 @@
 
 export class ClaimRecords {
 	/** Entries to write, in order. */
-	queue: QueuedEntry[] = []
+	readonly queue = new ClaimQueue()
 	/** True when an attempt waits for the newest state of the log. */
 	wantsRead = false
 	/** True while claims of others may be in the log that were not read. */
 	isInDoubt = true
 
 	private readonly records = new Map<string, KeyRecord>()
-	private readonly waiting = new Map<string, Waiter[]>()
+	private readonly waiters = new ClaimWaiters()
 	/** Highest incarnation known to be gone, by host id. */
 	private readonly goneOwners = new Map<string, number>()
 
@@ -94,7 +91,7 @@
 	}
 
 	get isWaiting(): boolean {
-		return this.waiting.size > 0
+		return !this.waiters.isEmpty
 	}
 
 	/** Takes an attempt; `outageMs` is set while the platform is down. */
@@ -105,7 +102,7 @@
 			return
 		}
 		if (record.bodyHash !== call.bodyHash) {
-			this.endNotRun(call, ClaimRefusal.KeyReused, "key used with another body")
+			this.end(call, keyReused)
 			return
 		}
 		switch (record.state) {
@@ -121,7 +118,7 @@
 				return
 			case RecordState.Answered:
 			case RecordState.Uncertain:
-				this.endFromRecord(call, record)
+				this.end(call, replay(record.answer))
 				return
 			case RecordState.Foreign:
 				this.addWaiter(call, now)
@@ -160,42 +157,21 @@
 		const record = this.records.get(key)
 		if (record?.attempt !== attempt) return
 		if (record.state !== RecordState.Running) return
-		const waiters = this.takeWaiters(key)
-		switch (outcome.end) {
-			case SendEnd.Answered:
-				this.recordAnswer(key, record, outcome.answer, now)
-				for (const waiter of waiters) {
-					this.endAnswered(waiter.call, outcome.answer, !waiter.isSender)
-				}
-				return
-			case SendEnd.NotStarted:
-				this.release(key, record, now)
-				for (const {call} of waiters) {
-					const {detail, retryAfterMs} = outcome
-					const reason = ClaimRefusal.EndpointRefused
-					this.endNotRun(call, reason, detail, retryAfterMs)
-				}
-				return
-			case SendEnd.Unknown:
-				record.state = RecordState.Uncertain
-				this.enqueueLater({type: ClaimEntryType.Uncertain, key, attempt}, now)
-				for (const {call} of waiters) {
-					this.endUnknown(call, outcome.step, outcome.detail)
-				}
+		this.recordEnd(key, record, outcome, now)
+		for (const {call, isSender} of this.waiters.take(key)) {
+			this.end(call, resultOf(outcome, !isSender))
 		}
 	}
 
 	/** Ends attempts whose time is up. */
 	expireWaiters(now: number): void {
-		for (const [key, waiters] of this.waiting) {
+		for (const key of this.waiters.keys) {
 			const record = this.records.get(key)
-			if (record === undefined) continue
-			if (record.state === RecordState.Running) {
-				this.expireRunning(key, waiters, now)
-			} else if (record.state === RecordState.Claiming) {
-				this.expireClaiming(key, waiters, now)
-			} else if (waiters.some(waiter => waiter.giveUpAt <= now)) {
-				this.endForeign(key, record)
+			if (record?.state === RecordState.Running) this.expireRunning(key, now)
+			else if (record?.state === RecordState.Claiming) {
+				this.expireClaiming(key, now)
+			} else if (record?.state === RecordState.Foreign) {
+				this.expireForeign(key, record, now)
 			}
 		}
 		this.dropUnwantedClaims()
@@ -203,11 +179,10 @@
 
 	/** Ends every attempt that waits for the platform. */
 	refuseUnclaimed(outageMs: number): void {
-		for (const [key, waiters] of this.waiting) {
-			const record = this.records.get(key)
-			if (record?.state === RecordState.Claiming) {
-				this.waiting.delete(key)
-				for (const {call} of waiters) this.endInOutage(call, outageMs)
+		for (const key of this.waiters.keys) {
+			if (this.records.get(key)?.state !== RecordState.Claiming) continue
+			for (const {call} of this.waiters.take(key)) {
+				this.endInOutage(call, outageMs)
 			}
 		}
 		this.endAllForeign()
@@ -217,7 +192,7 @@
 	/** Ends attempts at keys of other owners, from the newest state known. */
 	endAllForeign(): void {
 		this.wantsRead = false
-		for (const key of [...this.waiting.keys()]) {
+		for (const key of this.waiters.keys) {
 			const record = this.records.get(key)
 			if (record?.state === RecordState.Foreign) this.endForeign(key, record)
 		}
@@ -225,12 +200,10 @@
 
 	/** Puts entries whose batch did not land back in front of the queue. */
 	requeue(queued: readonly QueuedEntry[]): void {
-		const kept = queued.filter(
-			({entry}) =>
-				entry.type !== ClaimEntryType.Claim ||
-				this.records.get(entry.key)?.attempt === entry.attempt
+		this.queue.putBack(queued)
+		this.queue.keepClaims(
+			({key, attempt}) => this.records.get(key)?.attempt === attempt
 		)
-		this.queue.unshift(...kept)
 		this.dropUnwantedClaims()
 	}
 
@@ -250,15 +223,11 @@
 
 	/** Earliest time at which `expireWaiters` has something to do. */
 	nextExpiry(): number {
-		let earliest = Infinity
-		for (const [key, waiters] of this.waiting) {
-			const isRunning = this.records.get(key)?.state === RecordState.Running
-			for (const waiter of waiters) {
-				const at = isRunning ? waiter.call.deadline : waiter.giveUpAt
-				earliest = Math.min(earliest, at)
-			}
-		}
-		return earliest
+		return this.waiters.earliest(({call, giveUpAt}) => {
+			const record = this.records.get(call.key)
+			const isRunning = record?.state === RecordState.Running
+			return isRunning ? call.deadline : giveUpAt
+		})
 	}
 
 	private currentRecord(key: string, now: number): KeyRecord | undefined {
@@ -272,12 +241,12 @@
 		if (record.at + this.options.retentionMs > now) return false
 		if (record.state === RecordState.Claiming) return false
 		if (record.state === RecordState.Running) return false
-		return !this.waiting.has(key)
+		return !this.waiters.has(key)
 	}
 
 	private startClaim(call: KeyedCall, now: number, outageMs?: number): void {
 		if (call.deadline <= now) {
-			this.endUnclaimed(call, ClaimRefusal.Deadline, 0)
+			this.endUnclaimed(call, ClaimRefusal.Deadline)
 			return
 		}
 		if (outageMs !== undefined) {
@@ -294,7 +263,7 @@
 			attempt,
 			bodyHash
 		}
-		this.queue.push({entry, dueAt: now + this.options.groupMs})
+		this.queue.push(entry, now + this.options.groupMs)
 		this.addWaiter(call, now)
 	}
 
@@ -303,21 +272,15 @@
 		const record = this.records.get(key)
 		if (record?.attempt !== attempt) return
 		if (record.state !== RecordState.Claiming) return
-		const waiters = this.takeWaiters(key)
-		const ready = waiters.filter(({call}) => call.deadline > now)
-		for (const waiter of waiters) {
-			if (ready.includes(waiter)) continue
-			this.endUnclaimed(waiter.call, ClaimRefusal.Deadline, 0)
-		}
-		const sender = latestOf(ready)
+		const late = this.waiters.takeIf(key, ({call}) => call.deadline <= now)
+		for (const {call} of late) this.endUnclaimed(call, ClaimRefusal.Deadline)
+		const sender = this.waiters.chooseSender(key)
 		if (sender === undefined) {
 			this.release(key, record, now)
 			return
 		}
 		record.state = RecordState.Running
-		sender.isSender = true
-		this.waiting.set(key, ready)
-		const callId = sender.call.id
+		const callId = sender.id
 		this.emit({type: ClaimActionType.Send, key, attempt, callId})
 	}
 
@@ -329,12 +292,11 @@
 		const {key, attempt, bodyHash} = entry
 		const known = this.currentRecord(key, now)
 		if (known !== undefined && known.state !== RecordState.Claiming) return
-		if (known !== undefined) this.dropQueuedClaim(known.attempt)
+		this.queue.keepClaims(({attempt: own}) => own !== known?.attempt)
 		const {owner, at} = batch
 		const state = RecordState.Foreign
 		this.records.set(key, {state, attempt, bodyHash, at, owner})
-		const waiters = this.takeWaiters(key)
-		for (const {call} of waiters) this.addCall(call, now)
+		for (const {call} of this.waiters.take(key)) this.addCall(call, now)
 	}
 
 	private applyOutcome(entry: OutcomeEntry): void {
@@ -343,15 +305,16 @@
 		if (record.state !== RecordState.Foreign) return
 		record.state = RecordState.Answered
 		record.answer = entry.answer
-		this.endAllFromRecord(entry.key, record)
+		this.replayAll(entry.key, record)
 	}
 
 	private applyReleased(entry: ClaimEntry, now: number): void {
 		const record = this.records.get(entry.key)
 		if (record?.attempt !== entry.attempt) return
 		this.records.delete(entry.key)
-		const waiters = this.takeWaiters(entry.key)
-		for (const {call} of waiters) this.addCall(call, now)
+		for (const {call} of this.waiters.take(entry.key)) {
+			this.addCall(call, now)
+		}
 	}
 
 	private applyUncertain(entry: ClaimEntry): void {
@@ -359,28 +322,33 @@
 		if (record?.attempt !== entry.attempt) return
 		if (record.state !== RecordState.Foreign) return
 		record.state = RecordState.Uncertain
-		this.endAllFromRecord(entry.key, record)
+		this.replayAll(entry.key, record)
 	}
 
-	private recordAnswer(
+	private recordEnd(
 		key: string,
 		record: KeyRecord,
-		answer: StoredAnswer,
+		outcome: SendOutcome,
 		now: number
 	): void {
-		const stored = this.trimAnswer(answer)
-		record.state = RecordState.Answered
-		record.answer = stored
 		const {attempt} = record
-		const type = ClaimEntryType.Outcome
-		this.enqueueLater({type, key, attempt, answer: stored}, now)
-	}
-
-	/** Bodies past the limit are not kept, here or in the log. */
-	private trimAnswer(answer: StoredAnswer): StoredAnswer {
-		if (answer.size <= this.options.maxAnswerChars) return answer
-		const {status, contentType, encoding, size} = answer
-		return {status, contentType, encoding, size}
+		switch (outcome.end) {
+			case SendEnd.Answered: {
+				const {maxAnswerChars} = this.options
+				const answer = trimAnswer(outcome.answer, maxAnswerChars)
+				record.state = RecordState.Answered
+				record.answer = answer
+				const type = ClaimEntryType.Outcome
+				this.enqueueLater({type, key, attempt, answer}, now)
+				return
+			}
+			case SendEnd.NotStarted:
+				this.release(key, record, now)
+				return
+			case SendEnd.Unknown:
+				record.state = RecordState.Uncertain
+				this.enqueueLater({type: ClaimEntryType.Uncertain, key, attempt}, now)
+		}
 	}
 
 	private release(key: string, record: KeyRecord, now: number): void {
@@ -390,103 +358,67 @@
 	}
 
 	private enqueueLater(entry: ClaimEntry, now: number): void {
-		this.queue.push({entry, dueAt: now + this.options.outcomeDelayMs})
-	}
-
-	private dropQueuedClaim(attempt: string): void {
-		this.queue = this.queue.filter(
-			({entry}) =>
-				entry.type !== ClaimEntryType.Claim || entry.attempt !== attempt
-		)
+		this.queue.push(entry, now + this.options.outcomeDelayMs)
 	}
 
 	/** Takes back queued claims that nobody waits for any more. */
 	private dropUnwantedClaims(): void {
-		this.queue = this.queue.filter(({entry}) => {
-			if (entry.type !== ClaimEntryType.Claim) return true
-			if (this.waiting.has(entry.key)) return true
-			this.records.delete(entry.key)
-			return false
+		this.queue.keepClaims(({key}) => {
+			const isWanted = this.waiters.has(key)
+			if (!isWanted) this.records.delete(key)
+			return isWanted
 		})
 	}
 
 	private addWaiter(call: KeyedCall, now: number): void {
-		const waiters = this.waiting.get(call.key) ?? []
 		const giveUpAt = Math.min(call.deadline, now + this.options.claimWaitMs)
-		waiters.push({call, giveUpAt, isSender: false})
-		this.waiting.set(call.key, waiters)
+		this.waiters.add(call, giveUpAt)
 	}
 
-	private takeWaiters(key: string): Waiter[] {
-		const waiters = this.waiting.get(key) ?? []
-		this.waiting.delete(key)
-		return waiters
+	private expireRunning(key: string, now: number): void {
+		const late = this.waiters.takeIf(key, ({call}) => call.deadline <= now)
+		for (const {call} of late) this.end(call, stillRunning)
 	}
 
-	private expireRunning(key: string, waiters: Waiter[], now: number): void {
-		const late = waiters.filter(({call}) => call.deadline <= now)
-		this.keepWaiters(key, waiters, late)
+	private expireClaiming(key: string, now: number): void {
+		const late = this.waiters.takeIf(key, ({giveUpAt}) => giveUpAt <= now)
 		for (const {call} of late) {
-			this.endUnknown(call, Step.Answer, "the call still runs at the deadline")
+			if (call.deadline <= now) this.endUnclaimed(call, ClaimRefusal.Deadline)
+			else this.endInOutage(call, this.options.claimWaitMs)
 		}
 	}
 
-	private expireClaiming(key: string, waiters: Waiter[], now: number): void {
-		const late = waiters.filter(waiter => waiter.giveUpAt <= now)
-		this.keepWaiters(key, waiters, late)
-		for (const {call} of late) {
-			if (call.deadline <= now) {
-				this.endUnclaimed(call, ClaimRefusal.Deadline, 0)
-			} else {
-				this.endInOutage(call, this.options.claimWaitMs)
-			}
-		}
+	private expireForeign(key: string, record: KeyRecord, now: number): void {
+		const late = this.waiters.takeIf(key, ({giveUpAt}) => giveUpAt <= now)
+		for (const {call} of late) this.end(call, this.resultOfForeign(record))
 	}
 
-	private keepWaiters(key: string, waiters: Waiter[], late: Waiter[]): void {
-		const kept = waiters.filter(waiter => !late.includes(waiter))
-		if (kept.length === 0) this.waiting.delete(key)
-		else this.waiting.set(key, kept)
+	private endForeign(key: string, record: KeyRecord): void {
+		for (const {call} of this.waiters.take(key)) {
+			this.end(call, this.resultOfForeign(record))
+		}
 	}
 
-	private endForeign(key: string, record: KeyRecord): void {
-		const {owner} = record
-		for (const {call} of this.takeWaiters(key)) {
-			if (owner === undefined || this.isGone(owner)) {
-				this.endUnknown(call, Step.Claim, "the owner of the claim is gone")
-			} else {
-				const type = ClaimResultType.Redirect
-				this.end(call, {type, ...owner})
-			}
+	private resultOfForeign({owner}: KeyRecord): LogResult {
+		if (owner === undefined || this.isGone(owner)) {
+			return unknown(Step.Claim, "the owner of the claim is gone")
 		}
+		return {type: ClaimResultType.Redirect, ...owner}
 	}
 
-	/** A process that holds our address or id now has replaced its forerunner. */
+	/** Only one process can hold an address, and here that is this one. */
 	private isGone(owner: ClaimOwner): boolean {
 		const self = this.options.owner
-		const isSamePlace =
-			owner.address === self.address || owner.hostId === self.hostId
-		if (isSamePlace && owner.incarnation <= self.incarnation) return true
-		const gone = this.goneOwners.get(owner.hostId)
-		return gone !== undefined && owner.incarnation <= gone
+		if (owner.address === self.address) return true
+		const {hostId, incarnation} = owner
+		if (hostId === self.hostId && incarnation <= self.incarnation) return true
+		const gone = this.goneOwners.get(hostId)
+		return gone !== undefined && incarnation <= gone
 	}
 
-	private endAllFromRecord(key: string, record: KeyRecord): void {
-		for (const {call} of this.takeWaiters(key)) {
-			this.endFromRecord(call, record)
-		}
-	}
-
-	private endFromRecord(call: KeyedCall, record: KeyRecord): void {
-		const {answer} = record
-		if (answer === undefined) {
-			this.endUnknown(call, Step.Send, "an earlier attempt may have run")
-		} else if (answer.body === undefined) {
-			const {status, size} = answer
-			const detail = `answered ${status}; its ${size} characters are not kept`
-			this.endUnknown(call, Step.Answer, detail)
-		} else {
-			this.endAnswered(call, answer, true)
+	private replayAll(key: string, record: KeyRecord): void {
+		for (const {call} of this.waiters.take(key)) {
+			this.end(call, replay(record.answer))
 		}
 	}
 
@@ -501,49 +433,18 @@
 	private endUnclaimed(
 		call: KeyedCall,
 		reason: ClaimRefusal,
-		retryAfterMs: number
+		retryAfterMs = 0
 	): void {
 		const isDoubtful = this.isInDoubt && !call.isFirstAttempt
 		if (call.mayHaveBeenSent || isDoubtful) {
 			const detail = "an earlier attempt may have run; its claim was not read"
-			this.endUnknown(call, Step.Claim, detail)
+			this.end(call, unknown(Step.Claim, detail))
 			return
 		}
-		this.endNotRun(call, reason, "no claim was made", retryAfterMs)
-	}
-
-	private endNotRun(
-		call: KeyedCall,
-		reason: ClaimRefusal,
-		detail: string,
-		retryAfterMs = 0
-	): void {
-		const type = ClaimResultType.NotRun
-		this.end(call, {type, reason, detail, retryAfterMs})
-	}
-
-	private endUnknown(call: KeyedCall, step: Step, detail: string): void {
-		this.end(call, {type: ClaimResultType.Unknown, step, detail})
-	}
-
-	private endAnswered(
-		call: KeyedCall,
-		answer: StoredAnswer,
-		replayed: boolean
-	): void {
-		this.end(call, {type: ClaimResultType.Answered, answer, replayed})
+		this.end(call, notRun(reason, "no claim was made", retryAfterMs))
 	}
 
 	private end(call: KeyedCall, result: LogResult): void {
 		this.emit({type: ClaimActionType.End, callId: call.id, result})
 	}
 }
-
-function latestOf(waiters: readonly Waiter[]): Waiter | undefined {
-	let latest: Waiter | undefined
-	for (const waiter of waiters) {
-		const deadline = latest?.call.deadline ?? -Infinity
-		if (waiter.call.deadline > deadline) latest = waiter
-	}
-	return latest
-}
--- a/src/policy/claims.ts
+++ b/src/policy/claims.ts
@@ -10,6 +10,7 @@
  * and reading the log tells whether it had landed before.
  */
 import {WriteOutcome, absentVersion} from "../link/platform.js"
+import {ClaimBackoff} from "./claimBackoff.js"
 import {
 	type ClaimBatch,
 	type ClaimHead,
@@ -20,7 +21,8 @@
 	segmentsSince,
 	sizeOf
 } from "./claimLog.js"
-import {ClaimRecords, type QueuedEntry} from "./claimRecords.js"
+import type {QueuedEntry} from "./claimQueue.js"
+import {ClaimRecords} from "./claimRecords.js"
 import {
 	appendTo,
 	batchesSince,
@@ -65,12 +67,10 @@
 	refs: SegmentRef[]
 }
 
-/** Failures in a row after which the platform counts as down. */
-const downAfterFailures = 2
-
 export class ClaimBucket {
 	private readonly options: ClaimOptions & typeof defaultClaimOptions
 	private readonly records: ClaimRecords
+	private readonly backoff: ClaimBackoff
 	private actions: ClaimAction[] = []
 
 	private head: ClaimHead = emptyHead
@@ -83,14 +83,13 @@
 	private move: SegmentMove | undefined
 	private news: HeadNews | undefined
 	private hasConflict = false
-	private failures = 0
-	private retryAt = -Infinity
 	private nextWriteAt = -Infinity
 	private isFlushing = false
 	private idsMade = 0
 
 	constructor(options: ClaimOptions) {
 		this.options = {...defaultClaimOptions, ...options}
+		this.backoff = new ClaimBackoff(this.options)
 		const nextId = (): string => this.makeId()
 		this.records = new ClaimRecords({...this.options, nextId}, action =>
 			this.actions.push(action)
@@ -121,7 +120,7 @@
 	/** True when nothing waits to be written or answered. */
 	get isIdle(): boolean {
 		if (this.pending !== undefined) return false
-		return this.records.queue.length === 0 && !this.records.isWaiting
+		return this.records.queue.isEmpty && !this.records.isWaiting
 	}
 
 	private take(event: ClaimEvent, now: number): void {
@@ -165,7 +164,9 @@
 	}
 
 	private takeCall(call: KeyedCall, now: number): void {
-		const outageMs = this.isDown(now) ? this.retryAfterMs(now) : undefined
+		const outageMs = this.isDown(now)
+			? this.backoff.retryAfterMs(now)
+			: undefined
 		this.records.addCall(call, now, outageMs)
 	}
 
@@ -178,8 +179,10 @@
 				this.commit(pending, version, now)
 				return
 			case WriteOutcome.Conflict:
-				this.failures = 0
+				this.backoff.noteSuccess()
 				this.hasConflict = true
+				// What was appended is not known until it has been read.
+				this.records.isInDoubt = true
 				return
 			case WriteOutcome.Lost:
 				pending.isUnsettled = true
@@ -214,7 +217,7 @@
 	private takeHead(head: ClaimHead, version: number, now: number): void {
 		this.io = Io.Idle
 		if (this.isStale(head)) {
-			this.retryAt = now + this.options.retryBaseMs
+			this.backoff.noteStale(now)
 			return
 		}
 		const from = this.isSynced ? this.head.next : 0
@@ -247,7 +250,7 @@
 		}
 		if (read.length < segments.length) {
 			this.news = undefined
-			this.retryAt = now + this.options.retryBaseMs
+			this.backoff.noteStale(now)
 			return
 		}
 		this.adoptNews(read, now)
@@ -273,7 +276,7 @@
 		this.isSynced = true
 		this.records.isInDoubt = false
 		this.hasConflict = false
-		this.failures = 0
+		this.backoff.noteSuccess()
 		if (hasMoved) this.dropMove()
 		if (pending !== undefined && hasMoved) this.pending = undefined
 		let hasLanded = false
@@ -289,7 +292,7 @@
 	private commit(pending: PendingBatch, version: number, now: number): void {
 		const {move, head: before} = this
 		this.setHead(pending.head ?? before, version)
-		this.failures = 0
+		this.backoff.noteSuccess()
 		this.records.isInDoubt = false
 		this.pending = undefined
 		this.move = undefined
@@ -303,23 +306,15 @@
 	}
 
 	private noteFailure(now: number): void {
-		this.failures += 1
-		const {retryBaseMs, retryMaxMs, jitter} = this.options
-		const doubled = retryBaseMs * 2 ** (this.failures - 1)
-		const waitMs = Math.min(doubled, retryMaxMs) * (0.5 + jitter / 2)
-		this.retryAt = now + waitMs
-		if (this.failures < downAfterFailures) return
-		this.records.refuseUnclaimed(this.retryAfterMs(now))
+		this.backoff.noteFailure(now)
+		if (!this.backoff.isDown) return
+		this.records.refuseUnclaimed(this.backoff.retryAfterMs(now))
 	}
 
 	/** While down, one attempt at a time may test the platform. */
 	private isDown(now: number): boolean {
-		if (this.failures < downAfterFailures) return false
-		return this.io !== Io.Idle || now < this.retryAt
-	}
-
-	private retryAfterMs(now: number): number {
-		return Math.max(this.options.retryBaseMs, this.retryAt - now)
+		if (!this.backoff.isDown) return false
+		return this.io !== Io.Idle || now < this.backoff.retryAt
 	}
 
 	/** Starts the next call to the platform, if one is due. */
@@ -338,20 +333,17 @@
 	}
 
 	private nextIoAt(): number {
-		if (this.isReadDue() || this.pending !== undefined) return this.retryAt
+		const {retryAt} = this.backoff
+		if (this.isReadDue() || this.pending !== undefined) return retryAt
 		const {queue} = this.records
-		if (queue.length === 0) return Infinity
-		if (this.isFlushing) return this.retryAt
-		const dueAt = queue.reduce(
-			(earliest, queued) => Math.min(earliest, queued.dueAt),
-			Infinity
-		)
-		return Math.max(dueAt, this.nextWriteAt, this.retryAt)
+		if (queue.isEmpty) return Infinity
+		if (this.isFlushing) return retryAt
+		return Math.max(queue.dueAt, this.nextWriteAt, retryAt)
 	}
 
 	private isReadDue(): boolean {
 		if (this.hasConflict || this.records.wantsRead) return true
-		return !this.isSynced && this.records.queue.length > 0
+		return !this.isSynced && !this.records.queue.isEmpty
 	}
 
 	private readMerged({merged: refs}: SegmentMove): void {
@@ -375,25 +367,13 @@
 	}
 
 	private formBatch(now: number): PendingBatch {
-		const queued = this.takeQueued()
+		const queued = this.records.queue.take(this.options.maxBatchChars)
 		const entries = queued.map(({entry}) => entry)
 		const {owner} = this.options
 		const batch = {id: this.makeId(), owner, at: now, entries}
 		return {batch, queued, isUnsettled: false}
 	}
 
-	private takeQueued(): QueuedEntry[] {
-		const {queue} = this.records
-		let chars = 0
-		let count = 0
-		for (const {entry} of queue) {
-			chars += sizeOf(entry)
-			if (count > 0 && chars > this.options.maxBatchChars) break
-			count += 1
-		}
-		return queue.splice(0, count)
-	}
-
 	private requeue({queued}: PendingBatch): void {
 		this.pending = undefined
 		this.records.requeue(queued)
--- a/src/policy/tickets.ts
+++ b/src/policy/tickets.ts
@@ -10,9 +10,17 @@
 import {Step} from "../contract/errors.js"
 import {type KeyScope, keyText} from "./claimHome.js"
 import type {StoredAnswer} from "./claimLog.js"
+import {
+	keyReused,
+	notRun,
+	replay,
+	resultOf,
+	stillRunning,
+	trimAnswer,
+	unknown
+} from "./claimResults.js"
 import {
 	ClaimRefusal,
-	ClaimResultType,
 	type LogResult,
 	SendEnd,
 	type SendOutcome
@@ -140,27 +148,9 @@
 		const use = this.uses.get(nonce)
 		if (use?.state !== UseState.Running) return []
 		const waiters = use.waiters.splice(0)
-		switch (outcome.end) {
-			case SendEnd.Answered:
-				use.state = UseState.Answered
-				use.answer = this.trimAnswer(outcome.answer)
-				for (const [index, call] of waiters.entries()) {
-					this.endAnswered(call, outcome.answer, index > 0)
-				}
-				break
-			case SendEnd.NotStarted:
-				this.uses.delete(nonce)
-				for (const call of waiters) {
-					const {detail, retryAfterMs} = outcome
-					const reason = ClaimRefusal.EndpointRefused
-					this.endNotRun(call, reason, detail, retryAfterMs)
-				}
-				break
-			case SendEnd.Unknown:
-				use.state = UseState.Uncertain
-				for (const call of waiters) {
-					this.endUnknown(call, outcome.step, outcome.detail)
-				}
+		this.recordEnd(nonce, use, outcome)
+		for (const [index, call] of waiters.entries()) {
+			this.end(call, resultOf(outcome, index > 0))
 		}
 		return this.takeActions()
 	}
@@ -177,18 +167,19 @@
 	private judge(call: TicketCall, now: number): void {
 		const {ticket} = call
 		if (ticket === undefined) {
-			this.endNotRun(call, ClaimRefusal.TicketInvalid, "not a ticket")
+			this.end(call, notRun(ClaimRefusal.TicketInvalid, "not a ticket"))
 			return
 		}
 		if (!this.isOwn(ticket)) {
 			const {hostId, incarnation} = ticket
 			const minter = `${hostId}, incarnation ${incarnation}`
-			this.endUnknown(call, Step.Claim, `only ${minter}, knows the ticket`)
+			const detail = `only ${minter}, knows the ticket`
+			this.end(call, unknown(Step.Claim, detail))
 			return
 		}
 		if (!call.isAuthentic) {
 			const detail = "the ticket is forged or bound to another call"
-			this.endNotRun(call, ClaimRefusal.TicketInvalid, detail)
+			this.end(call, notRun(ClaimRefusal.TicketInvalid, detail))
 			return
 		}
 		const use = this.uses.get(ticket.nonce)
@@ -205,15 +196,17 @@
 		const {nonce, expiresAt} = ticket
 		const forgetAt = expiresAt + this.options.retentionMs
 		if (forgetAt <= now) {
-			this.endUnknown(call, Step.Claim, "uses of the ticket are forgotten")
+			const detail = "uses of the ticket are forgotten"
+			this.end(call, unknown(Step.Claim, detail))
 			return
 		}
 		if (expiresAt <= now) {
-			this.endNotRun(call, ClaimRefusal.TicketExpired, "the ticket expired")
+			const detail = "the ticket expired"
+			this.end(call, notRun(ClaimRefusal.TicketExpired, detail))
 			return
 		}
 		if (call.deadline <= now) {
-			this.endNotRun(call, ClaimRefusal.Deadline, "the deadline passed")
+			this.end(call, notRun(ClaimRefusal.Deadline, "the deadline passed"))
 			return
 		}
 		const state = UseState.Running
@@ -223,24 +216,22 @@
 	}
 
 	private joinOrReplay(call: TicketCall, use: TicketUse): void {
-		if (use.bodyHash !== call.bodyHash) {
-			const detail = "ticket used with another body"
-			this.endNotRun(call, ClaimRefusal.KeyReused, detail)
-			return
-		}
-		if (use.state === UseState.Running) {
-			use.waiters.push(call)
-			return
-		}
-		const {answer} = use
-		if (answer === undefined) {
-			this.endUnknown(call, Step.Send, "an earlier attempt may have run")
-		} else if (answer.body === undefined) {
-			const {status, size} = answer
-			const detail = `answered ${status}; its ${size} characters are not kept`
-			this.endUnknown(call, Step.Answer, detail)
-		} else {
-			this.endAnswered(call, answer, true)
+		if (use.bodyHash !== call.bodyHash) this.end(call, keyReused)
+		else if (use.state === UseState.Running) use.waiters.push(call)
+		else this.end(call, replay(use.answer))
+	}
+
+	private recordEnd(nonce: string, use: TicketUse, outcome: SendOutcome): void {
+		switch (outcome.end) {
+			case SendEnd.Answered:
+				use.state = UseState.Answered
+				use.answer = trimAnswer(outcome.answer, this.options.maxAnswerChars)
+				return
+			case SendEnd.NotStarted:
+				this.uses.delete(nonce)
+				return
+			case SendEnd.Unknown:
+				use.state = UseState.Uncertain
 		}
 	}
 
@@ -248,40 +239,10 @@
 		const late = use.waiters.filter(({deadline}) => deadline <= now)
 		if (late.length === 0) return
 		use.waiters = use.waiters.filter(call => !late.includes(call))
-		for (const call of late) {
-			this.endUnknown(call, Step.Answer, "the call still runs at the deadline")
-		}
-	}
-
-	private trimAnswer(answer: StoredAnswer): StoredAnswer {
-		if (answer.size <= this.options.maxAnswerChars) return answer
-		const {status, contentType, encoding, size} = answer
-		return {status, contentType, encoding, size}
-	}
-
-	private endNotRun(
-		{id: callId}: TicketCall,
-		reason: ClaimRefusal,
-		detail: string,
-		retryAfterMs = 0
-	): void {
-		const type = ClaimResultType.NotRun
-		this.end(callId, {type, reason, detail, retryAfterMs})
-	}
-
-	private endUnknown({id}: TicketCall, step: Step, detail: string): void {
-		this.end(id, {type: ClaimResultType.Unknown, step, detail})
-	}
-
-	private endAnswered(
-		{id}: TicketCall,
-		answer: StoredAnswer,
-		replayed: boolean
-	): void {
-		this.end(id, {type: ClaimResultType.Answered, answer, replayed})
+		for (const call of late) this.end(call, stillRunning)
 	}
 
-	private end(callId: number, result: LogResult): void {
+	private end({id: callId}: TicketCall, result: LogResult): void {
 		this.actions.push({type: TicketActionType.End, callId, result})
 	}
 
