Repeat fetches of parts only when they failed or stand still

A failed call of any kind brought the next fetch of parts forward. With the platform failing, every process that gathers parts would have asked it on each tick; at 250 ms ticks and 360 processes that is 1,440 reads a second of its two thousand, by arithmetic. And a fetch that takes longer than a second was repeated while its parts were arriving.

Now only the failure of the peer that was asked brings the next fetch forward, and parts that arrive put it off.

--- a/src/policy/__tests__/configSpread.test.ts
+++ b/src/policy/__tests__/configSpread.test.ts
@@ -144,6 +144,37 @@
 	expect(names.sort()).toEqual(["", "e1", "e2"])
 })
 
+test("parts are fetched anew when the fetch failed or stands still", () => {
+	const state = createSpread(self)
+	feed(state, 0, changed(peers), platformFailed, learnt(1))
+	feed(state, 2000, tick)
+	const source = RootSource.Peer
+	const failed = (peer: string): SpreadEvent => ({
+		kind: SpreadEventKind.FetchFailed,
+		source,
+		peer
+	})
+	feed(state, 2001, learnt(2, {source, peer: "e1", parts: partsOf()}))
+	expect(feed(state, 2100, failed("e2"), tick)).toEqual([])
+	expect(feed(state, 2200, failed("e1"), tick)).toEqual([
+		{kind: SpreadActionKind.FetchPlatformParts, hashes: ["part-2"]}
+	])
+	expect(feed(state, 2300, platformFailed, tick)).toEqual([])
+	expect(feed(state, 3200, tick)).toHaveLength(1)
+})
+
+test("parts that arrive put off the next fetch", () => {
+	const state = createAt(1)
+	const buckets = ["x", "y"]
+	const event = learnt(2, {parts: partsOf()})
+	feed(state, 0, {...event, root: {...event.root, buckets}})
+	feed(state, 900, {kind: SpreadEventKind.PartsReceived, parts: partsOf("x")})
+	expect(feed(state, 1500, tick)).toEqual([])
+	expect(feed(state, 1900, tick)).toEqual([
+		{kind: SpreadActionKind.FetchPlatformParts, hashes: ["y"]}
+	])
+})
+
 test("a generation whose parts nobody has is given up", () => {
 	const state = createAt(1)
 	feed(state, 0, learnt(9, {source: RootSource.Operator, parts: partsOf()}))
--- a/src/policy/configGathering.ts
+++ b/src/policy/configGathering.ts
@@ -9,6 +9,8 @@
 	parts: Map<string, ConfigPartContent>
 	/** Hashes of the parts still wanted. */
 	missing: Set<string>
+	/** Peer that was asked last; empty for the platform. */
+	source: string
 	/** Fetches sent so far. */
 	attempts: number
 	retryAt: number
@@ -26,6 +28,7 @@
 		fingerprint,
 		parts: new Map(),
 		missing: new Set(root.buckets.filter(hash => hash !== "")),
+		source: "",
 		attempts: 0,
 		retryAt: 0,
 		giveUpAt
--- a/src/policy/configSpread.ts
+++ b/src/policy/configSpread.ts
@@ -205,7 +205,7 @@
 	}
 	const {gathering} = state
 	if (gathering?.fingerprint !== fingerprint) return
-	if (addParts(gathering, parts) > 0) delayGivingUp(state, gathering, now)
+	if (addParts(gathering, parts) > 0) extendFetch(state, gathering, now)
 }
 
 function reportConflict({state, actions}: Step, event: RootLearnt): void {
@@ -239,6 +239,7 @@
 	const {state, now, actions} = step
 	const hashes = [...gathering.missing]
 	gathering.attempts += 1
+	gathering.source = source
 	gathering.retryAt = now + state.options.retryMs
 	if (source === platformKey) {
 		actions.push({kind: SpreadActionKind.FetchPlatformParts, hashes})
@@ -250,14 +251,16 @@
 function receiveParts({state, now}: Step, parts: SpreadParts): void {
 	const {gathering} = state
 	if (gathering === undefined) return
-	if (addParts(gathering, parts) > 0) delayGivingUp(state, gathering, now)
+	if (addParts(gathering, parts) > 0) extendFetch(state, gathering, now)
 }
 
-function delayGivingUp(
+/** Parts that arrive show that the fetch goes on. */
+function extendFetch(
 	{options}: SpreadState,
 	gathering: Gathering,
 	now: number
 ): void {
+	gathering.retryAt = now + options.retryMs
 	gathering.giveUpAt = now + options.giveUpMs
 }
 
@@ -335,7 +338,9 @@
 	state.awaited.delete(source === RootSource.Platform ? platformKey : peer)
 	if (source !== RootSource.Platform) state.heard.delete(peer)
 	if (state.rootFetch?.peer === peer) state.rootFetch = undefined
-	if (state.gathering !== undefined) state.gathering.retryAt = now
+	// A platform that fails is not asked again before the next retry is due.
+	if (source === RootSource.Platform) return
+	if (state.gathering?.source === peer) state.gathering.retryAt = now
 }
 
 function tick(step: Step, random: number): void {
