--- a/src/policy/__tests__/adapterScheduler.test.ts
+++ b/src/policy/__tests__/adapterScheduler.test.ts
@@ -122,4 +122,170 @@
 		const [second] = pick(retry, Load)
 		expect(second?.worker).not.toBe(worker)
 	})
+
+	it("refuses at once what the queue for seats would make late", () => {
+		const scheduler = create({seats: 1})
+		arrive(scheduler, createDraft({maxTokens: 1000}))
+		endLoad(scheduler, "a", 250)
+		for (let index = 0; index < 3; index++) {
+			const deadline = 60_000
+			const draft = createDraft({maxTokens: 1000, arrivedAt: 300, deadline})
+			expect(pick(arrive(scheduler, draft), Refuse)).toEqual([])
+		}
+		const late = createDraft({arrivedAt: 300, deadline: 8000})
+		expect(pick(arrive(scheduler, late), Refuse)).toMatchObject([
+			{id: late.id, reason: RefusalReason.Deadline}
+		])
+	})
+
+	it("refuses at once what the queue of loads would make late", () => {
+		const scheduler = create({share: {loadsPerSecond: 1, inFlight: 1}})
+		for (let index = 0; index < 8; index++) {
+			const adapter = `other-${index}`
+			arrive(scheduler, createDraft({adapter, deadline: 60_000}))
+		}
+		const late = createDraft({adapter: "late", deadline: 6000})
+		expect(pick(arrive(scheduler, late), Refuse)).toMatchObject([
+			{id: late.id, reason: RefusalReason.Deadline}
+		])
+	})
+
+	it("wakes for the latest start of a request that waits for a seat", () => {
+		const scheduler = create({seats: 1})
+		arrive(scheduler, createDraft({maxTokens: 50}))
+		endLoad(scheduler, "a", 250)
+		const waiting = createDraft({arrivedAt: 300, maxTokens: 50})
+		arrive(scheduler, waiting)
+		const kind = SchedulerEventKind.Tick
+		const [wake] = pick(scheduler.step({kind}, 400), Wake)
+		const at = wake?.at ?? Infinity
+		expect(at).toBeLessThanOrEqual(waiting.deadline)
+		expect(pick(scheduler.step({kind}, at), Refuse)).toHaveLength(1)
+	})
+
+	it("holds a lone draft back, and runs it before its latest start", () => {
+		const objective = {loadStalls: 0.2, batchEfficiency: 0.8}
+		const scheduler = create({objective})
+		const draft = createDraft({
+			class: RequestClass.Deferrable,
+			deadline: 100_000
+		})
+		const actions = arrive(scheduler, draft)
+		expect(pick(actions, Load)).toEqual([])
+		let at = pick(actions, Wake)[0]?.at ?? Infinity
+		const kind = SchedulerEventKind.Tick
+		for (let tick = 0; tick < 10_000; tick++) {
+			const next = scheduler.step({kind}, at)
+			if (pick(next, Load).length > 0) break
+			at = pick(next, Wake)[0]?.at ?? Infinity
+		}
+		expect(at).toBeLessThan(99_000)
+		expect(pick(endLoad(scheduler, "a", at + 250), Run)).toHaveLength(1)
+	})
+
+	it("drops the request with least to lose when the queue is full", () => {
+		const scheduler = create({maxQueued: 1, seats: 1})
+		arrive(scheduler, createDraft())
+		endLoad(scheduler, "a", 250)
+		const deferrable = createDraft({
+			class: RequestClass.Deferrable,
+			arrivedAt: 300,
+			deadline: 100_000
+		})
+		arrive(scheduler, deferrable)
+		const booking = createDraft({class: RequestClass.Booking, arrivedAt: 310})
+		expect(pick(arrive(scheduler, booking), Refuse)).toMatchObject([
+			{id: deferrable.id, reason: RefusalReason.Overloaded}
+		])
+		const other = createDraft({arrivedAt: 320})
+		expect(pick(arrive(scheduler, other), Refuse)).toMatchObject([
+			{id: other.id, reason: RefusalReason.Overloaded}
+		])
+	})
+
+	it("shares the seats among Members under contention", () => {
+		const scheduler = create({seats: 1})
+		const first = createDraft({deadline: 1e6})
+		arrive(scheduler, first)
+		endLoad(scheduler, "a", 250)
+		const send = (member: string, arrivedAt: number): string => {
+			const draft = createDraft({member, arrivedAt, deadline: 1e6 + arrivedAt})
+			arrive(scheduler, draft)
+			return draft.id
+		}
+		for (let index = 0; index < 20; index++) send("greedy", 300)
+		const modest = send("modest", 310)
+		const order: string[] = []
+		let id = first.id
+		for (let now = 400; now < 800; now += 100) {
+			const kind = SchedulerEventKind.RunEnded
+			const ended = scheduler.step({kind, worker: "w1", id}, now)
+			id = pick(ended, Run)[0]?.id ?? id
+			order.push(id)
+		}
+		expect(order.indexOf(modest)).toBeGreaterThanOrEqual(0)
+	})
+
+	it("forgets a reset worker's runs and reloads what is wanted", () => {
+		const scheduler = create()
+		arrive(scheduler, createDraft())
+		endLoad(scheduler, "a", 250)
+		const kind = SchedulerEventKind.WorkerReset
+		scheduler.step({kind, worker: "w1"}, 3000)
+		expect(scheduler.snapshot()).toMatchObject({running: 0, resident: []})
+		const tick = scheduler.step({kind: SchedulerEventKind.Tick}, 3500)
+		const reset = scheduler.snapshot()
+		expect([
+			...pick(tick, Load).map(load => load.adapter),
+			...reset.loading
+		]).toContain("a")
+	})
+
+	it("ignores the end of a load from before a reset", () => {
+		const scheduler = create()
+		const [load] = pick(arrive(scheduler, createDraft()), Load)
+		const kind = SchedulerEventKind.WorkerReset
+		scheduler.step({kind, worker: "w1"}, 100)
+		scheduler.step({kind: SchedulerEventKind.Tick}, 200)
+		const late = scheduler.step(
+			{
+				kind: SchedulerEventKind.LoadEnded,
+				worker: "w1",
+				adapter: "a",
+				ok: true,
+				tookMs: 250,
+				load: load?.load ?? 0
+			},
+			250
+		)
+		expect(pick(late, Run)).toEqual([])
+	})
+
+	it("gives no work to a worker that is down", () => {
+		const scheduler = create()
+		const kind = SchedulerEventKind.WorkerDown
+		scheduler.step({kind, worker: "w1"}, 0)
+		expect(pick(arrive(scheduler, createDraft()), Refuse)).toMatchObject([
+			{reason: RefusalReason.Overloaded}
+		])
+	})
+
+	it("evicts what is in least use", () => {
+		const scheduler = create({slots: 2, seats: 4})
+		const runAll = (adapter: string, times: number, now: number): void => {
+			for (let time = 0; time < times; time++) {
+				const draft = createDraft({adapter, arrivedAt: now})
+				arrive(scheduler, draft)
+				endLoad(scheduler, adapter, now + 250)
+				const kind = SchedulerEventKind.RunEnded
+				scheduler.step({kind, worker: "w1", id: draft.id}, now + 300)
+			}
+		}
+		runAll("steady", 5, 0)
+		runAll("once", 1, 1000)
+		const other = createDraft({adapter: "new", arrivedAt: 2000})
+		expect(pick(arrive(scheduler, other), Load)).toMatchObject([
+			{adapter: "new", evict: "once"}
+		])
+	})
 })
--- a/src/policy/adapterScheduler.ts
+++ b/src/policy/adapterScheduler.ts
@@ -38,8 +38,6 @@
 /** Wanted adapters that are tried when the first can't be placed. */
 const maxPlacementTries = 4
 const placementRetryMs = 250
-/** Part of its slack that a request may wait before it outranks protection. */
-const overdueShare = 0.5
 /** Part of a deferrable request's slack that remains when it is due. */
 const dueShare = 0.2
 const outageRetryMs = 1000
@@ -182,6 +180,7 @@
 
 	private enqueue(waiting: Waiting, now: number): void {
 		const {draft} = waiting
+		this.estimates.addAdmitted(draft)
 		const serviceMs = draft.deadline - waiting.startBy
 		const seats = this.countSeats()
 		const lagMs = this.fairShare.enter(draft.member, serviceMs, seats, now)
@@ -406,8 +405,7 @@
 			adapter,
 			popularity: name => this.popularity.read(name, now),
 			rankOf: name => this.getFirstWaiting(name)?.rank,
-			hasFailedOn: worker => this.failures.hasFailedOn(adapter, worker),
-			isOverdue: this.isOverdue(adapter, now)
+			hasFailedOn: worker => this.failures.hasFailedOn(adapter, worker)
 		}
 	}
 
@@ -415,13 +413,6 @@
 		return this.queue.firstReady(adapter) ?? this.queue.firstHeld(adapter)
 	}
 
-	private isOverdue(adapter: AdapterName, now: number): boolean {
-		const first = this.queue.firstReady(adapter)
-		if (!first) return false
-		const slackMs = first.startBy - first.draft.arrivedAt
-		return now - first.draft.arrivedAt >= slackMs * overdueShare
-	}
-
 	private startLoad(
 		adapter: AdapterName,
 		{worker, evict}: Placement,
--- a/src/policy/baselines/fifoScheduler.ts
+++ b/src/policy/baselines/fifoScheduler.ts
@@ -32,6 +32,7 @@
 	private readonly usedAt = new Map<AdapterName, number>()
 	private readonly budget: LoadBudget
 	private readonly maxQueued: number
+	private nextLoad = 1
 	private actions: SchedulerAction[] = []
 
 	constructor(options: SchedulerOptions) {
@@ -146,6 +147,7 @@
 		const worker = this.workers.get(event.worker)
 		const slot = worker?.slots.get(event.adapter)
 		if (!worker || slot?.state !== SlotState.Loading) return
+		if (event.load !== undefined && event.load !== slot.load) return
 		this.budget.end()
 		if (!event.ok) {
 			worker.slots.delete(event.adapter)
@@ -231,14 +233,16 @@
 			if (isFull && !evict) continue
 			if (evict) worker.slots.delete(evict.adapter)
 			const state = SlotState.Loading
-			const slot = {adapter, state, pins: 0, loadedAt: Infinity, load: 0}
+			const load = this.nextLoad++
+			const slot = {adapter, state, pins: 0, loadedAt: Infinity, load}
 			worker.slots.set(adapter, slot)
 			this.budget.start(now)
 			this.actions.push({
 				kind: SchedulerActionKind.Load,
 				worker: worker.id,
 				adapter,
-				evict: evict?.adapter
+				evict: evict?.adapter,
+				load
 			})
 			return
 		}
--- a/src/policy/estimates.ts
+++ b/src/policy/estimates.ts
@@ -20,6 +20,8 @@
 	private readonly configuredLoadMs: number
 	private tokenRatio = initialTokenRatio
 	private meanServiceMs: number | undefined
+	/** Mean expectation of what was admitted, until a run has ended. */
+	private expectedServiceMs: number | undefined
 	private meanLoadMs: number
 
 	constructor(options: EstimatesOptions) {
@@ -38,9 +40,15 @@
 		return this.longestServiceMs(draft) * this.tokenRatio
 	}
 
-	/** Mean seat time of recent requests; of `draft` when none has ended. */
+	/** Mean seat time of recent requests; expected ones until one has ended. */
 	typicalServiceMs(draft: Draft): number {
-		return this.meanServiceMs ?? this.serviceMs(draft)
+		return this.meanServiceMs ?? this.expectedServiceMs ?? this.serviceMs(draft)
+	}
+
+	addAdmitted(draft: Draft): void {
+		const expected = this.serviceMs(draft)
+		const mean = this.expectedServiceMs ?? expected
+		this.expectedServiceMs = mean + smoothing * (expected - mean)
 	}
 
 	longestServiceMs(draft: Draft): number {
--- a/src/policy/loadOrder.ts
+++ b/src/policy/loadOrder.ts
@@ -30,7 +30,7 @@
 /** Part of the slack that a request for an answer at once may be held. */
 const promptHoldShare = 0.25
 /** Part of the slack that is closed to waiting when only stalls count. */
-const stallCut = 1
+const stallCut = 1.1
 const maxHoldShare = 0.9
 /** The same for deferrable requests. */
 const deferrableCompanyMs = 20_000
--- a/src/policy/popularity.ts
+++ b/src/policy/popularity.ts
@@ -13,7 +13,7 @@
 	maxCounters?: number
 }
 
-const defaultHalfLifeMs = 60_000
+const defaultHalfLifeMs = 30_000
 const defaultMaxCounters = 20_000
 const fadedCount = 0.05
 
--- a/src/policy/slots.ts
+++ b/src/policy/slots.ts
@@ -48,13 +48,8 @@
 	/** Rank of the first waiting request, undefined when none waits. */
 	rankOf: (adapter: AdapterName) => number | undefined
 	hasFailedOn: (worker: string) => boolean
-	/** Permits the eviction of an adapter that is in steadier use. */
-	isOverdue: boolean
 }
 
-/** Share of the slots that adapters in less use may take from each other. */
-const probationShare = 0.25
-const minProbationSlots = 1
 const waitingPenalty = 1e6
 const fullPenalty = 1e9
 const failedPenalty = 1e12
@@ -128,8 +123,7 @@
 		victim = slot
 		least = value
 	}
-	if (!victim || query.isOverdue) return victim
-	return isProtected(worker, victim, query) ? undefined : victim
+	return victim
 }
 
 function isEvictable(slot: Slot, query: PlacementQuery): boolean {
@@ -144,22 +138,3 @@
 	const isWaitedFor = query.rankOf(slot.adapter) !== undefined
 	return query.popularity(slot.adapter) + (isWaitedFor ? waitingPenalty : 0)
 }
-
-/** True when the victim is in steadier use and not in a probation slot. */
-function isProtected(
-	worker: Worker,
-	victim: Slot,
-	query: PlacementQuery
-): boolean {
-	const value = query.popularity(victim.adapter)
-	if (value <= query.popularity(query.adapter)) return false
-	let lower = 0
-	for (const slot of worker.slots.values()) {
-		if (slot !== victim && query.popularity(slot.adapter) < value) lower += 1
-	}
-	return lower >= countProbationSlots(worker.capacity)
-}
-
-function countProbationSlots(capacity: number): number {
-	return Math.max(minProbationSlots, Math.floor(capacity * probationShare))
-}
