Remove stored parts that no root names any more

Each change of an adapter left a part behind for good.

An apply that meets an existing part renews its time first. Ruled out: removing the replaced parts right after an acceptance. Another operator may have met such a part as existing and be about to name it in a root.

The hash of a part covers its adapters alone, so that the time can stand beside them. Parts are written at 100 a second at most, to leave the platform's writes to the processes.

--- a/src/contract/config/__tests__/stored.test.ts
+++ b/src/contract/config/__tests__/stored.test.ts
@@ -1,6 +1,6 @@
 import {expect, test} from "vitest"
 import {parseConfiguration} from "../parse.js"
-import {splitIntoParts} from "../parts.js"
+import {hashPart, splitIntoParts} from "../parts.js"
 import {
 	decodePart,
 	decodeRoot,
@@ -34,6 +34,13 @@
 	expect(new Set(prints).size).toBe(3)
 })
 
+test("the time at which a part was stored does not change its hash", () => {
+	const [[hash = "", part] = []] = parts
+	const stored = {adapters: part?.adapters ?? [], writtenAt: 7}
+	expect(hashPart(stored)).toBe(hash)
+	expect(parsePart(hash, stored)).toEqual(part)
+})
+
 test("a part of another content than its hash is refused", () => {
 	const [hash = ""] = parts.keys()
 	expect(() => parsePart(hash, {adapters: []}, "e1")).toThrow(StoredConfigError)
--- a/src/contract/config/parts.ts
+++ b/src/contract/config/parts.ts
@@ -168,9 +168,9 @@
 	return `${base}:${name}`
 }
 
-/** The content address of a part. */
-export function hashPart(part: ConfigPartContent): string {
-	const hash = createHash("sha256").update(encodeCanonical(part))
+/** The content address of a part; covers its adapters alone. */
+export function hashPart({adapters}: ConfigPartContent): string {
+	const hash = createHash("sha256").update(encodeCanonical({adapters}))
 	return hash.digest("hex").slice(0, hashLength)
 }
 
--- a/src/contract/config/types.ts
+++ b/src/contract/config/types.ts
@@ -157,6 +157,12 @@
 	adapters: Adapter[]
 }
 
+/** A part as the platform holds it. */
+export interface StoredPart extends ConfigPartContent {
+	/** When an apply last wrote or relied on it; parts in use may be older. */
+	writtenAt: number
+}
+
 /** Kind and names of the platform's objects that hold the configuration. */
 export const configRootKind = "config"
 export const configRootName = "root"
--- a/src/operator/__tests__/fakePlatform.ts
+++ b/src/operator/__tests__/fakePlatform.ts
@@ -80,12 +80,24 @@
 		for (const apply of late) apply()
 	}
 
-	list(): Promise<PlatformListing> {
-		return Promise.reject(out())
+	list(kind: string, prefix = ""): Promise<PlatformListing> {
+		const start = `${kind}/${prefix}`
+		const keys = [...this.objects.keys()].filter(key => key.startsWith(start))
+		const items = keys.flatMap(key => this.objects.get(key)?.at(-1) ?? [])
+		return Promise.resolve({revision: this.versions, items})
 	}
 
-	remove(): Promise<WriteResult> {
-		return Promise.resolve(ended(WriteOutcome.Refused))
+	async remove(
+		kind: string,
+		name: string,
+		expected: number
+	): Promise<WriteResult> {
+		await this.chooseFault("write", kind)
+		const key = `${kind}/${name}`
+		const version = this.objects.get(key)?.at(-1)?.version ?? absentVersion
+		if (version !== expected) return ended(WriteOutcome.Conflict, version)
+		this.objects.delete(key)
+		return ended(WriteOutcome.Written)
 	}
 
 	watch(): Promise<PlatformWatch> {
--- a/src/operator/apply.ts
+++ b/src/operator/apply.ts
@@ -18,6 +18,7 @@
 	diffConfiguration,
 	findChangedVersions,
 	splitIntoParts,
+	type StoredPart,
 	type SplitConfiguration,
 	summarizeChanges
 } from "../contract/config/index.js"
@@ -27,6 +28,9 @@
 import {readConfiguration, readRoot, type StoredRoot} from "./storedConfig.js"
 
 const maxConcurrentWrites = 8
+/** Leaves most of the platform's writes to the processes. */
+const maxPartWritesPerSecond = 100
+const msPerSecond = 1000
 const maxRememberedApplies = 32
 const retryStepMs = 300
 
@@ -172,7 +176,11 @@
 
 /** Writes the parts that the stored root does not name yet. */
 async function writeParts(apply: Apply): Promise<void> {
-	const queue = new PQueue({concurrency: maxConcurrentWrites})
+	const queue = new PQueue({
+		concurrency: maxConcurrentWrites,
+		intervalCap: maxPartWritesPerSecond,
+		interval: msPerSecond
+	})
 	await queue.addAll(
 		[...apply.newParts].map(([hash, part]) => async () => {
 			await writePart(apply, hash, part)
@@ -180,29 +188,40 @@
 	)
 }
 
-/** Creates a part; one that exists already has the same content. */
+/** Creates a part, or renews the time of one that exists. */
 async function writePart(
-	{platform, maxAttempts, wait}: Apply,
+	apply: Apply,
 	hash: string,
 	part: ConfigPartContent
 ): Promise<void> {
+	const {platform, maxAttempts, wait, now} = apply
+	const value: StoredPart = {...part, writtenAt: now()}
+	let expected = absentVersion
 	let detail = ""
 	for (let attempt = 1; attempt <= maxAttempts; attempt++) {
-		const result = await platform.write(
-			configPartKind,
-			hash,
-			part,
-			absentVersion
-		)
+		const result = await platform.write(configPartKind, hash, value, expected)
 		if (result.outcome === WriteOutcome.Written) return
-		if (result.outcome === WriteOutcome.Conflict) return
 		detail = result.detail
-		await wait(attempt)
+		if (result.outcome !== WriteOutcome.Conflict) await wait(attempt)
+		expected = await readPartVersion(platform, hash)
 	}
 	const message = `configuration part ${hash} was not written: ${detail}`
 	throw new NotAppliedError(message, {step: Step.WriteParts, peer: "platform"})
 }
 
+/** A part of equal content that exists is kept, so only its version matters. */
+async function readPartVersion(
+	platform: Platform,
+	hash: string
+): Promise<number> {
+	try {
+		const object = await platform.read(configPartKind, hash)
+		return object?.version ?? absentVersion
+	} catch {
+		return absentVersion
+	}
+}
+
 /** Writes the root on the condition that nobody else has since it was read. */
 async function writeRoot(apply: Apply): Promise<ApplyResult> {
 	const {platform, root, plan, maxAttempts, wait} = apply
--- a/src/operator/changeCommands.ts
+++ b/src/operator/changeCommands.ts
@@ -16,6 +16,7 @@
 import type {Context} from "./context.js"
 import {readConfigFiles} from "./files.js"
 import {handOver, type HandOver} from "./handOver.js"
+import {pruneParts} from "./prune.js"
 
 const maxListedChanges = 40
 
@@ -87,6 +88,22 @@
 	return exitCodes[result.outcome]
 }
 
+/** `prune`: removes parts that no root names any more. */
+export async function prune(
+	context: Context,
+	{json, dryRun}: Omit<ApplyFileOptions, "files">
+): Promise<ExitCode> {
+	const {output} = context
+	const platform = requirePlatform(context)
+	const result = await pruneParts(platform, Date.now(), dryRun)
+	if (json) output.json(result)
+	else {
+		const {parts, unused, removed} = result
+		output.line(`${parts} parts, ${unused} unused, ${removed} removed`)
+	}
+	return ExitCode.Ok
+}
+
 const exitCodes: Readonly<Record<ApplyOutcome, ExitCode>> = {
 	[ApplyOutcome.Accepted]: ExitCode.Ok,
 	[ApplyOutcome.NoChange]: ExitCode.Ok,
--- a/src/operator/commandLine.ts
+++ b/src/operator/commandLine.ts
@@ -21,7 +21,8 @@
 	History = "history",
 	Status = "status",
 	Get = "get",
-	Drain = "drain"
+	Drain = "drain",
+	Prune = "prune"
 }
 
 interface CommandSpec {
@@ -82,6 +83,13 @@
 		description: "Let a host finish what it holds and leave",
 		example: "drain loom-writers-3",
 		takesFiles: false
+	},
+	[CommandName.Prune]: {
+		group: "Upkeep",
+		usage: "prune",
+		description: "Remove stored parts that nothing has used for a day",
+		example: "prune --dry-run",
+		takesFiles: false
 	}
 }
 
@@ -137,7 +145,7 @@
 	if (spec.takesFiles) {
 		command.option("-f, --file <path>", "File or directory; may be repeated")
 	}
-	if (name === CommandName.Apply) {
+	if (name === CommandName.Apply || name === CommandName.Prune) {
 		command.option("--dry-run", "Only show what would change")
 	}
 	command.example(`  ${programName} ${spec.example}`)
--- a/src/operator/program.ts
+++ b/src/operator/program.ts
@@ -4,7 +4,7 @@
 import {ExitCode} from "../program/run.js"
 import {messageOf} from "../utils/common.js"
 import {ImmutableVersionError, NotAppliedError} from "./apply.js"
-import {applyFiles, diffFiles, validateFiles} from "./changeCommands.js"
+import {applyFiles, diffFiles, prune, validateFiles} from "./changeCommands.js"
 import {CommandName, type Invocation, parseCommandLine} from "./commandLine.js"
 import {type Context, openContext} from "./context.js"
 import {drain, showAdapter, showHistory, showStatus} from "./lookCommands.js"
@@ -18,7 +18,8 @@
 	[CommandName.History]: Need.Source,
 	[CommandName.Status]: Need.Source,
 	[CommandName.Get]: Need.Source,
-	[CommandName.Drain]: Need.Token
+	[CommandName.Drain]: Need.Token,
+	[CommandName.Prune]: Need.Platform
 }
 
 /** Runs the command line; faults are printed, never thrown. */
@@ -76,6 +77,8 @@
 			return showStatus(context, invocation)
 		case CommandName.Drain:
 			return drain(context, first)
+		case CommandName.Prune:
+			return prune(context, invocation)
 		case CommandName.Get:
 			if (first === "adapter") return showAdapter(context, second, invocation)
 			throw new SettingsError([`${first} is not a kind; known is adapter`])
