Split the apply and the spread state into files of one job

The apply keeps the plan and the root's write; writing parts and the errors stand on their own. The state of the spread, with what is read from it, is apart from the steps that change it.

--- a/src/operator/apply.ts
+++ b/src/operator/apply.ts
@@ -2,15 +2,12 @@
  * Applies a configuration: parts first, then one conditional write of the
  * root, which is the acceptance. A lost answer is settled by reading back.
  */
-import PQueue from "p-queue"
 import {
 	type ApplyRecord,
 	checkSize,
 	chooseBucketCount,
 	type ConfigChange,
 	type ConfigParts,
-	type ConfigPartContent,
-	configPartKind,
 	type ConfigRoot,
 	configRootKind,
 	configRootName,
@@ -18,34 +15,21 @@
 	diffConfiguration,
 	findChangedVersions,
 	splitIntoParts,
-	type StoredPart,
 	type SplitConfiguration,
 	summarizeChanges
 } from "../contract/config/index.js"
 import {Step, StepError} from "../contract/errors.js"
-import {absentVersion, type Platform, WriteOutcome} from "../link/platform.js"
+import {type Platform, WriteOutcome} from "../link/platform.js"
 import {messageOf, sleep} from "../utils/common.js"
+import {ImmutableVersionError, NotAppliedError} from "./applyErrors.js"
 import {readConfiguration, readRoot, type StoredRoot} from "./storedConfig.js"
+import {writeParts} from "./writeParts.js"
+
+export * from "./applyErrors.js"
 
-const maxConcurrentWrites = 8
-/** Leaves most of the platform's writes to the processes. */
-const maxPartWritesPerSecond = 100
-const msPerSecond = 1000
 const maxRememberedApplies = 32
 const retryStepMs = 300
 
-/** A version's source would change in place. */
-export class ImmutableVersionError extends StepError {
-	constructor(readonly changes: readonly ConfigChange[]) {
-		const names = changes.map(({name}) => name).join(", ")
-		const message = `the source of existing adapter versions would change: ${names}; add new versions instead`
-		super(message, {step: Step.WriteParts})
-	}
-}
-
-/** The platform failed before the root was written: nothing has changed. */
-export class NotAppliedError extends StepError {}
-
 export enum ApplyOutcome {
 	Accepted = "accepted",
 	NoChange = "noChange",
@@ -134,7 +118,7 @@
 	if (plan.changes.length === 0 && plan.base.root !== undefined) {
 		return finish(apply, ApplyOutcome.NoChange, plan.base.root)
 	}
-	await writeParts(apply)
+	await writeParts(apply, apply.newParts)
 	return writeRoot(apply)
 }
 
@@ -174,54 +158,6 @@
 	return sleep(attempt * retryStepMs)
 }
 
-/** Writes the parts that the stored root does not name yet. */
-async function writeParts(apply: Apply): Promise<void> {
-	const queue = new PQueue({
-		concurrency: maxConcurrentWrites,
-		intervalCap: maxPartWritesPerSecond,
-		interval: msPerSecond
-	})
-	await queue.addAll(
-		[...apply.newParts].map(([hash, part]) => async () => {
-			await writePart(apply, hash, part)
-		})
-	)
-}
-
-/** Creates a part, or renews the time of one that exists. */
-async function writePart(
-	apply: Apply,
-	hash: string,
-	part: ConfigPartContent
-): Promise<void> {
-	const {platform, maxAttempts, wait, now} = apply
-	const value: StoredPart = {...part, writtenAt: now()}
-	let expected = absentVersion
-	let detail = ""
-	for (let attempt = 1; attempt <= maxAttempts; attempt++) {
-		const result = await platform.write(configPartKind, hash, value, expected)
-		if (result.outcome === WriteOutcome.Written) return
-		detail = result.detail
-		if (result.outcome !== WriteOutcome.Conflict) await wait(attempt)
-		expected = await readPartVersion(platform, hash)
-	}
-	const message = `configuration part ${hash} was not written: ${detail}`
-	throw new NotAppliedError(message, {step: Step.WriteParts, peer: "platform"})
-}
-
-/** A part of equal content that exists is kept, so only its version matters. */
-async function readPartVersion(
-	platform: Platform,
-	hash: string
-): Promise<number> {
-	try {
-		const object = await platform.read(configPartKind, hash)
-		return object?.version ?? absentVersion
-	} catch {
-		return absentVersion
-	}
-}
-
 /** Writes the root on the condition that nobody else has since it was read. */
 async function writeRoot(apply: Apply): Promise<ApplyResult> {
 	const {platform, root, plan, maxAttempts, wait} = apply
--- a/src/policy/configSpread.ts
+++ b/src/policy/configSpread.ts
@@ -3,13 +3,20 @@
  * from whom, when to install, and whom to tell. A process only ever moves to
  * a higher generation, and installs a generation only when it is whole.
  */
-import type {ConfigRoot} from "../contract/config/types.js"
 import {
 	addParts,
 	type Gathering,
 	isWhole,
 	startGathering
 } from "./configGathering.js"
+import {
+	generationOf,
+	knownGeneration,
+	platformKey,
+	rankPeers,
+	type SpreadState,
+	type Step
+} from "./configSpreadState.js"
 import {
 	type RootLearnt,
 	RootSource,
@@ -17,93 +24,17 @@
 	SpreadActionKind,
 	type SpreadEvent,
 	SpreadEventKind,
-	type SpreadOptions,
 	type SpreadParts,
 	type SpreadPeer
 } from "./configSpreadTypes.js"
-import {rankByRendezvous} from "./rendezvous.js"
 
+export {
+	createSpread,
+	generationOf,
+	type SpreadState
+} from "./configSpreadState.js"
 export * from "./configSpreadTypes.js"
 
-/** A root with all its parts. */
-interface Snapshot {
-	root: ConfigRoot
-	fingerprint: string
-	parts: SpreadParts
-}
-
-interface Fetch {
-	peer: string
-	deadline: number
-}
-
-export interface SpreadState {
-	readonly options: Required<SpreadOptions>
-	installed: Snapshot | undefined
-	gathering: Gathering | undefined
-	peers: readonly SpreadPeer[]
-	/** Highest generation heard from each peer. */
-	heard: Map<string, number>
-	isWatching: boolean
-	/** Undefined before the first list of peers. */
-	startUntil: number | undefined
-	/** Sources asked at start that have not answered. */
-	awaited: Set<string>
-	rootFetch: Fetch | undefined
-	antiEntropyAt: number
-	platformReadAt: number
-	/** Last offer to each peer that was behind. */
-	offeredAt: Map<string, number>
-	/** Fingerprint of the conflict reported last. */
-	conflict: string
-}
-
-interface Step {
-	state: SpreadState
-	now: number
-	actions: SpreadAction[]
-}
-
-const platformKey = ""
-
-export function createSpread({
-	watchersPerDomain = 2,
-	offerFanout = 3,
-	startFanout = 5,
-	startMs = 2000,
-	retryMs = 1000,
-	giveUpMs = 30_000,
-	antiEntropyMs = 2000,
-	platformReadMs = 30_000,
-	...self
-}: SpreadOptions): SpreadState {
-	return {
-		options: {
-			...self,
-			watchersPerDomain,
-			offerFanout,
-			startFanout,
-			startMs,
-			retryMs,
-			giveUpMs,
-			antiEntropyMs,
-			platformReadMs
-		},
-		installed: undefined,
-		gathering: undefined,
-		peers: [],
-		heard: new Map(),
-		isWatching: false,
-		startUntil: undefined,
-		awaited: new Set(),
-		rootFetch: undefined,
-		antiEntropyAt: 0,
-		platformReadAt: 0,
-		offeredAt: new Map(),
-		conflict: ""
-	}
-}
-
 /** Takes one event and returns what is to be done. */
 export function stepSpread(
 	state: SpreadState,
@@ -138,11 +69,6 @@
 	return step.actions
 }
 
-/** Generation in force here, 0 before the first; requests need one. */
-export function generationOf(state: SpreadState): number {
-	return state.installed?.root.generation ?? 0
-}
-
 function changePeers(step: Step, peers: readonly SpreadPeer[]): void {
 	const {state, now} = step
 	state.peers = peers.filter(({id}) => id !== state.options.selfId)
@@ -392,12 +318,3 @@
 	const known = knownGeneration(state)
 	actions.push({kind: SpreadActionKind.FetchPeerRoot, peer, known})
 }
-
-function knownGeneration(state: SpreadState): number {
-	return Math.max(generationOf(state), state.gathering?.root.generation ?? 0)
-}
-
-function rankPeers(key: string, ids: readonly string[]): string[] {
-	const items = ids.map(id => ({id, weight: 1}))
-	return rankByRendezvous(key, items)
-}
