--- a/bench/policy/micro.ts
+++ b/bench/policy/micro.ts
@@ -81,10 +81,11 @@
 		share: {loadsPerSecond: 1000, inFlight: 8},
 		msPerToken: 20,
 		loadMs: 250,
-		maxQueued: queued
+		maxQueued: 2 * queued
 	})
 	let now = 0
 	let steps = 0
+	let nextId = 0
 	let stepMs = 0
 	const pending: SchedulerAction[] = []
 	const step = (event: Parameters<AdapterScheduler["step"]>[0]): void => {
@@ -98,7 +99,7 @@
 		}
 	}
 	const arrive = (): void => {
-		const draft = createDraft(steps, zipf.draw(random), now)
+		const draft = createDraft(nextId++, zipf.draw(random), now)
 		step({kind: SchedulerEventKind.Arrived, draft})
 	}
 	for (let count = 0; count < queued; count++) arrive()
@@ -109,8 +110,7 @@
 		now += 1
 		const action = pending.shift()
 		if (action) end(action, step)
-		while (scheduler.snapshot().queued < queued - 1) arrive()
-		arrive()
+		if (scheduler.snapshot().queued < queued) arrive()
 	}
 	const us = (1000 * stepMs) / steps
 	console.log(
--- a/src/policy/residencyRouter.ts
+++ b/src/policy/residencyRouter.ts
@@ -9,6 +9,7 @@
 
 interface Candidate {
 	view: EndpointView
+	idHash: number
 	costMs: number
 }
 
@@ -27,6 +28,8 @@
 const sameDomainBonusMs = 20
 /** Time a choice stands in for a report that does not show it yet. */
 const recentChoiceMs = 3000
+/** Endpoint processes that a choice names. */
+const maxChoices = 8
 const maxRecentChoices = 8192
 const maxIdHashes = 8192
 
@@ -52,15 +55,16 @@
 				? this.rankByLoad(views)
 				: this.rankByAdapter(query, views, now)
 		this.addTieBreaks(candidates, query, random)
-		candidates.sort((a, b) => a.costMs - b.costMs)
-		this.remember(query.adapter, candidates, now)
-		return candidates.map(candidate => candidate.view.id)
+		const best = selectBest(candidates)
+		this.remember(query.adapter, best, now)
+		return best.map(candidate => candidate.view.id)
 	}
 
 	private rankByLoad(views: readonly EndpointView[]): Candidate[] {
 		const serviceMs = this.options.serviceMs
 		return views.map(view => ({
 			view,
+			idHash: this.hashId(view.id),
 			costMs: (countRequests(view) * serviceMs) / Math.max(1, view.seats)
 		}))
 	}
@@ -70,25 +74,28 @@
 		views: readonly EndpointView[],
 		now: number
 	): Candidate[] {
-		const homes = this.findHomes(query.adapter, views)
-		const recent = this.findRecent(query.adapter, now)
-		return views.map(view => ({
+		const candidates = views.map(view => ({
 			view,
-			costMs:
-				getWaitMs(view, this.options.serviceMs) +
-				getResidencyCostMs(query.adapter, view, homes, recent)
+			idHash: this.hashId(view.id),
+			costMs: getWaitMs(view, this.options.serviceMs)
 		}))
+		const homes = this.findHomes(query.adapter, candidates)
+		const recent = this.findRecent(query.adapter, now)
+		for (const candidate of candidates) {
+			const {view} = candidate
+			candidate.costMs += getLoadCostMs(query.adapter, view, homes, recent)
+		}
+		return candidates
 	}
 
-	/** The views with the highest rendezvous scores, best first. */
+	/** The candidates with the highest rendezvous scores, best first. */
 	private findHomes(
 		adapter: AdapterName,
-		views: readonly EndpointView[]
+		candidates: readonly Candidate[]
 	): string[] {
 		const keyHash = hashString(adapter)
 		const best: {id: string; score: number}[] = []
-		for (const view of views) {
-			const idHash = this.hashId(view.id)
+		for (const {view, idHash} of candidates) {
 			const score = getRendezvousScore(keyHash, idHash, view.slots)
 			const last = best[this.options.homes - 1]
 			if (last && last.score >= score) continue
@@ -134,9 +141,9 @@
 		const chance = Math.floor(random * 2 ** 32)
 		const seed = query.prefixHash === 0 ? chance : query.prefixHash
 		for (const candidate of candidates) {
-			const {id, failureDomain} = candidate.view
+			const {failureDomain} = candidate.view
 			const isNear = failureDomain === query.failureDomain
-			candidate.costMs += nearTieMs * getUnitValue(seed, this.hashId(id))
+			candidate.costMs += nearTieMs * getUnitValue(seed, candidate.idHash)
 			if (isNear) candidate.costMs -= sameDomainBonusMs
 		}
 	}
@@ -173,7 +180,28 @@
 	return (Math.max(0, ahead) * serviceMs) / seats
 }
 
-function getResidencyCostMs(
+/** The candidates of least cost, in order. */
+function selectBest(candidates: readonly Candidate[]): Candidate[] {
+	const best: Candidate[] = []
+	for (const candidate of candidates) {
+		const last = best[maxChoices - 1]
+		if (last && last.costMs <= candidate.costMs) continue
+		if (last) best.pop()
+		insertInOrder(best, candidate)
+	}
+	return best
+}
+
+function insertInOrder(best: Candidate[], candidate: Candidate): void {
+	let index = best.length
+	while (index > 0 && (best[index - 1]?.costMs ?? 0) > candidate.costMs) {
+		index -= 1
+	}
+	best.splice(index, 0, candidate)
+}
+
+/** Expected time to load the adapter there, and the preference for homes. */
+function getLoadCostMs(
 	adapter: AdapterName,
 	view: EndpointView,
 	homes: readonly string[],
--- a/src/policy/router.ts
+++ b/src/policy/router.ts
@@ -45,7 +45,10 @@
 }
 
 export abstract class Router {
-	/** Endpoint processes in order of preference; empty when none admits. */
+	/**
+	 * Endpoint processes in order of preference, or the first of them; empty
+	 * when none admits.
+	 */
 	abstract choose(
 		query: RouteQuery,
 		endpoints: readonly EndpointView[],
