--- a/bench/load/caller.ts
+++ b/bench/load/caller.ts
@@ -236,9 +236,9 @@
 	startedAt: number
 ): Judgement {
 	if (stream.error !== undefined) {
-		const {outcome = "", reason = ""} = stream.error
+		const {outcome, reason, message = ""} = stream.error
 		const end = outcome === "not_run" ? CallEnd.NotRun : CallEnd.Unknown
-		return {end, reason: `stream: ${reason}`}
+		return {end, reason: `stream: ${reason ?? message}`}
 	}
 	if (!stream.isDone) return {end: CallEnd.Cut, reason: "no terminal event"}
 	const expected = expectedText(call.model.source, call.prompt, call.maxTokens)
