Notice pauses of the process itself; describe at-most-once

After a pause others may have appended unseen, so a refusal of a key can't be told from an earlier run. The task now finds its own pauses by a beat that came too late, also when a call is handled before the beat; nobody has to tell it.

--- a/bench/claims/fleet.ts
+++ b/bench/claims/fleet.ts
@@ -103,11 +103,7 @@
 	}
 
 	resume(id: string): void {
-		const host = this.hosts.get(id)
-		host?.gate.enter(() => {
-			host.task?.doubt()
-		})
-		host?.gate.resume()
+		this.hosts.get(id)?.gate.resume()
 	}
 
 	/** Sends a booking at most as often as the runner asks for. */
--- a/src/endpoint/claims/__tests__/claimTask.test.ts
+++ b/src/endpoint/claims/__tests__/claimTask.test.ts
@@ -206,6 +206,23 @@
 		expect(sent).toEqual([])
 	})
 
+	it("a key is in doubt after a pause, until the log is read", async () => {
+		const task = makeTask("1")
+		task.sync([0])
+		await clock.runUntil(clock.now + 100)
+		clock.now += 60_000
+		platform.outage = OutageType.Refusing
+		const late = task.run(makeCall("k"), () => sendAs("k"))
+		expect((await finish(late, 500)).type).toBe(ClaimResultType.Unknown)
+		platform.outage = undefined
+		const later = task.run(makeCall("k"), () => sendAs("k"))
+		expect(textOf(await finish(later))).toBe("k")
+		platform.outage = OutageType.Refusing
+		const fresh = task.run(makeCall("k2"), () => sendAs("k2"))
+		expect((await finish(fresh, 500)).type).toBe(ClaimResultType.NotRun)
+		task.stop()
+	})
+
 	it("answers are replayed, and recorded afterwards", async () => {
 		const task = makeTask("1")
 		const first = task.run(makeCall("k"), async () => {
--- a/src/endpoint/claims/claimTask.ts
+++ b/src/endpoint/claims/claimTask.ts
@@ -12,6 +12,7 @@
 } from "../../policy/claimTypes.js"
 import {toClaimResult} from "./answers.js"
 import {BucketTask, type BucketTaskOptions} from "./bucketTask.js"
+import {PauseWatch} from "./pauseWatch.js"
 import {TicketTask} from "./ticketTask.js"
 import type {
 	ClaimCall,
@@ -34,6 +35,7 @@
 	private readonly claims: Omit<ClaimOptions, "bucket">
 	private readonly io: Omit<BucketTaskOptions, "claims">
 	private readonly tickets: TicketTask
+	private readonly pauses: PauseWatch
 
 	constructor(options: ClaimTaskOptions) {
 		const {
@@ -48,6 +50,10 @@
 		this.bucketCount = buckets
 		this.claims = {...claims, processId}
 		this.io = {platform, now, setTimer}
+		const setBeat = options.setTimer ?? makeSetTimer(now, false)
+		this.pauses = new PauseWatch(now, setBeat, () => {
+			this.doubt()
+		})
 		const {owner} = options
 		const {retentionMs, maxAnswerChars} = {...defaultClaimOptions, ...claims}
 		this.tickets = new TicketTask({
@@ -70,6 +76,7 @@
 	 * all processes and attempts of the key, after the claim is in the log.
 	 */
 	async run(call: ClaimCall, send: Send): Promise<ClaimResult> {
+		this.pauses.check()
 		const result =
 			call.ticket === true
 				? await this.tickets.run(call, send)
@@ -96,8 +103,9 @@
 	}
 
 	/**
-	 * Call it after a pause of this process, or when buckets moved here and
-	 * back: until the log is read again, "not run" can't be told from unknown.
+	 * Call it when buckets moved away and back, as others may have appended to
+	 * them: until the log is read again, "not run" can't be told from unknown.
+	 * Pauses of this process are found without it.
 	 */
 	doubt(): void {
 		for (const bucket of this.buckets.values()) bucket.doubt()
@@ -117,6 +125,7 @@
 
 	/** Stops the timers; attempts that still wait are not answered. */
 	stop(): void {
+		this.pauses.stop()
 		for (const bucket of this.buckets.values()) bucket.stop()
 	}
 
@@ -159,9 +168,10 @@
 	return digest.subarray(0, keyHashBytes).toString("base64url")
 }
 
-function makeSetTimer(now: () => number): SetTimer {
+function makeSetTimer(now: () => number, holdsProcess = true): SetTimer {
 	return (callback, at) => {
 		const timer = setTimeout(callback, Math.max(0, at - now()))
+		if (!holdsProcess) timer.unref()
 		return () => {
 			clearTimeout(timer)
 		}
