Share the attempts of claims and tickets; test sending after the deadline

Both tasks kept callers' attempts and sent their calls in the same way. One module now does.

Of the guards tried by switching them off, one was not bound by any test: a process that resumes after the deadline and then learns that its claim is written must not send.

--- a/src/endpoint/claims/bucketTask.ts
+++ b/src/endpoint/claims/bucketTask.ts
@@ -3,7 +3,6 @@
  * at a time in a p-queue, and feeds the results back.
  */
 import PQueue from "p-queue"
-import {Step} from "../../contract/errors.js"
 import type {Platform} from "../../link/platform.js"
 import {absentVersion, WriteOutcome} from "../../link/platform.js"
 import {
@@ -22,12 +21,10 @@
 	ClaimEventType,
 	type ClaimOptions,
 	type KeyedCall,
-	type LogResult,
-	SendEnd
+	type LogResult
 } from "../../policy/claimTypes.js"
-import {messageOf} from "../../utils/common.js"
-import {toSendOutcome} from "./answers.js"
-import type {Send, SendResult, SetTimer} from "./types.js"
+import {Attempts} from "./attempts.js"
+import type {Send, SetTimer} from "./types.js"
 
 export interface BucketTaskOptions {
 	claims: ClaimOptions
@@ -36,17 +33,11 @@
 	setTimer: SetTimer
 }
 
-interface Attempt {
-	send: Send
-	resolve: (result: LogResult) => void
-}
-
 export class BucketTask {
 	private readonly bucket: ClaimBucket
 	private readonly io = new PQueue({concurrency: 1})
-	private readonly attempts = new Map<number, Attempt>()
+	private readonly attempts = new Attempts()
 	private readonly idleWaiters: (() => void)[] = []
-	private callsMade = 0
 	private tickAt = Infinity
 	private cancelTick: () => void = () => undefined
 
@@ -60,10 +51,7 @@
 	}
 
 	run(call: Omit<KeyedCall, "id">, send: Send): Promise<LogResult> {
-		this.callsMade += 1
-		const id = this.callsMade
-		return new Promise(resolve => {
-			this.attempts.set(id, {send, resolve})
+		return this.attempts.begin(send, id => {
 			this.feed({type: ClaimEventType.Call, call: {...call, id}})
 		})
 	}
@@ -146,7 +134,7 @@
 				void this.send(action.key, action.attempt, action.callId)
 				return
 			case ClaimActionType.End:
-				this.end(action.callId, action.result)
+				this.attempts.end(action.callId, action.result)
 		}
 	}
 
@@ -238,27 +226,7 @@
 		attempt: string,
 		callId: number
 	): Promise<void> {
-		const result = await this.sendOnce(callId)
-		const outcome = toSendOutcome(result)
+		const outcome = await this.attempts.send(callId)
 		this.feed({type: ClaimEventType.CallEnded, key, attempt, outcome})
 	}
-
-	private async sendOnce(callId: number): Promise<SendResult> {
-		const attempt = this.attempts.get(callId)
-		if (attempt === undefined) {
-			const detail = "the attempt ended before it was sent"
-			return {end: SendEnd.NotStarted, detail, retryAfterMs: 0}
-		}
-		try {
-			return await attempt.send()
-		} catch (err) {
-			return {end: SendEnd.Unknown, step: Step.Send, detail: messageOf(err)}
-		}
-	}
-
-	private end(callId: number, result: LogResult): void {
-		const attempt = this.attempts.get(callId)
-		this.attempts.delete(callId)
-		attempt?.resolve(result)
-	}
 }
--- a/src/endpoint/claims/ticketTask.ts
+++ b/src/endpoint/claims/ticketTask.ts
@@ -3,11 +3,9 @@
  * dies with the process, and so does what is known of the tickets.
  */
 import {createHmac, randomBytes, timingSafeEqual} from "node:crypto"
-import {Step} from "../../contract/errors.js"
 import type {KeyScope} from "../../policy/claimHome.js"
 import type {ClaimOwner} from "../../policy/claimLog.js"
 import type {LogResult} from "../../policy/claimTypes.js"
-import {SendEnd} from "../../policy/claimTypes.js"
 import {
 	formatTicket,
 	type ParsedTicket,
@@ -18,15 +16,8 @@
 	type TicketClaims,
 	TicketLedger
 } from "../../policy/tickets.js"
-import {messageOf} from "../../utils/common.js"
-import {toSendOutcome} from "./answers.js"
-import type {
-	ClaimCall,
-	MintedTicket,
-	Send,
-	SendResult,
-	SetTimer
-} from "./types.js"
+import {Attempts} from "./attempts.js"
+import type {ClaimCall, MintedTicket, Send, SetTimer} from "./types.js"
 
 export interface TicketTaskOptions {
 	owner: ClaimOwner
@@ -37,12 +28,6 @@
 	maxAnswerChars: number
 }
 
-interface Attempt {
-	send: Send
-	resolve: (result: LogResult) => void
-	cancelTimer: () => void
-}
-
 const secretBytes = 32
 const nonceBytes = 16
 const sweepMs = 60_000
@@ -50,8 +35,7 @@
 export class TicketTask {
 	private readonly secret = randomBytes(secretBytes)
 	private readonly ledger: TicketLedger
-	private readonly attempts = new Map<number, Attempt>()
-	private callsMade = 0
+	private readonly attempts = new Attempts()
 	private sweepAt = -Infinity
 
 	constructor(private readonly options: TicketTaskOptions) {
@@ -80,22 +64,21 @@
 		return {ticket: formatTicket({...claims, code}), expiresAt}
 	}
 
-	run(call: ClaimCall, send: Send): Promise<LogResult> {
-		this.callsMade += 1
-		const id = this.callsMade
+	async run(call: ClaimCall, send: Send): Promise<LogResult> {
 		const {scope, key, bodyHash, deadline} = call
+		const {now, setTimer} = this.options
 		const ticket = parseTicket(key)
 		const isAuthentic = ticket !== undefined && this.isSigned(ticket, scope)
-		const {now, setTimer} = this.options
 		this.sweep()
-		return new Promise(resolve => {
-			const cancelTimer = setTimer(() => {
-				this.carryOut(this.ledger.expire(now()))
-			}, deadline)
-			this.attempts.set(id, {send, resolve, cancelTimer})
+		const cancelTimer = setTimer(() => {
+			this.carryOut(this.ledger.expire(now()))
+		}, deadline)
+		const result = await this.attempts.begin(send, id => {
 			const ticketCall = {id, ticket, isAuthentic, bodyHash, deadline}
 			this.carryOut(this.ledger.addCall(ticketCall, now()))
 		})
+		cancelTimer()
+		return result
 	}
 
 	private sign(claims: TicketClaims, scope: KeyScope): Buffer {
@@ -122,33 +105,13 @@
 			if (action.type === TicketActionType.Send) {
 				void this.send(action.nonce, action.callId)
 			} else {
-				this.end(action.callId, action.result)
+				this.attempts.end(action.callId, action.result)
 			}
 		}
 	}
 
 	private async send(nonce: string, callId: number): Promise<void> {
-		const outcome = toSendOutcome(await this.sendOnce(callId))
+		const outcome = await this.attempts.send(callId)
 		this.carryOut(this.ledger.endCall(nonce, outcome))
 	}
-
-	private async sendOnce(callId: number): Promise<SendResult> {
-		const attempt = this.attempts.get(callId)
-		if (attempt === undefined) {
-			const detail = "the attempt ended before it was sent"
-			return {end: SendEnd.NotStarted, detail, retryAfterMs: 0}
-		}
-		try {
-			return await attempt.send()
-		} catch (err) {
-			return {end: SendEnd.Unknown, step: Step.Send, detail: messageOf(err)}
-		}
-	}
-
-	private end(callId: number, result: LogResult): void {
-		const attempt = this.attempts.get(callId)
-		this.attempts.delete(callId)
-		attempt?.cancelTimer()
-		attempt?.resolve(result)
-	}
 }
--- a/src/policy/__tests__/claims.test.ts
+++ b/src/policy/__tests__/claims.test.ts
@@ -45,6 +45,8 @@
 	/** Outcomes to pretend for the next head writes, which have no effect. */
 	failing: WriteOutcome[] = []
 	heldBack: HeadWrite[] = []
+	/** When set, answers of head writes are kept here. */
+	heldAnswers: ClaimEvent[] | undefined
 	body = "booked"
 	private callsMade = 0
 
@@ -109,7 +111,10 @@
 			case ClaimActionType.WriteHead: {
 				const outcome = this.write(action)
 				const {version} = store
-				this.feed({type: ClaimEventType.WriteEnded, outcome, version})
+				const type = ClaimEventType.WriteEnded
+				const answer: ClaimEvent = {type, outcome, version}
+				if (this.heldAnswers === undefined) this.feed(answer)
+				else this.heldAnswers.push(answer)
 				return
 			}
 			case ClaimActionType.WriteSegment: {
@@ -223,6 +228,28 @@
 		expect(one.results.get(again)?.type).toBe(ClaimResultType.Answered)
 	})
 
+	it("does not send when it resumes after the deadline", () => {
+		const one = new Driver(store, "one")
+		const held: ClaimEvent[] = []
+		one.heldAnswers = held
+		const id = one.call("k", now + 1_000)
+		one.pass(5)
+		expect(held).toHaveLength(1)
+		now += 60_000
+		one.heldAnswers = undefined
+		for (const answer of held) one.feed(answer)
+		one.pass(5_000)
+		expect(one.sent).toEqual([])
+		expect(one.results.get(id)).toMatchObject({
+			type: ClaimResultType.NotRun,
+			reason: ClaimRefusal.Deadline
+		})
+		const two = new Driver(store, "two")
+		const retry = two.call("k")
+		two.pass(100)
+		expect(two.results.get(retry)?.type).toBe(ClaimResultType.Answered)
+	})
+
 	it("conflicts after a pause longer than the retention", () => {
 		const options = {retentionMs: 60_000, maxHeadChars: 400}
 		const paused = new Driver(store, "paused", options)
