--- /dev/null
+++ b/src/policy/engines.ts
@@ -0,0 +1,159 @@
+/**
+ * The engines of one host as the scheduler accounts for them: which are up,
+ * what is resident or loading on each, and what runs.
+ */
+import {countFreeSeats, createWorker, isResident, SlotState} from "./slots.js"
+import type {Run, Slot, Worker} from "./slots.js"
+import type {AdapterName, Draft} from "./types.js"
+
+export interface EnginesOptions {
+	workers: readonly string[]
+	slots: number
+	seats: number
+}
+
+/** What a cold restart took with it. */
+export interface LostState {
+	adapters: AdapterName[]
+	loads: number
+}
+
+export class Engines {
+	private readonly workers = new Map<string, Worker>()
+	private nextLoad = 1
+
+	constructor(options: EnginesOptions) {
+		for (const id of options.workers) {
+			this.workers.set(id, createWorker(id, options.slots, options.seats))
+		}
+	}
+
+	get size(): number {
+		return this.workers.size
+	}
+
+	get(id: string): Worker | undefined {
+		return this.workers.get(id)
+	}
+
+	all(): IterableIterator<Worker> {
+		return this.workers.values()
+	}
+
+	up(): Worker[] {
+		return [...this.workers.values()].filter(worker => worker.isUp)
+	}
+
+	isAnyUp(): boolean {
+		for (const worker of this.workers.values()) if (worker.isUp) return true
+		return false
+	}
+
+	/** True when the adapter is resident or loading on a worker that is up. */
+	hasCopy(adapter: AdapterName): boolean {
+		for (const worker of this.workers.values()) {
+			if (worker.isUp && worker.slots.has(adapter)) return true
+		}
+		return false
+	}
+
+	isResident(adapter: AdapterName): boolean {
+		return this.up().some(worker => isResident(worker, adapter))
+	}
+
+	isLoading(adapter: AdapterName): boolean {
+		return this.up().some(
+			worker => worker.slots.get(adapter)?.state === SlotState.Loading
+		)
+	}
+
+	countSeats(): number {
+		return sum(this.up(), worker => worker.seats)
+	}
+
+	countFreeSeats(): number {
+		return sum(this.workers.values(), countFreeSeats)
+	}
+
+	countRuns(): number {
+		return sum(this.workers.values(), worker => worker.runs.size)
+	}
+
+	/** Adapters in a state on any worker that is up. */
+	listAdapters(state: SlotState): AdapterName[] {
+		const slots = this.up().flatMap(worker => [...worker.slots.values()])
+		const chosen = slots.filter(slot => slot.state === state)
+		return [...new Set(chosen.map(slot => slot.adapter))]
+	}
+
+	/** Time from the arrival until any copy of the adapter was resident. */
+	getLoadStallMs(draft: Draft): number {
+		let residentAt = Infinity
+		for (const worker of this.workers.values()) {
+			if (!worker.isUp || !isResident(worker, draft.adapter)) continue
+			const loadedAt = worker.slots.get(draft.adapter)?.loadedAt ?? Infinity
+			residentAt = Math.min(residentAt, loadedAt)
+		}
+		return Math.max(0, residentAt - draft.arrivedAt)
+	}
+
+	startRun(worker: Worker, draft: Draft, now: number): void {
+		const slot = worker.slots.get(draft.adapter)
+		if (slot) slot.pins += 1
+		worker.runs.set(draft.id, {draft, startedAt: now, isCancelled: false})
+	}
+
+	/** Frees the seat and the pin; undefined when the run is not known. */
+	endRun(workerId: string, id: string): Run | undefined {
+		const worker = this.workers.get(workerId)
+		const run = worker?.runs.get(id)
+		if (!worker || !run) return undefined
+		worker.runs.delete(id)
+		const slot = worker.slots.get(run.draft.adapter)
+		if (slot) slot.pins -= 1
+		return run
+	}
+
+	/** Marks a run as cancelled, so that its time teaches nothing. */
+	cancelRun(id: string): void {
+		for (const worker of this.workers.values()) {
+			const run = worker.runs.get(id)
+			if (run) run.isCancelled = true
+		}
+	}
+
+	startLoad(
+		worker: Worker,
+		adapter: AdapterName,
+		evict: AdapterName | undefined
+	): Slot {
+		if (evict !== undefined) worker.slots.delete(evict)
+		const slot = {
+			adapter,
+			state: SlotState.Loading,
+			pins: 0,
+			loadedAt: Infinity,
+			load: this.nextLoad++
+		}
+		worker.slots.set(adapter, slot)
+		return slot
+	}
+
+	/** Empties a worker that restarted cold. */
+	reset(worker: Worker): LostState {
+		const slots = [...worker.slots.values()]
+		const loading = slots.filter(slot => slot.state === SlotState.Loading)
+		worker.slots.clear()
+		worker.runs.clear()
+		return {adapters: slots.map(slot => slot.adapter), loads: loading.length}
+	}
+}
+
+export function sum<T>(
+	items: Iterable<T>,
+	measure: (item: T) => number
+): number {
+	let total = 0
+	for (const item of items) total += measure(item)
+	return total
+}
--- /dev/null
+++ b/src/policy/loadPlanner.ts
@@ -0,0 +1,266 @@
+/**
+ * Decides which adapters are loaded when, within this process's share of the
+ * weight store: what requests wait for, second copies where seats are the
+ * limit, and with an idle share what a cold restart lost.
+ */
+import {clampRetryAfterMs} from "./admission.js"
+import type {Engines, LostState} from "./engines.js"
+import type {Estimates} from "./estimates.js"
+import {LoadBudget} from "./loadBudget.js"
+import {LoadFailures} from "./loadFailures.js"
+import {LoadOrder} from "./loadOrder.js"
+import type {Popularity} from "./popularity.js"
+import {SchedulerActionKind} from "./scheduler.js"
+import type {
+	SchedulerAction,
+	SchedulerEvent,
+	SchedulerEventKind,
+	SchedulerOptions
+} from "./scheduler.js"
+import {choosePlacement, countFreeSeats, SlotState} from "./slots.js"
+import type {Placement, PlacementQuery, Worker} from "./slots.js"
+import {RefusalReason} from "./types.js"
+import type {AdapterName, LoadShare} from "./types.js"
+import {isUrgentRank} from "./waitQueue.js"
+import type {Waiting, WaitQueue} from "./waitQueue.js"
+
+export interface LoadPlannerOptions {
+	scheduler: SchedulerOptions
+	engines: Engines
+	queue: WaitQueue
+	popularity: Popularity
+	estimates: Estimates
+	emit: (action: SchedulerAction) => void
+	refuse: (waiting: Waiting, reason: RefusalReason, retryMs: number) => void
+}
+
+/** Wanted adapters that are tried when the first can't be placed. */
+const maxPlacementTries = 4
+const placementRetryMs = 250
+/** Popularity from which a lost adapter is reloaded without a request. */
+const minReloadPopularity = 0.5
+
+export class LoadPlanner {
+	readonly order: LoadOrder
+	private readonly options: LoadPlannerOptions
+	private readonly budget: LoadBudget
+	private readonly failures = new LoadFailures()
+	/** Adapters lost in a reset, most popular last. */
+	private lost: AdapterName[] = []
+
+	constructor(options: LoadPlannerOptions) {
+		this.options = options
+		this.order = new LoadOrder(options.scheduler.objective)
+		this.budget = new LoadBudget(options.scheduler)
+	}
+
+	get loadsPerSecond(): number {
+		return this.budget.loadsPerSecond
+	}
+
+	setShare(share: LoadShare, now: number): void {
+		this.budget.setShare(share, now)
+	}
+
+	/** Files the adapter under what its queue needs now. */
+	refresh(adapter: AdapterName): void {
+		const {queue, engines} = this.options
+		const count = queue.count(adapter)
+		if (count === 0 || engines.hasCopy(adapter)) {
+			this.order.delete(adapter)
+			return
+		}
+		const first = queue.firstReady(adapter)
+		const isUrgent = first !== undefined && isUrgentRank(first.rank)
+		const readyAt = isUrgent ? first.readyAt : queue.readyAt(adapter)
+		this.order.set({adapter, count, readyAt, isUrgent})
+	}
+
+	/** Ends the backoffs that are over. */
+	advance(now: number): void {
+		for (const adapter of this.order.advance(now)) this.refresh(adapter)
+	}
+
+	start(now: number): void {
+		this.loadWanted(now)
+		this.loadReplicas(now)
+		this.reloadLost(now)
+	}
+
+	/** Takes the end of a load; a late end from before a reset is ignored. */
+	end(
+		event: SchedulerEvent & {kind: SchedulerEventKind.LoadEnded},
+		now: number
+	): void {
+		const {adapter} = event
+		const worker = this.options.engines.get(event.worker)
+		const slot = worker?.slots.get(adapter)
+		if (!worker || slot?.state !== SlotState.Loading) return
+		if (event.load !== undefined && event.load !== slot.load) return
+		this.budget.end()
+		if (!event.ok) {
+			worker.slots.delete(adapter)
+			this.fail(adapter, worker, now)
+			return
+		}
+		slot.state = SlotState.Resident
+		slot.loadedAt = now
+		this.failures.clear(adapter)
+		this.options.estimates.addLoad(event.tookMs)
+	}
+
+	/** Takes what a cold restart lost. */
+	lose({adapters, loads}: LostState, now: number): void {
+		for (let load = 0; load < loads; load++) this.budget.end()
+		const all = [...new Set([...this.lost, ...adapters])]
+		const read = (adapter: AdapterName): number =>
+			this.options.popularity.read(adapter, now)
+		all.sort((a, b) => read(a) - read(b))
+		const {slots, workers} = this.options.scheduler
+		this.lost = all.slice(-slots * workers.length)
+		for (const adapter of adapters) this.refresh(adapter)
+	}
+
+	/** Time at which a load may start that can't start now. */
+	nextAt(now: number): number {
+		return Math.min(this.order.nextAt(), this.getNextStartAt(now))
+	}
+
+	private getNextStartAt(now: number): number {
+		const isWanted = this.order.size > 0 || this.lost.length > 0
+		if (!isWanted) return Infinity
+		const at = this.budget.nextAt(now) ?? Infinity
+		if (at > now) return at
+		const idleAt = this.budget.nextIdleAt(now) ?? Infinity
+		const retryAt = now + placementRetryMs
+		return idleAt > now ? Math.min(idleAt, retryAt) : retryAt
+	}
+
+	private loadWanted(now: number): void {
+		const skipped: AdapterName[] = []
+		while (this.budget.canStart(now) && skipped.length < maxPlacementTries) {
+			const adapter = this.order.next({
+				skipped,
+				isIdle: this.budget.isIdle(now),
+				loadsPerSecond: this.budget.loadsPerSecond,
+				now
+			})
+			if (adapter === undefined) break
+			if (this.refuseHopeless(adapter, now)) continue
+			if (!this.tryLoad(adapter, now)) skipped.push(adapter)
+		}
+		this.order.restore()
+	}
+
+	/** Refuses what would be late after a load; true when nothing is left. */
+	private refuseHopeless(adapter: AdapterName, now: number): boolean {
+		const {queue, estimates, refuse} = this.options
+		const loadedAt = now + estimates.loadMs
+		for (const waiting of queue.requestsOf(adapter)) {
+			if (waiting.startBy >= loadedAt) continue
+			refuse(waiting, RefusalReason.Deadline, clampRetryAfterMs(0))
+		}
+		return queue.count(adapter) === 0
+	}
+
+	private tryLoad(adapter: AdapterName, now: number): boolean {
+		const query = this.createQuery(adapter, now)
+		const placement = choosePlacement(this.options.engines.all(), query)
+		if (!placement) return false
+		this.startLoad(adapter, placement, now)
+		return true
+	}
+
+	private createQuery(adapter: AdapterName, now: number): PlacementQuery {
+		const {popularity, queue} = this.options
+		return {
+			adapter,
+			popularity: name => popularity.read(name, now),
+			rankOf: name => queue.first(name)?.rank,
+			hasFailedOn: worker => this.failures.hasFailedOn(adapter, worker)
+		}
+	}
+
+	private startLoad(
+		adapter: AdapterName,
+		{worker, evict}: Placement,
+		now: number
+	): void {
+		const {engines, emit} = this.options
+		const {load} = engines.startLoad(worker, adapter, evict?.adapter)
+		this.budget.start(now)
+		this.refresh(adapter)
+		if (evict) this.refresh(evict.adapter)
+		emit({
+			kind: SchedulerActionKind.Load,
+			worker: worker.id,
+			adapter,
+			evict: evict?.adapter,
+			load
+		})
+	}
+
+	private fail(adapter: AdapterName, worker: Worker, now: number): void {
+		const {engines, queue, refuse} = this.options
+		const up = engines.up()
+		const isHopeless = this.failures.add(adapter, worker.id, up, now)
+		const retryAt = this.failures.retryAt(adapter)
+		if (isHopeless && !engines.hasCopy(adapter)) {
+			const retryMs = clampRetryAfterMs(retryAt - now)
+			for (const waiting of queue.requestsOf(adapter)) {
+				refuse(waiting, RefusalReason.LoadFailed, retryMs)
+			}
+		}
+		this.order.block(adapter, retryAt)
+	}
+
+	/** Loads a second copy where seats are the limit of the first. */
+	private loadReplicas(now: number): void {
+		const {engines} = this.options
+		if (engines.size < 2 || this.order.hasUrgent()) return
+		if (engines.countFreeSeats() === 0) return
+		for (const adapter of this.findSeatBound()) {
+			if (!this.budget.canStart(now)) return
+			this.tryLoad(adapter, now)
+		}
+	}
+
+	private findSeatBound(): Set<AdapterName> {
+		const found = new Set<AdapterName>()
+		for (const worker of this.options.engines.up()) {
+			if (countFreeSeats(worker) > 0) continue
+			for (const {adapter} of worker.slots.values()) {
+				if (this.isSeatBound(adapter)) found.add(adapter)
+			}
+		}
+		return found
+	}
+
+	/** True when the adapter's queue takes longer to run than a load takes. */
+	private isSeatBound(adapter: AdapterName): boolean {
+		const {queue, engines, estimates, scheduler} = this.options
+		const first = queue.firstReady(adapter)
+		if (!first || engines.isLoading(adapter)) return false
+		const serviceMs = estimates.typicalServiceMs(first.draft)
+		const waitMs = (queue.count(adapter) * serviceMs) / scheduler.seats
+		return waitMs > estimates.loadMs
+	}
+
+	/** Uses an idle share to bring back what a cold restart lost. */
+	private reloadLost(now: number): void {
+		const {engines, popularity} = this.options
+		while (this.lost.length > 0 && this.canReload(now)) {
+			const adapter = this.lost.pop()
+			if (adapter === undefined || engines.hasCopy(adapter)) continue
+			if (popularity.read(adapter, now) < minReloadPopularity) continue
+			const query = this.createQuery(adapter, now)
+			const placement = choosePlacement(engines.all(), query)
+			if (!placement || placement.evict) return
+			this.startLoad(adapter, placement, now)
+		}
+	}
+
+	private canReload(now: number): boolean {
+		return !this.order.hasUrgent() && this.budget.isIdle(now)
+	}
+}
--- a/src/policy/waitQueue.ts
+++ b/src/policy/waitQueue.ts
@@ -34,6 +34,11 @@
 	return requestClass * rankPerClass + at
 }
 
+/** True for requests that don't give way, or no longer do. */
+export function isUrgentRank(rank: number): boolean {
+	return rank < getRank(RequestClass.Deferrable, 0)
+}
+
 export class WaitQueue {
 	private readonly byId = new Map<string, Waiting>()
 	private readonly byAdapter = new Map<AdapterName, AdapterQueue>()
@@ -84,6 +89,10 @@
 		return queue ? queue.ready.size + queue.held.size : 0
 	}
 
+	countReady(adapter: AdapterName): number {
+		return this.byAdapter.get(adapter)?.ready.size ?? 0
+	}
+
 	countHeld(adapter: AdapterName): number {
 		return this.byAdapter.get(adapter)?.held.size ?? 0
 	}
@@ -97,6 +106,11 @@
 		return this.byAdapter.get(adapter)?.held.peek()
 	}
 
+	/** The first request, held back only when all are. */
+	first(adapter: AdapterName): Waiting | undefined {
+		return this.firstReady(adapter) ?? this.firstHeld(adapter)
+	}
+
 	/** Earliest time at which a request of the adapter should be served. */
 	readyAt(adapter: AdapterName): number {
 		return this.byAdapter.get(adapter)?.readyAt ?? Infinity
@@ -154,7 +168,7 @@
 	private setTimer(waiting: Waiting): void {
 		const {id} = waiting.draft
 		if (waiting.isHeld) this.timers.set(id, waiting, waiting.readyAt)
-		else if (waiting.rank >= getRank(RequestClass.Deferrable, 0))
+		else if (!isUrgentRank(waiting.rank))
 			this.timers.set(id, waiting, waiting.dueAt)
 	}
 
