Spill later, as a load costs the fleet more than its own time

Cause: under load the weight store is the limit, so a second copy made by a spill takes a load and a slot from another adapter. A load had counted four times its own time.

--- a/src/policy/residencyRouter.ts
+++ b/src/policy/residencyRouter.ts
@@ -21,7 +21,7 @@
 const defaultOptions: RouterOptions = {homes: 3, serviceMs: 4000}
 
 /** A load counts this many times its own time, as all share the loads. */
-const loadCostFactor = 4
+const loadCostFactor = 12
 /** Costs closer than this are near-equal. */
 const nearTieMs = 40
 /** Preference for the entry's own failure domain among near-equals. */
