Remove merged segments also when the merge's answer was lost

When the head write that merged segments took effect and lost its answer, the process found its batch by reading, and nobody removed the merged segments: in the new test 19 stayed where 7 were in use. It now removes what its own head named and the newer one does not.

--- a/src/policy/__tests__/claims.test.ts
+++ b/src/policy/__tests__/claims.test.ts
@@ -316,6 +316,20 @@
 		}
 	})
 
+	it("leaves no segment behind when a merge's answer is lost", () => {
+		const options = {maxHeadChars: 400, mergeCount: 3, retryBaseMs: 50}
+		const one = new Driver(store, "one", options)
+		for (let i = 0; i < 40; i++) {
+			one.failing = [WriteOutcome.Lost]
+			one.call(`k${i}`)
+			one.pass(25)
+			for (const write of one.heldBack.splice(0)) store.apply(write)
+			one.pass(200)
+		}
+		expect(one.sent).toHaveLength(40)
+		expect(store.segments.size).toBe(store.head?.segments.length)
+	})
+
 	it("records large answers without their body", () => {
 		const one = new Driver(store, "one", {maxAnswerChars: 10})
 		one.body = "x".repeat(11)
--- a/src/policy/claims.ts
+++ b/src/policy/claims.ts
@@ -271,13 +271,14 @@
 		const {head, version, refs} = news
 		const missed = batchesSince(head, refs, segments, from)
 		const hasMoved = head.next > this.head.next || !this.isSynced
+		const before = this.head
 		this.setHead(head, version)
 		this.news = undefined
 		this.isSynced = true
 		this.records.isInDoubt = false
 		this.hasConflict = false
 		this.backoff.noteSuccess()
-		if (hasMoved) this.dropMove()
+		if (hasMoved) this.dropMove(before)
 		if (pending !== undefined && hasMoved) this.pending = undefined
 		let hasLanded = false
 		for (const batch of missed) {
@@ -299,9 +300,7 @@
 		this.nextWriteAt = now + this.options.writeIntervalMs
 		this.records.applyBatch(pending.batch, true, now)
 		if (move === undefined) return
-		for (const {id} of droppedSegments(before, this.head)) {
-			this.actions.push({type: ClaimActionType.RemoveSegment, id})
-		}
+		this.removeDropped(before)
 		this.records.dropExpired(now)
 	}
 
@@ -383,14 +382,21 @@
 		return planMove(this.head, this.headChars, this.makeId(), this.options)
 	}
 
-	/** Another process moved the head on, so the segment is of no use. */
-	private dropMove(): void {
+	/** The head moved on: the move took effect unnoticed, or is of no use. */
+	private dropMove(before: ClaimHead): void {
 		const {move} = this
 		this.move = undefined
 		if (move === undefined) return
 		const {id} = move.ref
-		if (this.head.segments.some(ref => ref.id === id)) return
-		this.actions.push({type: ClaimActionType.RemoveSegment, id})
+		const hasLanded = this.head.segments.some(ref => ref.id === id)
+		if (hasLanded) this.removeDropped(before)
+		else this.actions.push({type: ClaimActionType.RemoveSegment, id})
+	}
+
+	private removeDropped(before: ClaimHead): void {
+		for (const {id} of droppedSegments(before, this.head)) {
+			this.actions.push({type: ClaimActionType.RemoveSegment, id})
+		}
 	}
 
 	private setHead(head: ClaimHead, version: number): void {
