Add a TCP relay stand-in and advertised addresses to deployments

Four cells of the fault matrix need a link that is cut or slow while both of its processes live on. Freezing a process does not show this: its socket still acknowledges bytes, and it cannot work on. The relay discards bytes per direction, delays, resets and heals; healing resets the connections that lost bytes, as TCP would never deliver the rest after a gap. Closing a connection does not pass a cut either. A deployment takes an optional function that finds the address at which others reach an endpoint host; without it nothing changes. Before: no test could cut a link.

--- a/bench/deployment/deployment.ts
+++ b/bench/deployment/deployment.ts
@@ -33,6 +33,8 @@
 	distDir?: string
 	/** Environment of entries and endpoint processes. */
 	env?: Record<string, string>
+	/** Finds the address that others reach an endpoint host's link at. */
+	advertise?: (endpoint: EndpointAddresses) => Promise<string>
 	operatorToken?: string
 	logLevel?: string
 	drainMs?: number
@@ -40,6 +42,7 @@
 
 const pollMs = 50
 const readyTimeoutMs = 30_000
+const advertiseVariable = "GOLDCRESTLOOM_ADVERTISE"
 
 /** Where `npm run build` puts the programs. */
 export function defaultDistDir(): string {
@@ -56,6 +59,9 @@
 	private readonly children = new Map<string, ChildProcess>()
 	private readonly readyUrls = new Map<string, string>()
 	private readonly hostStates = new Map<string, HostState>()
+	private readonly advertise: DeploymentOptions["advertise"]
+	/** Advertised link addresses by host id. */
+	private readonly advertised = new Map<string, string>()
 	private addresses: DeploymentAddresses = {
 		platformUrl: "",
 		weightStoreUrl: "",
@@ -67,6 +73,7 @@
 		spec,
 		distDir = defaultDistDir(),
 		env = {},
+		advertise,
 		operatorToken = "bench-token",
 		logLevel = "warn",
 		drainMs = 60_000
@@ -74,12 +81,14 @@
 		this.spec = spec
 		this.distDir = distDir
 		this.operatorToken = operatorToken
+		this.advertise = advertise
 		this.programs = {env, operatorToken, logLevel, drainMs}
 	}
 
 	/** Starts the stand-ins and registers the hosts to come. */
 	async startStandins(): Promise<void> {
 		this.addresses = await chooseAddresses(this.spec)
+		await this.findAdvertised()
 		const {addresses, spec} = this
 		this.startChild(platformCommand(addresses))
 		this.startChild(weightStoreCommand(addresses, spec))
@@ -100,7 +109,8 @@
 			this.startChild(entryCommand(entry, options))
 		}
 		for (const endpoint of this.endpoints) {
-			this.startChild(endpointCommand(endpoint, options))
+			const env = {...options.env, ...this.advertiseEnv(endpoint.id)}
+			this.startChild(endpointCommand(endpoint, {...options, env}))
 		}
 	}
 
@@ -206,6 +216,18 @@
 		child.start()
 	}
 
+	private async findAdvertised(): Promise<void> {
+		if (this.advertise === undefined) return
+		for (const endpoint of this.endpoints) {
+			this.advertised.set(endpoint.id, await this.advertise(endpoint))
+		}
+	}
+
+	private advertiseEnv(id: string): Record<string, string> {
+		const address = this.advertised.get(id)
+		return address === undefined ? {} : {[advertiseVariable]: address}
+	}
+
 	private workerUrlsOf(pool: string): string[] {
 		const endpoints = this.endpoints.filter(one => one.pool === pool)
 		return endpoints.flatMap(one => one.workerUrls)
@@ -227,7 +249,8 @@
 		role: HostRole,
 		host: Pick<EndpointAddresses, "id" | "link" | "failureDomain" | "pool">
 	): HostRecord {
-		const {id, link: address, failureDomain, pool} = host
+		const {id, link, failureDomain, pool} = host
+		const address = this.advertised.get(id) ?? link
 		const state = this.hostStates.get(id) ?? HostState.Live
 		return {id, role, address, failureDomain, pool, state}
 	}
--- a/standins/index.ts
+++ b/standins/index.ts
@@ -1,5 +1,6 @@
 export type {CommonFaults, Counts, ListenOptions} from "./common/index.js"
 export * from "./engine/index.js"
 export * from "./platform/index.js"
+export * from "./relay.js"
 export * from "./service.js"
 export * from "./weightStore.js"
--- /dev/null
+++ b/standins/relay.ts
@@ -0,0 +1,212 @@
+/**
+ * A TCP relay on the loopback interface whose links can be cut, slowed and
+ * reset. It stands in for the network between two processes.
+ */
+import {once} from "node:events"
+import {
+	type AddressInfo,
+	connect,
+	createServer,
+	type Server,
+	type Socket
+} from "node:net"
+import {sleep} from "../src/utils/common.js"
+import type {ListenOptions} from "./common/index.js"
+
+export interface RelayOptions extends ListenOptions {
+	/** `ip:port` that connections are forwarded to. */
+	target: string
+}
+
+/** Directions in which a relay discards bytes. */
+export enum Cut {
+	None = "none",
+	/** From the client to the target. */
+	ToTarget = "toTarget",
+	/** From the target back to the client. */
+	ToClient = "toClient",
+	Both = "both"
+}
+
+export interface RelayTruth {
+	/** Connections that are open now. */
+	open: number
+	/** Connections accepted so far. */
+	accepted: number
+	forwardedBytes: number
+	discardedBytes: number
+}
+
+/** The two sockets of a relayed connection. */
+interface Connection {
+	client: Socket
+	target: Socket
+	/** Bytes were discarded, so that the rest can't be understood any more. */
+	isBroken: boolean
+}
+
+/** Starts a relay in front of `target`. */
+export async function startRelay(options: RelayOptions): Promise<Relay> {
+	const {ip = "127.0.0.1", port = 0} = options
+	const relay = new Relay(options.target)
+	await relay.listen(ip, port)
+	return relay
+}
+
+export class Relay {
+	private readonly server: Server
+	private readonly connections = new Set<Connection>()
+	private readonly targetIp: string
+	private readonly targetPort: number
+	private cutDirection = Cut.None
+	private delayMs = 0
+	private accepted = 0
+	private forwardedBytes = 0
+	private discardedBytes = 0
+
+	constructor(target: string) {
+		const separator = target.lastIndexOf(":")
+		this.targetIp = target.slice(0, separator)
+		this.targetPort = Number(target.slice(separator + 1))
+		this.server = createServer(client => {
+			this.accept(client)
+		})
+	}
+
+	/** `ip:port` that clients connect to. */
+	get address(): string {
+		const {address, port} = this.server.address() as AddressInfo
+		return `${address}:${port}`
+	}
+
+	truth(): RelayTruth {
+		return {
+			open: this.connections.size,
+			accepted: this.accepted,
+			forwardedBytes: this.forwardedBytes,
+			discardedBytes: this.discardedBytes
+		}
+	}
+
+	/** Discards bytes silently; connections stay and new ones are accepted. */
+	cut(direction: Cut = Cut.Both): void {
+		this.cutDirection = direction
+	}
+
+	/** Forwards bytes that much later, in order. */
+	delay(delayMs: number): void {
+		this.delayMs = delayMs
+	}
+
+	/** Resets every connection; new ones are accepted. */
+	reset(): void {
+		for (const connection of this.connections) resetBoth(connection)
+	}
+
+	/** Ends all faults and resets connections that lost bytes. */
+	heal(): void {
+		this.cutDirection = Cut.None
+		this.delayMs = 0
+		for (const connection of this.connections) {
+			if (connection.isBroken) resetBoth(connection)
+		}
+	}
+
+	async listen(ip: string, port: number): Promise<void> {
+		this.server.listen(port, ip)
+		await once(this.server, "listening")
+	}
+
+	async close(): Promise<void> {
+		const closed = once(this.server, "close")
+		this.server.close()
+		this.reset()
+		await closed
+	}
+
+	private accept(client: Socket): void {
+		this.accepted += 1
+		const target = connect(this.targetPort, this.targetIp)
+		const connection = {client, target, isBroken: false}
+		this.connections.add(connection)
+		this.forward(connection, client, target, Cut.ToTarget)
+		this.forward(connection, target, client, Cut.ToClient)
+	}
+
+	/** Forwards one direction, each chunk after the ones before it. */
+	private forward(
+		connection: Connection,
+		from: Socket,
+		to: Socket,
+		direction: Cut
+	): void {
+		let sent = Promise.resolve()
+		const append = (send: () => void): void => {
+			const dueAt = performance.now() + this.delayMs
+			sent = sent.then(() => waitUntil(dueAt)).then(send)
+		}
+		from.setNoDelay(true)
+		from.on("data", chunk => {
+			append(() => {
+				this.pass(connection, to, chunk, direction)
+			})
+		})
+		from.on("error", () => undefined)
+		from.on("close", hadError => {
+			this.release(connection)
+			append(() => {
+				this.passClose(connection, to, hadError, direction)
+			})
+		})
+	}
+
+	private pass(
+		connection: Connection,
+		to: Socket,
+		chunk: Buffer,
+		direction: Cut
+	): void {
+		if (this.isCut(direction)) {
+			connection.isBroken = true
+			this.discardedBytes += chunk.length
+			return
+		}
+		// Bytes after a gap would be taken for others.
+		if (connection.isBroken || to.destroyed) return
+		this.forwardedBytes += chunk.length
+		to.write(chunk)
+	}
+
+	/** Closes the other side too, unless the link would not carry that. */
+	private passClose(
+		connection: Connection,
+		to: Socket,
+		hadError: boolean,
+		direction: Cut
+	): void {
+		if (to.destroyed) return
+		if (this.isCut(direction)) connection.isBroken = true
+		else if (hadError) to.resetAndDestroy()
+		else to.destroySoon()
+	}
+
+	private isCut(direction: Cut): boolean {
+		return this.cutDirection === Cut.Both || this.cutDirection === direction
+	}
+
+	/** Forgets a connection once both sides are closed. */
+	private release(connection: Connection): void {
+		const {client, target} = connection
+		if (client.closed && target.closed) this.connections.delete(connection)
+	}
+}
+
+function resetBoth({client, target}: Connection): void {
+	if (!client.destroyed) client.resetAndDestroy()
+	if (!target.destroyed) target.resetAndDestroy()
+}
+
+function waitUntil(dueAt: number): Promise<void> {
+	const waitMs = dueAt - performance.now()
+	return waitMs > 0 ? sleep(waitMs) : Promise.resolve()
+}
