--- a/bench/policy/micro.ts
+++ b/bench/policy/micro.ts
@@ -2,6 +2,7 @@
 import {
 	AdapterScheduler,
 	DemandLoadShares,
+	Popularity,
 	RequestClass,
 	ResidencyRouter,
 	SchedulerActionKind,
@@ -18,6 +19,8 @@
 const schedulerSteps = 20_000
 const shareDecisions = 200_000
 const adapters = 3000
+/** Fewer objects than this are lost in the noise of the heap. */
+const minHeapSample = 1000
 const slots = 8
 const noneExcluded: ReadonlySet<string> = new Set()
 
@@ -25,6 +28,8 @@
 	for (const endpoints of [8, 40, 320]) measureRouter(endpoints, seed)
 	for (const queued of [16, 1000, 10_000]) measureScheduler(queued, seed)
 	measureShares()
+	measurePopularity()
+	measureResidency()
 }
 
 function measureRouter(endpoints: number, seed: number): void {
@@ -113,9 +118,10 @@
 		if (scheduler.snapshot().queued < queued) arrive()
 	}
 	const us = (1000 * stepMs) / steps
+	const heap = queued < minHeapSample ? "-" : heapBytes.toFixed(0)
 	console.log(
 		`scheduler, ${queued} queued: ${us.toFixed(1)} us a step, ` +
-			`${heapBytes.toFixed(0)} heap bytes a request`
+			`${heap} heap bytes a request`
 	)
 }
 
@@ -158,6 +164,29 @@
 	console.log(`load shares, 40 entries: ${us.toFixed(2)} us a share`)
 }
 
+function measurePopularity(): void {
+	const before = readHeap()
+	const popularity = new Popularity({maxCounters: 20_000})
+	for (let adapter = 0; adapter < 20_000; adapter++) {
+		popularity.add(`base:adapter-${adapter}@1`, 0)
+	}
+	const bytes = (readHeap() - before) / popularity.size
+	console.log(`popularity: ${bytes.toFixed(0)} heap bytes an adapter`)
+}
+
+/** The views of an entry, for 320 endpoints of five engines. */
+function measureResidency(): void {
+	const before = readHeap()
+	const sets = Array.from({length: 320}, (_, host) => {
+		const names = Array.from({length: 5 * slots}, (_name, index) => {
+			return `base:adapter-${host}-${index}@1`
+		})
+		return new Set(names)
+	})
+	const bytes = (readHeap() - before) / (sets.length * 5 * slots)
+	console.log(`residency: ${bytes.toFixed(0)} heap bytes a resident adapter`)
+}
+
 function timeEach(call: () => void, times: number): number {
 	for (let count = 0; count < times / 10; count++) call()
 	const start = performance.now()
