Count retries from the end of the warm-up, and name restarted processes

Retries of the warm-up were divided by the calls after it, and a restarted process showed 0.0 KB/s, as its counts begin anew.

--- a/bench/scenario/figures.ts
+++ b/bench/scenario/figures.ts
@@ -22,7 +22,8 @@
 	id: string
 	/** Share of one core. */
 	cpuShare: number
-	bytesPerSecond: number
+	/** Undefined for a process that was restarted in between. */
+	bytesPerSecond: number | undefined
 	/** Before any request was sent. */
 	idleBytesPerSecond: number
 	idleCpuShare: number
@@ -74,7 +75,7 @@
 	const steps = sumOf(after, "steps") - sumOf(before, "steps")
 	const tokens = sumOf(after, "tokenSum") - sumOf(before, "tokenSum")
 	const drafts = sum(summary.routes.map(one => one.firstTokenMs.count))
-	const retries = sum(last.usage.map(one => sumRetries(one.counters)))
+	const retries = sumRetries(first.usage, last.usage)
 	return {
 		loads,
 		failedLoads: after.weightStore.failed - before.weightStore.failed,
@@ -93,7 +94,17 @@
 	return sum(engines.map(engine => engine[field]))
 }
 
-function sumRetries(counters: Record<string, number>): number {
+/** Retries since the first snapshot; a restarted process counts from zero. */
+function sumRetries(first: ProcessUsage[], last: ProcessUsage[]): number {
+	const counts = last.map(({counters}, index) => {
+		const old = countRetries(first[index]?.counters ?? {})
+		const now = countRetries(counters)
+		return now < old ? now : now - old
+	})
+	return sum(counts)
+}
+
+function countRetries(counters: Record<string, number>): number {
 	const names = Object.keys(counters).filter(name => name.startsWith("retry."))
 	return sum(names.map(name => counters[name] ?? 0))
 }
@@ -108,12 +119,12 @@
 	return after.usage.map((usage, index) => {
 		const old = before.usage[index]
 		const quiet = idle[index]
-		// A restarted process counts its bytes from zero.
-		const bytes = Math.max(0, usage.bytes - (old?.bytes ?? 0))
+		const bytes = usage.bytes - (old?.bytes ?? 0)
+		const bytesPerSecond = (bytes / elapsedMs) * msPerSecond
 		return {
 			id: usage.id,
 			cpuShare: (usage.cpuMs - (old?.cpuMs ?? 0)) / elapsedMs,
-			bytesPerSecond: (bytes / elapsedMs) * msPerSecond,
+			bytesPerSecond: bytes < 0 ? undefined : bytesPerSecond,
 			idleBytesPerSecond: quiet?.bytesPerSecond ?? 0,
 			idleCpuShare: quiet?.cpuShare ?? 0,
 			rssBytes: usage.rssBytes
--- a/bench/scenario/table.ts
+++ b/bench/scenario/table.ts
@@ -101,7 +101,7 @@
 			one.id.padEnd(18),
 			pad((one.cpuShare * 100).toFixed(1), 7),
 			pad((one.idleCpuShare * 100).toFixed(1), 11),
-			pad((one.bytesPerSecond / 1024).toFixed(1), 8),
+			pad(renderKilobytes(one.bytesPerSecond), 8),
 			pad((one.idleBytesPerSecond / 1024).toFixed(1), 10),
 			pad(Math.round(one.rssBytes / bytesPerMegabyte), 13)
 		].join(" ")
@@ -109,6 +109,10 @@
 	return [header, ...rows]
 }
 
+function renderKilobytes(bytes: number | undefined): string {
+	return bytes === undefined ? "restarted" : (bytes / 1024).toFixed(1)
+}
+
 function renderViolations({violations}: ScenarioResult): string[] {
 	const count = countViolations(violations)
 	const parts = Object.entries(violations) as [string, number][]
