Prove drafts, stops and configuration under faults; mend what they showed

Causes found by the cells, each before its change: - An engine that drops an event ended the endpoint process: the line reader re-emitted the abort of a stream that was left early. Events are now parsed by a library that does not own the stream. - An adapter in use was evicted once: a load report taken before a load ended made the worker forget that adapter, and the clean-up after a failed load then unloaded it. Reports that overlap an order are dropped, and an adapter with a running request is never unloaded, whoever asks. - Queued drafts of a leaving host ended as cancelled instead of moving on. - A restarted endpoint process was admitted seconds late, since it announced itself before it had its incarnation, and its scheduler took the slots that its engines still held for free, so that loads failed. It now announces itself when it serves, and takes over what is resident. - A refusal for load by all hosts was reported as unreachable. Also: a watch gap no longer makes the watch spin, and the drain order needs the operator's token at endpoint processes as well.

--- a/__tests__/faults/bed.ts
+++ b/__tests__/faults/bed.ts
@@ -10,12 +10,15 @@
 } from "../../bench/deployment/index.js"
 import {parseConfiguration} from "../../src/contract/config/index.js"
 import {HttpPlatform} from "../../src/link/index.js"
-import {applyConfiguration} from "../../src/operator/apply.js"
+import {applyConfiguration, type ApplyResult} from "../../src/operator/apply.js"
+import {createLinkOpener} from "../../src/operator/entryLink.js"
+import {handOver} from "../../src/operator/handOver.js"
 import {sleep} from "../../src/utils/common.js"
 
 const failureDomains = ["north", "south", "east", "west"]
 const adapterCount = 24
 const pollMs = 25
+const linkTimeoutMs = 3000
 const waitLimitMs = 20_000
 
 export const enginePool = "writers"
@@ -74,6 +77,8 @@
 	readonly deployment: Deployment
 	readonly platform: HttpPlatform
 
+	private accepted: ApplyResult | undefined
+
 	private constructor(deployment: Deployment) {
 		this.deployment = deployment
 		this.platform = new HttpPlatform({url: deployment.platformUrl})
@@ -115,9 +120,21 @@
 			applyId: `apply-${Date.now()}-${Math.random()}`,
 			now: () => Date.now()
 		})
+		this.accepted = report
 		return report.generation
 	}
 
+	/** Hands the last apply to the entries, as the operator command does. */
+	async handOver(): Promise<void> {
+		const {root, newParts} = this.accepted ?? {}
+		if (root === undefined || newParts === undefined) return
+		const {entries, operatorToken} = this.deployment
+		const open = createLinkOpener(undefined, linkTimeoutMs)
+		const links = entries.map(({link}) => open(link))
+		await handOver(links, root, newParts, operatorToken)
+		for (const link of links) link.close()
+	}
+
 	async fault(url: string, faults: object): Promise<void> {
 		await callJson(`${url}/control/faults`, {method: "POST", body: faults})
 	}
--- a/bench/deployment/commands.ts
+++ b/bench/deployment/commands.ts
@@ -101,7 +101,7 @@
 
 export function endpointCommand(
 	endpoint: EndpointAddresses,
-	{addresses, env, logLevel, drainMs}: ProgramOptions
+	{addresses, env, operatorToken, logLevel, drainMs}: ProgramOptions
 ): Command {
 	const {id, failureDomain, pool, link, health, workerUrls} = endpoint
 	return {
@@ -117,6 +117,7 @@
 			workers: workerUrls.join(","),
 			platform: addresses.platformUrl,
 			entries: addresses.entries.map(entry => entry.link).join(","),
+			"operator-token": operatorToken,
 			"log-level": logLevel,
 			"drain-ms": drainMs
 		}),
--- a/src/endpoint/endpointTask.ts
+++ b/src/endpoint/endpointTask.ts
@@ -3,11 +3,13 @@
  * it. It binds its link address first, which makes it their only sender.
  */
 import {create} from "@bufbuild/protobuf"
+import * as grpc from "@grpc/grpc-js"
 import type {Server} from "node:http"
 import {PoolType, type ConfigRoot, type Pool} from "../contract/config/index.js"
 import {
 	type Ack,
 	AckSchema,
+	type DrainRequest,
 	HostState,
 	NotRunReason,
 	type ReportAck,
@@ -28,6 +30,7 @@
 	type ReportCall,
 	type RunCall,
 	readTlsKeys,
+	RefusedCallError,
 	ServiceClient,
 	type TlsKeys
 } from "../link/index.js"
@@ -37,6 +40,7 @@
 import {Counters} from "../program/counters.js"
 import {startHealthServer} from "../program/health.js"
 import {createLog, type Log} from "../program/log.js"
+import {isToken} from "../program/token.js"
 import type {Service} from "../program/run.js"
 import {answerConfigRequest, ConfigStore} from "../spread/index.js"
 import {sleep} from "../utils/common.js"
@@ -95,6 +99,7 @@
 			store: this.store,
 			counters: this.counters,
 			log: this.log,
+			isAnnounceable: () => this.incarnation > 0,
 			describe: () => this.describe()
 		})
 		this.reporter = new Reporter({
@@ -160,7 +165,7 @@
 					this.reporter.attach(call)
 				},
 				config: req => Promise.resolve(answerConfigRequest(this.store, req)),
-				drain: () => this.drainByOperator(),
+				drain: req => this.drainByOperator(req),
 				status: () => Promise.resolve(this.status()),
 				ticket: req => this.mintTicket(req)
 			}
@@ -198,6 +203,7 @@
 			generation: root.generation
 		})
 		this.reporter.flush()
+		await this.contacts.announce()
 	}
 
 	private async openEngines(root: ConfigRoot, pool: Pool): Promise<void> {
@@ -391,8 +397,12 @@
 		void this.drain().then(() => process.exit(1))
 	}
 
-	private async drainByOperator(): Promise<Ack> {
+	private async drainByOperator({token}: DrainRequest): Promise<Ack> {
 		await Promise.resolve()
+		if (!isToken(this.settings.operatorToken, token)) {
+			const message = "the operator token is missing or wrong"
+			throw new RefusedCallError(grpc.status.PERMISSION_DENIED, message)
+		}
 		if (this.state !== HostState.LEAVING) {
 			void this.drain().then(() => process.exit(0))
 		}
--- a/src/endpoint/engineHost.ts
+++ b/src/endpoint/engineHost.ts
@@ -52,6 +52,8 @@
 	keepFinishedMs?: number
 }
 
+type LoadAction = Extract<SchedulerAction, {kind: SchedulerActionKind.Load}>
+
 const prefixLength = 64
 const maxLocalAttempts = 3
 const refusedRetryMs = 100
@@ -214,8 +216,8 @@
 	/** Removes a waiting generation from the scheduler. */
 	private drop(generation: Generation): void {
 		const {id} = generation.draft
-		this.step({kind: SchedulerEventKind.Cancelled, id})
 		this.forget(generation)
+		this.step({kind: SchedulerEventKind.Cancelled, id})
 	}
 
 	private step(event: SchedulerEvent): void {
@@ -227,7 +229,7 @@
 	private carryOut(action: SchedulerAction): void {
 		switch (action.kind) {
 			case SchedulerActionKind.Load:
-				void this.load(action.worker, action.adapter, action.evict)
+				void this.load(action)
 				return
 			case SchedulerActionKind.Run:
 				void this.start(action.worker, action.id, action.loadStallMs)
@@ -243,11 +245,12 @@
 		}
 	}
 
-	private async load(
-		worker: string,
-		adapter: AdapterName,
-		evict: AdapterName | undefined
-	): Promise<void> {
+	private async load({
+		worker,
+		adapter,
+		evict,
+		load
+	}: LoadAction): Promise<void> {
 		const startedAt = Date.now()
 		let ok = true
 		try {
@@ -267,7 +270,8 @@
 			worker,
 			adapter,
 			ok,
-			tookMs
+			tookMs,
+			...(load === undefined ? {} : {load})
 		})
 	}
 
--- a/src/endpoint/engineWorker.ts
+++ b/src/endpoint/engineWorker.ts
@@ -67,6 +67,10 @@
 	private readonly orders = new PQueue({concurrency: 1})
 	private readonly stop = new AbortController()
 	private readonly loaded = new Set<AdapterName>()
+	/** Number of runs of each adapter in use. */
+	private readonly inUse = new Map<AdapterName, number>()
+	/** Orders that ended, to tell whether a load report is still current. */
+	private ordersEnded = 0
 	private incarnation = ""
 	private isUp = false
 	private missedPolls = 0
@@ -101,12 +105,35 @@
 				this.checkFence(err)
 				await this.reconcile()
 				throw err
+			} finally {
+				this.ordersEnded += 1
 			}
 		})
 	}
 
 	/** Runs a generation to its end, resuming on the engine when it breaks. */
 	async run(generation: Generation): Promise<RunResult> {
+		const {adapter} = generation.draft
+		this.inUse.set(adapter, (this.inUse.get(adapter) ?? 0) + 1)
+		try {
+			return await this.runInUse(generation)
+		} finally {
+			this.release(adapter)
+		}
+	}
+
+	async close(): Promise<void> {
+		this.stop.abort()
+		await this.engine.close()
+	}
+
+	private release(adapter: AdapterName): void {
+		const left = (this.inUse.get(adapter) ?? 0) - 1
+		if (left > 0) this.inUse.set(adapter, left)
+		else this.inUse.delete(adapter)
+	}
+
+	private async runInUse(generation: Generation): Promise<RunResult> {
 		const {draft, req, abort} = generation
 		try {
 			const events = await this.engine.complete({
@@ -123,12 +150,10 @@
 		}
 	}
 
-	async close(): Promise<void> {
-		this.stop.abort()
-		await this.engine.close()
-	}
-
 	private async unload(adapter: AdapterName): Promise<void> {
+		if (this.inUse.has(adapter)) {
+			throw this.loadError(`adapter ${adapter} is in use and stays loaded`)
+		}
 		this.loaded.delete(adapter)
 		try {
 			await this.engine.unload(adapter)
@@ -143,7 +168,7 @@
 		try {
 			const {resident} = await this.engine.report()
 			for (const adapter of resident) {
-				if (!this.loaded.has(adapter)) await this.engine.unload(adapter)
+				if (!this.loaded.has(adapter)) await this.unload(adapter)
 			}
 		} catch {
 			// The poll reports an engine that does not answer.
@@ -226,6 +251,7 @@
 
 	private async poll(): Promise<void> {
 		let report: EngineLoad
+		const {ordersEnded} = this
 		try {
 			report = await this.engine.report()
 		} catch {
@@ -233,7 +259,9 @@
 			return
 		}
 		this.missedPolls = 0
-		this.noteReport(report)
+		// What an order changed meanwhile may be missing from the report.
+		const isCurrent = ordersEnded === this.ordersEnded
+		if (isCurrent && this.orders.pending === 0) this.noteReport(report)
 	}
 
 	private missPoll(): void {
@@ -257,6 +285,10 @@
 		this.listener.onUp(this.name, report.resident)
 	}
 
+	private loadError(message: string): StepError {
+		return new StepError(message, {step: Step.Load, peer: this.engine.url})
+	}
+
 	private streamError(message: string): StepError {
 		return new StepError(message, {step: Step.Stream, peer: this.engine.url})
 	}
--- a/src/endpoint/entryContacts.ts
+++ b/src/endpoint/entryContacts.ts
@@ -20,6 +20,8 @@
 	store: ConfigStore
 	counters: Counters
 	log: Log
+	/** False until the process has its incarnation. */
+	isAnnounceable: () => boolean
 	describe: () => MessageInitShape<typeof AnnounceSchema>
 }
 
@@ -85,7 +87,9 @@
 		this.clients.close()
 	}
 
+	/** An announcement before the incarnation is known could not be ranked. */
 	private async announceTo(address: string): Promise<void> {
+		if (!this.options.isAnnounceable()) return
 		const client = this.clients.get(address)
 		const {generation} = await client.announce(this.options.describe())
 		this.spread.hear(address, generation)
--- a/src/entry/entryTask.ts
+++ b/src/entry/entryTask.ts
@@ -2,7 +2,6 @@
  * The entry process: takes requests from callers and routes them to endpoint
  * processes. It keeps nothing that others depend on.
  */
-import {timingSafeEqual} from "node:crypto"
 import {create} from "@bufbuild/protobuf"
 import * as grpc from "@grpc/grpc-js"
 import {
@@ -38,6 +37,7 @@
 	advertisedAddress,
 	Counters,
 	createLog,
+	isToken,
 	type Log,
 	type Service
 } from "../program/index.js"
@@ -227,13 +227,7 @@
 	}
 
 	private checkToken(token: string): void {
-		const expected = Buffer.from(this.settings.operatorToken)
-		const given = Buffer.from(token)
-		const isEqual =
-			expected.length > 0 &&
-			expected.length === given.length &&
-			timingSafeEqual(expected, given)
-		if (isEqual) return
+		if (isToken(this.settings.operatorToken, token)) return
 		const message = "the operator token is missing or wrong"
 		throw new RefusedCallError(grpc.status.PERMISSION_DENIED, message)
 	}
--- a/src/entry/generationCall.ts
+++ b/src/entry/generationCall.ts
@@ -61,6 +61,8 @@
 
 const retryAfterMs = 1000
 const maxReroutes = 8
+/** Endpoint processes asked before a refusal for load is believed. */
+const maxLoadAttempts = 2
 
 /** Reasons for which another endpoint process may take the request. */
 const reroutable: ReadonlySet<NotRunReason> = new Set([
@@ -94,16 +96,18 @@
 	async run(): Promise<FailedOutcome | undefined> {
 		const {budget} = this.options
 		budget.addRequest(Date.now())
+		let failed: FailedOutcome | undefined
 		for (;;) {
 			const link = this.chooseLink()
-			if (link === undefined) return this.refuseUnroutable()
+			if (link === undefined) return failed ?? this.refuseUnroutable()
 			this.attempts += 1
 			const attempt = await this.attempt(link)
 			if ("finished" in attempt) {
 				this.options.sink.finish(attempt.finished, this.sent)
 				return undefined
 			}
-			if (!this.mayTryAgain(attempt.failed)) return attempt.failed
+			failed = attempt.failed
+			if (!this.mayTryAgain(failed)) return failed
 			this.excluded.add(link.hostId)
 			this.options.counters.add("retry.generation")
 		}
@@ -139,6 +143,9 @@
 			return budget.tryRetry(now)
 		}
 		if (freeReroutes.has(failed.reason)) return true
+		if (isLoadRelated(failed.reason) && this.attempts >= maxLoadAttempts) {
+			return false
+		}
 		return reroutable.has(failed.reason) && budget.tryRetry(now)
 	}
 
@@ -232,3 +239,8 @@
 		return true
 	}
 }
+
+function isLoadRelated(reason: NotRunReason): boolean {
+	const {OVERLOADED, DEADLINE} = NotRunReason
+	return reason === OVERLOADED || reason === DEADLINE
+}
--- a/src/entry/settings.ts
+++ b/src/entry/settings.ts
@@ -29,11 +29,6 @@
 		schema: kinds.path,
 		description: "Private key file of the callers' side (PEM)"
 	},
-	operatorToken: {
-		schema: kinds.secret,
-		description: "Token that operator calls must carry; none are taken unset",
-		secret: true
-	},
 	memberSecret: {
 		schema: kinds.secret,
 		description:
--- a/src/link/sse.ts
+++ b/src/link/sse.ts
@@ -1,15 +1,20 @@
 /** Reads the data of server-sent events from a byte stream. */
-import {createInterface} from "node:readline"
 import type {Readable} from "node:stream"
+import {createParser} from "eventsource-parser"
 
-const dataPrefix = "data:"
-
-/** Yields the text of each `data:` line; ends when the stream ends. */
+/** Yields the data of each event; ends when the stream ends. */
 export async function* readEvents(body: Readable): AsyncGenerator<string> {
-	const lines = createInterface({input: body, crlfDelay: Infinity})
-	for await (const line of lines) {
-		if (line.startsWith(dataPrefix)) {
-			yield line.slice(dataPrefix.length).trim()
+	const ready: string[] = []
+	const parser = createParser({
+		onEvent: event => {
+			ready.push(event.data)
 		}
+	})
+	const decoder = new TextDecoder()
+	// A reader that stops early destroys the stream, which then emits an error.
+	body.on("error", () => undefined)
+	for await (const chunk of body) {
+		parser.feed(decoder.decode(chunk as Buffer, {stream: true}))
+		yield* ready.splice(0)
 	}
 }
--- a/src/policy/adapterScheduler.ts
+++ b/src/policy/adapterScheduler.ts
@@ -22,10 +22,10 @@
 	SchedulerOptions,
 	SchedulerSnapshot
 } from "./scheduler.js"
-import {countFreeSeats, SlotState} from "./slots.js"
+import {adoptResident, countFreeSeats, SlotState} from "./slots.js"
 import type {Worker} from "./slots.js"
 import {RefusalReason, RequestClass} from "./types.js"
-import type {Draft} from "./types.js"
+import type {AdapterName, Draft} from "./types.js"
 import {getRank, WaitQueue} from "./waitQueue.js"
 import type {Waiting} from "./waitQueue.js"
 
@@ -101,9 +101,11 @@
 				return
 			case SchedulerEventKind.WorkerReset:
 				this.resetWorker(event.worker, now)
+				this.adopt(event.worker, event.resident, now)
 				return
 			case SchedulerEventKind.WorkerUp:
 				this.setWorkerUp(event.worker, true)
+				this.adopt(event.worker, event.resident, now)
 				return
 			case SchedulerEventKind.WorkerDown:
 				this.setWorkerUp(event.worker, false)
@@ -192,6 +194,18 @@
 		if (worker) this.loads.lose(this.engines.reset(worker), now)
 	}
 
+	private adopt(
+		id: string,
+		resident: readonly AdapterName[] | undefined,
+		now: number
+	): void {
+		const worker = this.engines.get(id)
+		if (!worker) return
+		for (const adapter of adoptResident(worker, resident ?? [], now)) {
+			this.loads.refresh(adapter)
+		}
+	}
+
 	private setWorkerUp(id: string, isUp: boolean): void {
 		const worker = this.engines.get(id)
 		if (!worker || worker.isUp === isUp) return
--- a/src/policy/baselines/fifoScheduler.ts
+++ b/src/policy/baselines/fifoScheduler.ts
@@ -15,7 +15,13 @@
 	SchedulerOptions,
 	SchedulerSnapshot
 } from "../scheduler.js"
-import {countFreeSeats, createWorker, isResident, SlotState} from "../slots.js"
+import {
+	adoptResident,
+	countFreeSeats,
+	createWorker,
+	isResident,
+	SlotState
+} from "../slots.js"
 import type {Slot, Worker} from "../slots.js"
 import {RefusalReason} from "../types.js"
 import type {AdapterName, Draft} from "../types.js"
@@ -90,8 +96,12 @@
 				return
 			case SchedulerEventKind.WorkerReset:
 				this.resetWorker(event.worker)
+				this.adopt(event.worker, event.resident, now)
 				return
 			case SchedulerEventKind.WorkerUp:
+				this.setWorkerUp(event.worker, event.kind)
+				this.adopt(event.worker, event.resident, now)
+				return
 			case SchedulerEventKind.WorkerDown:
 				this.setWorkerUp(event.worker, event.kind)
 				return
@@ -176,6 +186,15 @@
 		worker.runs.clear()
 	}
 
+	private adopt(
+		id: string,
+		resident: readonly AdapterName[] | undefined,
+		now: number
+	): void {
+		const worker = this.workers.get(id)
+		if (worker) adoptResident(worker, resident ?? [], now)
+	}
+
 	private setWorkerUp(id: string, kind: SchedulerEventKind): void {
 		const worker = this.workers.get(id)
 		if (worker) worker.isUp = kind === SchedulerEventKind.WorkerUp
--- a/src/policy/slots.ts
+++ b/src/policy/slots.ts
@@ -69,6 +69,24 @@
 	}
 }
 
+/**
+ * Takes over the adapters that an engine holds from before its scheduler knew
+ * it, as far as slots are left; returns those taken over.
+ */
+export function adoptResident(
+	worker: Worker,
+	resident: readonly AdapterName[],
+	now: number
+): AdapterName[] {
+	const unknown = resident.filter(adapter => !worker.slots.has(adapter))
+	const adopted = unknown.slice(0, worker.capacity - worker.slots.size)
+	for (const adapter of adopted) {
+		const state = SlotState.Resident
+		worker.slots.set(adapter, {adapter, state, pins: 0, loadedAt: now, load: 0})
+	}
+	return adopted
+}
+
 export function countFreeSeats(worker: Worker): number {
 	return worker.isUp ? Math.max(0, worker.seats - worker.runs.size) : 0
 }
--- a/src/program/commonSpecs.ts
+++ b/src/program/commonSpecs.ts
@@ -37,6 +37,11 @@
 		description: "Allow plain text on other than loopback addresses",
 		placeholder: "true|false"
 	},
+	operatorToken: {
+		schema: kinds.secret,
+		description: "Token that operator calls must carry; none are taken unset",
+		secret: true
+	},
 	statsd: {
 		schema: z.union([kinds.address, z.literal("")]).default(""),
 		description: "Address of a statsd server for counters",
--- a/src/spread/spreadTask.ts
+++ b/src/spread/spreadTask.ts
@@ -256,7 +256,11 @@
 				const deadline = Date.now() + watchMs
 				const seen = await platform.watch(configRootKind, revision, deadline)
 				revision = seen.gap ? 0 : seen.revision
-				if (seen.gap) this.step({kind: SpreadEventKind.WatchGap})
+				if (seen.gap) {
+					counters.add("config.watchGaps")
+					this.step({kind: SpreadEventKind.WatchGap})
+					await sleep(watchRetryMs, signal)
+				}
 				const latest = seen.events.findLast(
 					event => event.name === configRootName && event.value !== null
 				)
