--- a/src/policy/__tests__/adapterScheduler.test.ts
+++ b/src/policy/__tests__/adapterScheduler.test.ts
@@ -261,6 +261,16 @@
 		expect(pick(late, Run)).toEqual([])
 	})
 
+	it("takes a request that is waiting or running only once", () => {
+		const scheduler = create()
+		const draft = createDraft()
+		arrive(scheduler, draft)
+		expect(pick(arrive(scheduler, draft), Refuse)).toEqual([])
+		expect(pick(endLoad(scheduler, "a", 250), Run)).toHaveLength(1)
+		expect(pick(arrive(scheduler, draft), Run)).toEqual([])
+		expect(scheduler.snapshot()).toMatchObject({running: 1, queued: 0})
+	})
+
 	it("gives no work to a worker that is down", () => {
 		const scheduler = create()
 		const kind = SchedulerEventKind.WorkerDown
--- a/src/policy/adapterScheduler.ts
+++ b/src/policy/adapterScheduler.ts
@@ -118,7 +118,9 @@
 		}
 	}
 
+	/** A request that is waiting or running already is not taken twice. */
 	private arrive(draft: Draft, now: number): void {
+		if (this.queue.get(draft.id) || this.engines.hasRun(draft.id)) return
 		this.popularity.add(draft.adapter, now)
 		if (!this.engines.isAnyUp()) {
 			this.pushRefusal(draft.id, RefusalReason.Overloaded, outageRetryMs)
--- a/src/policy/engines.ts
+++ b/src/policy/engines.ts
@@ -114,6 +114,13 @@
 		return run
 	}
 
+	hasRun(id: string): boolean {
+		for (const worker of this.workers.values()) {
+			if (worker.runs.has(id)) return true
+		}
+		return false
+	}
+
 	/** Marks a run as cancelled, so that its time teaches nothing. */
 	cancelRun(id: string): void {
 		for (const worker of this.workers.values()) {
