Test that a scheduler takes over what an engine holds

The takeover of resident adapters on WorkerUp had no unit test; with it switched off, the test fails on the first expectation.

--- a/src/policy/__tests__/adapterScheduler.test.ts
+++ b/src/policy/__tests__/adapterScheduler.test.ts
@@ -271,6 +271,17 @@
 		expect(scheduler.snapshot()).toMatchObject({running: 1, queued: 0})
 	})
 
+	it("takes over what an engine holds, up to its slots", () => {
+		const scheduler = create()
+		const kind = SchedulerEventKind.WorkerUp
+		const resident = ["a", "b", "c"]
+		scheduler.step({kind, worker: "w1", resident}, 0)
+		expect(scheduler.snapshot().resident).toEqual(["a", "b"])
+		const actions = arrive(scheduler, createDraft({arrivedAt: 10}))
+		expect(pick(actions, Load)).toEqual([])
+		expect(pick(actions, Run)).toMatchObject([{loadStallMs: 0}])
+	})
+
 	it("gives no work to a worker that is down", () => {
 		const scheduler = create()
 		const kind = SchedulerEventKind.WorkerDown
