Keep an adapter in use until the engine has surely stopped running it

Ruled out: the race of load reports, mended before. Now the pin is held until the engine answered a cancel or restarted, and a new process uses an engine only once it runs nothing that a predecessor left. Until then the host reports no seats and is not ready, so it is not asked for work. Adds the two fencing cells: a thawed predecessor sees the higher number that the engine reports and stops; a replacement can't bind the address of a frozen one.

--- a/__tests__/faults/bed.ts
+++ b/__tests__/faults/bed.ts
@@ -34,7 +34,8 @@
 		workers: 4,
 		slots: 3,
 		seats: 4,
-		msPerToken: 10
+		msPerToken: 10,
+		checksOrders: true
 	},
 	service: {name: servicePool, workers: 3, callMs: 20},
 	weightStore: {loadsPerSecond: 20, inFlight: 8, loadMs: 100},
@@ -91,7 +92,7 @@
 		const bed = new Bed(deployment)
 		await bed.apply(bedConfiguration())
 		deployment.startPrograms()
-		await deployment.waitReady()
+		await bed.waitAdmitted()
 		return bed
 	}
 
@@ -102,7 +103,19 @@
 			child.thaw()
 			if (!child.isRunning) child.start()
 		}
+		await this.waitAdmitted()
+	}
+
+	/** Waits until every entry gives work to every endpoint host. */
+	private async waitAdmitted(): Promise<void> {
 		await this.deployment.waitReady()
+		const {entries, endpoints} = this.deployment
+		await this.until("all hosts get work from all entries", async () => {
+			const counts = await Promise.all(
+				entries.map(({id}) => this.counterOf(id, "hosts.admitting"))
+			)
+			return counts.every(count => count === endpoints.length)
+		})
 	}
 
 	/** Ends every process. */
@@ -202,11 +215,15 @@
 	}
 
 	/** Generation in force at a program, as its counters tell. */
-	async generationOf(name: string): Promise<number> {
-		const {counters} = await callJson<{counters: Record<string, number>}>(
-			this.deployment.metricsUrl(name)
-		)
-		return counters["config.generation"] ?? 0
+	generationOf(name: string): Promise<number> {
+		return this.counterOf(name, "config.generation")
+	}
+
+	/** One counter of a program, 0 when it has none of that name. */
+	async counterOf(name: string, counter: string): Promise<number> {
+		const url = this.deployment.metricsUrl(name)
+		const {counters} = await callJson<Metrics>(url)
+		return counters[counter] ?? 0
 	}
 
 	/** Waits until a condition holds; the limit is for a hung test only. */
@@ -222,6 +239,11 @@
 	}
 }
 
+/** Counters of a program, by name. */
+export interface Metrics {
+	counters: Record<string, number>
+}
+
 export interface ServiceTruth {
 	runs: number
 	running: number
--- a/__tests__/faults/cells.ts
+++ b/__tests__/faults/cells.ts
@@ -223,6 +223,12 @@
 		gets: "the old process stops",
 		holds: [NamedAdapter, NoEvictionInUse]
 	},
+	"fencing: replacement while the predecessor is frozen": {
+		step: "sent",
+		fault: "freeze and thaw endpoint process, engine ignores fencing numbers",
+		gets: "no second sender at the address",
+		holds: [NamedAdapter, AtMostOnce]
+	},
 	"stop: endpoint process with running and queued drafts": {
 		step: "draining",
 		fault: "planned stop",
--- /dev/null
+++ b/__tests__/faults/fencing.test.ts
@@ -0,0 +1,104 @@
+import {join} from "node:path"
+import {afterAll, beforeAll, expect} from "vitest"
+import {
+	callJson,
+	ChildProcess,
+	type EndpointAddresses,
+	findAddress
+} from "../../bench/deployment/index.js"
+import {Bed, type Metrics, enginePool, servicePool} from "./bed.js"
+import {draft, End, expectedDraft} from "./caller.js"
+import {proves} from "./cells.js"
+
+let bed: Bed
+let entry = ""
+const replacements: ChildProcess[] = []
+
+beforeAll(async () => {
+	bed = await Bed.start()
+	;[entry = ""] = bed.deployment.entryUrls
+})
+
+afterAll(async () => {
+	await Promise.all(replacements.map(child => child.kill()))
+	await bed.stop()
+})
+
+function hostOf(id: string): EndpointAddresses {
+	const host = bed.deployment.endpoints.find(one => one.id === id)
+	if (host === undefined) throw new Error(`host ${id} is not in the test bed`)
+	return host
+}
+
+/** Starts a process that takes the place of a host's process. */
+function replace(
+	host: EndpointAddresses,
+	link: string,
+	health: string
+): ChildProcess {
+	const {distDir, platformUrl, entryLinks} = bed.deployment
+	const args = [
+		["--id", host.id],
+		["--failure-domain", host.failureDomain],
+		["--pool", host.pool],
+		["--link", link],
+		["--health", health],
+		["--workers", host.workerUrls.join(",")],
+		["--platform", platformUrl],
+		["--entries", entryLinks]
+	].flat()
+	const program = join(distDir, "src/bin/endpoint.js")
+	const child = new ChildProcess({name: "replacement", program, args})
+	replacements.push(child)
+	child.start()
+	return child
+}
+
+proves("fencing: thawed predecessor, engine checks", async () => {
+	const adapters = Array.from({length: 24}, (_, i) => `a-${i}`)
+	const prompt = "fencing"
+	const first = adapters.map(adapter =>
+		draft(entry, {adapter, prompt, maxTokens: 60})
+	)
+	const host = hostOf(`${enginePool}-1`)
+	const old = bed.deployment.child(host.id)
+	await bed.until("the host loads adapters", async () => {
+		const [truth] = await bed.engineTruths()
+		return (truth?.loads ?? 0) > 0
+	})
+	old.freeze()
+	const health = await findAddress()
+	replace(host, await findAddress(), health)
+	await bed.until("the replacement has sent orders", async () => {
+		const results = adapters.map(adapter =>
+			draft(entry, {adapter, prompt: "later", maxTokens: 5})
+		)
+		await Promise.all(results)
+		const url = `http://${health}/metrics.json`
+		const {counters} = await callJson<Metrics>(url)
+		return (counters["load.ok"] ?? 0) > 0
+	})
+	old.thaw()
+	await old.exited
+	expect(old.stderr).toContain("fenced by a newer process")
+	for (const [index, result] of (await Promise.all(first)).entries()) {
+		const options = {adapter: adapters[index] ?? "", prompt, maxTokens: 60}
+		expect(result.end).toBe(End.Whole)
+		expect(result.text).toBe(expectedDraft(options))
+	}
+	expect(await bed.countEvictedInUse()).toBe(0)
+	const truths = await bed.engineTruths()
+	expect(truths.every(truth => truth.staleOrdersAccepted === 0)).toBe(true)
+})
+
+proves("fencing: replacement while the predecessor is frozen", async () => {
+	const host = hostOf(`${servicePool}-1`)
+	const old = bed.deployment.child(host.id)
+	old.freeze()
+	const replacement = replace(host, host.link, await findAddress())
+	const exit = await replacement.exited
+	expect(exit.code).toBe(1)
+	expect(replacement.stderr).toContain("EADDRINUSE")
+	old.thaw()
+	await bed.deployment.waitReady([host.id])
+})
--- a/bench/deployment/commands.ts
+++ b/bench/deployment/commands.ts
@@ -70,7 +70,8 @@
 		"weight-store-url": weightStoreUrl,
 		slots: engines.slots,
 		seats: engines.seats,
-		"ms-per-token": engines.msPerToken
+		"ms-per-token": engines.msPerToken,
+		"checks-orders": String(engines.checksOrders ?? false)
 	})
 	return {...common, program: "standins/bin/engine.js", args}
 }
--- a/bench/deployment/topology.ts
+++ b/bench/deployment/topology.ts
@@ -11,6 +11,8 @@
 	slots: number
 	seats: number
 	msPerToken: number
+	/** The engines refuse an order with an old fencing number. */
+	checksOrders?: boolean
 }
 
 export interface ServicePoolSpec {
--- a/src/endpoint/endpointTask.ts
+++ b/src/endpoint/endpointTask.ts
@@ -121,7 +121,13 @@
 	}
 
 	get isReady(): boolean {
-		return this.state === HostState.LIVE && this.pool !== undefined
+		return this.state === HostState.LIVE && this.countUsable() > 0
+	}
+
+	/** Engines or plain services that can take work. */
+	private countUsable(): number {
+		if (this.engines !== undefined) return this.engines.upCount
+		return this.services === undefined ? 0 : this.settings.workers.length
 	}
 
 	async drain(): Promise<void> {
@@ -420,13 +426,13 @@
 
 	private figures(): ReportFigures {
 		const snapshot = this.engines?.snapshot()
-		const workers = this.settings.workers.length
+		const workers = this.countUsable()
 		return {
 			hostId: this.settings.id,
 			incarnation: this.incarnation,
 			pool: this.settings.pool,
 			failureDomain: this.settings.failureDomain,
-			state: this.isReady ? HostState.LIVE : this.state,
+			state: this.state,
 			generation: this.store.generation,
 			workers,
 			seats: (this.pool?.seats ?? 0) * workers,
--- a/src/endpoint/engineHost.ts
+++ b/src/endpoint/engineHost.ts
@@ -80,6 +80,7 @@
 	/** Latest generation of each Member's request id. */
 	private readonly byRequest = new Map<string, Generation>()
 	private readonly sources = new Map<AdapterName, string>()
+	private readonly up = new Set<string>()
 	private wakeTimer: NodeJS.Timeout | undefined
 	private wakeAt = Infinity
 	private isLeaving = false
@@ -115,12 +116,19 @@
 		this.step({kind: SchedulerEventKind.ShareUpdated, share})
 	}
 
+	/** Engines that answer and can be used. */
+	get upCount(): number {
+		return this.up.size
+	}
+
 	onUp(worker: string, resident: AdapterName[]): void {
+		this.up.add(worker)
 		this.options.log.info("engine is up", {worker})
 		this.step({kind: SchedulerEventKind.WorkerUp, worker, resident})
 	}
 
 	onDown(worker: string): void {
+		this.up.delete(worker)
 		this.options.log.warn("engine is down", {worker})
 		this.options.counters.add("engine.down")
 		this.step({kind: SchedulerEventKind.WorkerDown, worker})
@@ -288,7 +296,7 @@
 		const timer = this.limitRun(generation)
 		const result = await this.requireWorker(worker).run(generation)
 		clearTimeout(timer)
-		this.finish(generation, worker, result)
+		await this.finish(generation, worker, result)
 	}
 
 	private announceStart(generation: Generation, loadStallMs: number): void {
@@ -313,21 +321,24 @@
 		}, leftMs)
 	}
 
-	private finish(
+	private async finish(
 		generation: Generation,
 		worker: string,
 		result: RunResult
-	): void {
-		// After a cold restart the scheduler has forgotten the run already.
-		const isKnown = generation.worker === worker
+	): Promise<void> {
 		this.options.counters.add(`run.${result.end}`)
-		this.endOrRetry(generation, worker, result)
-		if (!isKnown) return
-		const {id} = generation.draft
-		this.step({kind: SchedulerEventKind.RunEnded, worker, id})
+		const isRetry = this.canRetryHere(generation, result)
+		if (!isRetry) this.endForReaders(generation, worker, result)
+		await this.requireWorker(worker).settle(generation, result)
+		// After a cold restart the scheduler has forgotten the run already.
+		if (generation.worker === worker) {
+			const {id} = generation.draft
+			this.step({kind: SchedulerEventKind.RunEnded, worker, id})
+		}
+		if (isRetry) this.retryLater(generation)
 	}
 
-	private endOrRetry(
+	private endForReaders(
 		generation: Generation,
 		worker: string,
 		result: RunResult
@@ -348,10 +359,6 @@
 			this.forgetLater(generation)
 			return
 		}
-		if (this.canRetryHere(generation, result)) {
-			this.retryLater(generation)
-			return
-		}
 		generation.end(explainEnd(result, worker))
 		this.forgetLater(generation)
 	}
--- a/src/endpoint/engineWorker.ts
+++ b/src/endpoint/engineWorker.ts
@@ -55,6 +55,8 @@
 
 const missedPollsUntilDown = 2
 const maxResumes = 3
+const minQuietPolls = 2
+const maxQuietWaitMs = 15_000
 const refusedStatuses = new Set([400, 404, 409, 429])
 const notFoundStatus = 404
 const staleFenceStatus = 409
@@ -71,6 +73,9 @@
 	private readonly inUse = new Map<AdapterName, number>()
 	/** Orders that ended, to tell whether a load report is still current. */
 	private ordersEnded = 0
+	/** Load reports in a row without runs, before the engine is first used. */
+	private quietPolls = 0
+	private readonly quietDeadline = Date.now() + maxQuietWaitMs
 	private incarnation = ""
 	private isUp = false
 	private missedPolls = 0
@@ -111,15 +116,42 @@
 		})
 	}
 
-	/** Runs a generation to its end, resuming on the engine when it breaks. */
+	/**
+	 * Runs a generation to its end, resuming on the engine when it breaks. The
+	 * adapter counts as in use until `settle`.
+	 */
 	async run(generation: Generation): Promise<RunResult> {
-		const {adapter} = generation.draft
+		const {draft, req, abort} = generation
+		const {adapter} = draft
 		this.inUse.set(adapter, (this.inUse.get(adapter) ?? 0) + 1)
 		try {
-			return await this.runInUse(generation)
-		} finally {
-			this.release(adapter)
+			const events = await this.engine.complete({
+				requestId: draft.id,
+				adapter,
+				prompt: req.prompt,
+				maxTokens: req.maxTokens,
+				priority: draft.class,
+				signal: abort.signal
+			})
+			return await this.readToEnd(generation, events)
+		} catch (err) {
+			return await this.explainFailure(generation, err)
+		}
+	}
+
+	/**
+	 * Resolves when the engine certainly does not run the generation any more:
+	 * it finished, was refused, or the engine answered a cancel or restarted.
+	 */
+	async settle({draft}: Generation, {end}: RunResult): Promise<void> {
+		const {incarnation} = this
+		const isOver = end === RunEnd.Finished || end === RunEnd.Refused
+		while (!isOver && !this.stop.signal.aborted) {
+			if (await this.engine.cancel(draft.id)) break
+			await sleep(this.pollMs, this.stop.signal)
+			if (incarnation !== this.incarnation) break
 		}
+		this.release(draft.adapter)
 	}
 
 	async close(): Promise<void> {
@@ -133,23 +165,6 @@
 		else this.inUse.delete(adapter)
 	}
 
-	private async runInUse(generation: Generation): Promise<RunResult> {
-		const {draft, req, abort} = generation
-		try {
-			const events = await this.engine.complete({
-				requestId: draft.id,
-				adapter: draft.adapter,
-				prompt: req.prompt,
-				maxTokens: req.maxTokens,
-				priority: draft.class,
-				signal: abort.signal
-			})
-			return await this.readToEnd(generation, events)
-		} catch (err) {
-			return await this.explainFailure(generation, err)
-		}
-	}
-
 	private async unload(adapter: AdapterName): Promise<void> {
 		if (this.inUse.has(adapter)) {
 			throw this.loadError(`adapter ${adapter} is in use and stays loaded`)
@@ -232,7 +247,6 @@
 		const detail = err instanceof Error ? err.message : String(err)
 		const last = undefined
 		if (generation.abort.signal.aborted) {
-			await this.engine.cancel(generation.draft.id)
 			return {end: RunEnd.Cancelled, detail, last}
 		}
 		const isRefused =
@@ -243,7 +257,6 @@
 			await this.poll()
 			return {end: RunEnd.Refused, detail, last}
 		}
-		await this.engine.cancel(generation.draft.id)
 		const end =
 			generation.length === 0 ? RunEnd.LostBeforeText : RunEnd.LostMidStream
 		return {end, detail, last}
@@ -272,6 +285,11 @@
 	}
 
 	private noteReport(report: EngineLoad): void {
+		if (report.highestFence > this.engine.fence) {
+			const detail = `fencing number ${report.highestFence} is in use`
+			this.listener.onFenced(this.name, detail)
+		}
+		if (!this.isQuiet(report)) return
 		const isFirst = this.incarnation === ""
 		const isRestarted = !isFirst && report.incarnation !== this.incarnation
 		this.incarnation = report.incarnation
@@ -285,6 +303,17 @@
 		this.listener.onUp(this.name, report.resident)
 	}
 
+	/**
+	 * At first, waits until the engine runs nothing that a predecessor of this
+	 * process left behind, because its adapters must not be evicted. Reports
+	 * lag, so one without runs is not enough.
+	 */
+	private isQuiet({running, waiting}: EngineLoad): boolean {
+		if (this.incarnation !== "") return true
+		this.quietPolls = running + waiting === 0 ? this.quietPolls + 1 : 0
+		return this.quietPolls >= minQuietPolls || Date.now() > this.quietDeadline
+	}
+
 	private loadError(message: string): StepError {
 		return new StepError(message, {step: Step.Load, peer: this.engine.url})
 	}
--- a/src/entry/endpointLink.ts
+++ b/src/entry/endpointLink.ts
@@ -133,7 +133,7 @@
 		return {
 			id: this.hostId,
 			failureDomain: report?.failureDomain ?? "",
-			admitting: admitting && report !== undefined,
+			admitting: admitting && (report?.seats ?? 0) > 0,
 			workers: report?.workers ?? 0,
 			seats: report?.seats ?? 0,
 			slots: report?.slots ?? 0,
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -143,6 +143,7 @@
 
 	/** Tells every endpoint process this entry's generation now. */
 	acknowledgeAll(): void {
+		this.countAdmitting()
 		const sum = this.sumDemand()
 		for (const link of this.links.values()) {
 			link.acknowledge(this.ackFor(link, sum))
@@ -187,6 +188,14 @@
 		this.scheduleTick()
 	}
 
+	private countAdmitting(): void {
+		const live = this.hosts().filter(({state}) => state === MemberState.Live)
+		const admitting = live.filter(
+			({id}) => this.links.get(id)?.view(true).admitting === true
+		)
+		this.options.counters.set("hosts.admitting", admitting.length)
+	}
+
 	private carryOut(action: MembershipAction): void {
 		const {hostId, address} = action
 		switch (action.type) {
--- a/src/link/engineClient.ts
+++ b/src/link/engineClient.ts
@@ -94,6 +94,7 @@
 const terminalData = "[DONE]"
 const fenceHeader = "x-fencing-number"
 const httpOk = 200
+const httpNotFound = 404
 
 export class EngineClient {
 	readonly url: string
@@ -166,15 +167,16 @@
 		return this.parseEvents(res.body)
 	}
 
-	/** Stops a stream; errors are ignored because it may have ended. */
-	async cancel(requestId: string): Promise<void> {
+	/** Stops a stream; true when the engine answered, so that it is stopped. */
+	async cancel(requestId: string): Promise<boolean> {
 		const path = `/v1/streams/${encodeURIComponent(requestId)}`
 		try {
 			const signal = AbortSignal.timeout(this.timeoutMs)
 			const res = await this.send(Step.Stream, "DELETE", path, {signal})
 			await res.body.dump()
-		} catch {
-			// The stream ended or the engine is gone: nothing is left to stop.
+			return true
+		} catch (err) {
+			return err instanceof EngineError && err.status === httpNotFound
 		}
 	}
 
