Test bad input; keep connections alive after oversize bodies

A test that sends every kind of bad input to a running entry showed four faults of the entry: - After a body beyond the limit was answered with 413, its kept-alive connection hung: leaving the loop destroyed the request without reading the rest, so the next request on the connection was never read. Resuming within the loop did not help either, as its iterator was still listening. The rest is now discarded after the loop. - Unknown paths, and other methods of the completion routes, got a plain text 404; they now get the typed error, 405 with Allow for a method. - The parsers took 16-digit times and offsets beyond the safe integers (found by the property test); at most 15 digits pass now. - A stream offset beyond the 32-bit field of the link was accepted and could not be encoded; it is refused as bad input.

--- /dev/null
+++ b/src/entry/__tests__/identity.test.ts
@@ -0,0 +1,59 @@
+import {expect, test} from "vitest"
+import {BadRequestError} from "../../contract/errors.js"
+import {identifyMember, mintMemberToken} from "../identity.js"
+
+const secret = "member-secret"
+const token = mintMemberToken(secret, "club-1")
+const [, signature = ""] = token.split(".")
+
+function identify(authorization: string | undefined): string {
+	return identifyMember({authorization, "x-member": "club-2"}, secret)
+}
+
+test("a token speaks for its Member, whatever the header says", () => {
+	expect(identify(`Bearer ${token}`)).toBe("club-1")
+	expect(identify(`bearer  ${token} `)).toBe("club-1")
+	const dotted = mintMemberToken(secret, "north.club_2-b")
+	expect(identify(`Bearer ${dotted}`)).toBe("north.club_2-b")
+})
+
+test.each([
+	["no token", undefined],
+	["an empty header", ""],
+	["another scheme", `Basic ${token}`],
+	["no scheme", token],
+	["no signature", "Bearer club-1"],
+	["an empty signature", "Bearer club-1."],
+	["no Member", `Bearer .${signature}`],
+	["only a dot", "Bearer ."],
+	["another Member's signature", `Bearer club-2.${signature}`],
+	["a longer Member", `Bearer club-1.x.${signature}`],
+	["a shortened signature", `Bearer ${token.slice(0, -1)}`],
+	["a lengthened signature", `Bearer ${token}A`],
+	["another secret", `Bearer ${mintMemberToken("other", "club-1")}`],
+	["an empty secret", `Bearer ${mintMemberToken("", "club-1")}`],
+	["other characters", `Bearer ${mintMemberToken(secret, "club 1")}`],
+	["a Member that is too long", `Bearer ${longToken()}`]
+])("a token with %s is refused", (_what, authorization) => {
+	expect(() => identify(authorization)).toThrow(
+		expect.objectContaining({
+			name: "BadRequestError",
+			field: "authorization",
+			status: 401,
+			message: "the bearer token is missing or not valid"
+		})
+	)
+})
+
+test("without a secret the header is trusted if it is well-formed", () => {
+	expect(identifyMember({"x-member": "club-2"}, "")).toBe("club-2")
+	const bad = [undefined, "", "a b", ".a", "-a", "m".repeat(65), ["a", "b"]]
+	for (const value of bad) {
+		const headers = {"x-member": value}
+		expect(() => identifyMember(headers, "")).toThrow(BadRequestError)
+	}
+})
+
+function longToken(): string {
+	return mintMemberToken(secret, "m".repeat(65))
+}
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -8,7 +8,7 @@
 } from "node:http"
 import {createServer as createTlsServer} from "node:https"
 import polka from "polka"
-import {SettingsError} from "../contract/errors.js"
+import {BadRequestError, SettingsError} from "../contract/errors.js"
 import {
 	addHealthRoutes,
 	type Counters,
@@ -16,6 +16,7 @@
 	type Log
 } from "../program/index.js"
 import {messageOf, sleep} from "../utils/common.js"
+import {MethodError} from "./methodError.js"
 import {sendError} from "./outcome.js"
 import type {RequestHandler} from "./requestHandler.js"
 
@@ -33,7 +34,14 @@
 type CallerRequest = Parameters<polka.Middleware>[0]
 type Handle = (req: CallerRequest, res: ServerResponse) => Promise<void>
 
+const notFound = 404
 const servicePrefix = "/v1/services"
+const methodOfPath = {
+	"/v1/completions": "POST",
+	"/v1/chat/completions": "POST",
+	"/v1/streams/:id": "GET",
+	"/v1/tickets/:route": "POST"
+}
 const pollMs = 20
 const keepAliveMs = 65_000
 
@@ -62,7 +70,14 @@
 	private async open(): Promise<void> {
 		const {handler, counters, isReady, address} = this.options
 		const server = this.createServer()
-		const app = polka({server})
+		const app = polka({
+			server,
+			onNoMatch: (req, res) => {
+				const {method, url} = req
+				const reason = `no route takes ${method} ${url}`
+				this.fail(req, res, new BadRequestError("path", reason, notFound))
+			}
+		})
 		app.use((_req, res, next) => {
 			if (this.isDraining) res.setHeader("connection", "close")
 			next()
@@ -92,6 +107,7 @@
 				handler.handleTicket(req, res, String(req.params.route))
 			)
 		)
+		this.refuseOtherMethods(app)
 		app.all(
 			`${servicePrefix}/*`,
 			this.wrap((req, res) => {
@@ -103,6 +119,16 @@
 		this.server.keepAliveTimeout = keepAliveMs
 	}
 
+	/** Comes after the routes themselves, which take their own methods. */
+	private refuseOtherMethods(app: polka.Polka): void {
+		for (const [path, allowed] of Object.entries(methodOfPath)) {
+			app.all(path, (req, res) => {
+				const {method, url} = req
+				this.fail(req, res, new MethodError(method, url, [allowed]))
+			})
+		}
+	}
+
 	private createServer(): Server {
 		const {callerCert, callerKey} = this.options
 		if (callerCert === "" && callerKey === "") return createServer()
--- a/src/entry/outcome.ts
+++ b/src/entry/outcome.ts
@@ -3,6 +3,7 @@
 import {BadRequestError} from "../contract/errors.js"
 import {NotRunReason} from "../contract/gen/link_pb.js"
 import {sendJson} from "../program/health.js"
+import {MethodError} from "./methodError.js"
 
 /** The request was provably not run. */
 export interface NotRunOutcome {
@@ -119,15 +120,16 @@
 export function sendError(res: ServerResponse, err: unknown): void {
 	if (err instanceof BadRequestError) {
 		const {field, message, step} = err
-		sendJson(res, err.status, {
-			error: {
-				type: "invalid_request",
-				outcome: OutcomeKind.Rejected,
-				field,
-				message,
-				step
-			}
-		})
+		const error = {
+			type: "invalid_request",
+			outcome: OutcomeKind.Rejected,
+			field,
+			message,
+			step
+		}
+		const isMethod = err instanceof MethodError
+		const headers = isMethod ? {allow: err.allowed.join(", ")} : {}
+		sendJson(res, err.status, {error}, headers)
 		return
 	}
 	sendJson(res, status.internal, {
--- a/src/entry/parseRequest.ts
+++ b/src/entry/parseRequest.ts
@@ -30,10 +30,12 @@
 const maxKeyLength = 255
 const maxTokensLimit = 32_768
 const defaultMaxTokens = 256
+/** The largest offset that the link's 32-bit field holds. */
+const maxOffset = 0xffff_ffff
 const tooLarge = 413
 const requestIdPattern = /^[A-Za-z0-9_-]{1,64}$/
 const keyPattern = /^[\x21-\x7e]+$/
-const digitsPattern = /^\d{1,16}$/
+const digitsPattern = /^\d{1,15}$/
 
 const completionSchema = z.object({
 	model: z.string("expected base:adapter@version"),
@@ -57,21 +59,23 @@
 	stream: z.boolean().default(false)
 })
 
-/** Reads a body up to the size limit. */
+/**
+ * Reads a body up to the size limit. The rest of a larger one is discarded, so
+ * that its connection can still carry the answer and further requests.
+ */
 export async function readBody(req: IncomingMessage): Promise<Buffer> {
 	const chunks: Buffer[] = []
 	let size = 0
-	for await (const chunk of req) {
+	for await (const chunk of req.iterator({destroyOnReturn: false})) {
 		const bytes = chunk as Buffer
 		size += bytes.length
-		if (size > maxBodyBytes) {
-			req.resume()
-			const reason = `larger than ${maxBodyBytes} bytes`
-			throw new BadRequestError("body", reason, tooLarge)
-		}
+		if (size > maxBodyBytes) break
 		chunks.push(bytes)
 	}
-	return Buffer.concat(chunks)
+	if (size <= maxBodyBytes) return Buffer.concat(chunks)
+	req.resume()
+	const reason = `larger than ${maxBodyBytes} bytes`
+	throw new BadRequestError("body", reason, tooLarge)
 }
 
 export function parseEnvelope(
@@ -138,7 +142,9 @@
 /** A character offset in a query, 0 when absent. */
 export function parseOffset(text: unknown): number {
 	if (text === undefined) return 0
-	if (typeof text === "string" && digitsPattern.test(text)) return Number(text)
+	const isCount = typeof text === "string" && digitsPattern.test(text)
+	const offset = isCount ? Number(text) : Infinity
+	if (offset <= maxOffset) return offset
 	throw new BadRequestError("offset", "expected a count of characters")
 }
 
--- a/src/entry/routeTable.ts
+++ b/src/entry/routeTable.ts
@@ -1,6 +1,7 @@
 /** Finds the route of a request in the configuration in force. */
 import {PoolType, type Route, type Settings} from "../contract/config/index.js"
 import {BadRequestError} from "../contract/errors.js"
+import {MethodError} from "./methodError.js"
 
 interface ServicePattern {
 	route: Route
@@ -45,15 +46,17 @@
 	/**
 	 * The route of a call to a plain service.
 	 *
-	 * @throws BadRequestError when no route has the method and path
+	 * @throws BadRequestError when no route has the path, or none the method
 	 */
 	findService(method: string, path: string): Route {
 		const segments = splitPath(path)
-		const match = this.servicePatterns.find(
-			pattern =>
-				pattern.route.method === method && matches(pattern.segments, segments)
-		)
-		if (match !== undefined) return match.route
+		const routes = this.servicePatterns
+			.filter(pattern => matches(pattern.segments, segments))
+			.map(pattern => pattern.route)
+		const match = routes.find(route => route.method === method)
+		if (match !== undefined) return match
+		const methods = new Set(routes.map(route => route.method))
+		if (methods.size > 0) throw new MethodError(method, path, [...methods])
 		throw new BadRequestError(
 			"path",
 			`no route takes ${method} ${path}`,
