--- a/__tests__/faults/bookings.test.ts
+++ b/__tests__/faults/bookings.test.ts
@@ -1,7 +1,7 @@
 import {afterAll, afterEach, beforeAll, expect} from "vitest"
 import {Bed} from "./bed.js"
 import {book, call, type CallResult, End} from "./caller.js"
-import {proves} from "./cells.js"
+import {proves} from "./proves.js"
 
 let bed: Bed
 let entry = ""
--- a/__tests__/faults/cells.ts
+++ b/__tests__/faults/cells.ts
@@ -3,8 +3,6 @@
  * hold. A test proves a cell by its name; docs/FAULTS.md is written from the
  * results, and a cell without a test shows as not run.
  */
-import {test} from "vitest"
-
 /** The points of the brief that must always hold, by number. */
 export enum Invariant {
 	NamedAdapter = 1,
@@ -322,8 +320,3 @@
 } satisfies Record<string, Cell>
 
 export type CellName = keyof typeof cells
-
-/** Declares the test that proves a cell. */
-export function proves(name: CellName, run: () => Promise<void>): void {
-	test(name, run)
-}
--- a/__tests__/faults/configuration.test.ts
+++ b/__tests__/faults/configuration.test.ts
@@ -1,7 +1,7 @@
 import {afterAll, afterEach, beforeAll, expect} from "vitest"
 import {Bed, bedConfiguration} from "./bed.js"
 import {draft, End, expectedDraft} from "./caller.js"
-import {proves} from "./cells.js"
+import {proves} from "./proves.js"
 
 let bed: Bed
 let entry = ""
--- a/__tests__/faults/drafts.test.ts
+++ b/__tests__/faults/drafts.test.ts
@@ -8,7 +8,7 @@
 	resume,
 	type StreamResult
 } from "./caller.js"
-import {proves} from "./cells.js"
+import {proves} from "./proves.js"
 
 let bed: Bed
 let entry = ""
--- a/__tests__/faults/fencing.test.ts
+++ b/__tests__/faults/fencing.test.ts
@@ -8,7 +8,7 @@
 } from "../../bench/deployment/index.js"
 import {Bed, type Metrics, enginePool, servicePool} from "./bed.js"
 import {draft, End, expectedDraft} from "./caller.js"
-import {proves} from "./cells.js"
+import {proves} from "./proves.js"
 
 let bed: Bed
 let entry = ""
--- a/__tests__/faults/links.test.ts
+++ b/__tests__/faults/links.test.ts
@@ -27,7 +27,7 @@
 	expectedDraft,
 	type StreamResult
 } from "./caller.js"
-import {proves} from "./cells.js"
+import {proves} from "./proves.js"
 
 const pollMs = 25
 const waitLimitMs = 30_000
--- a/__tests__/faults/stops.test.ts
+++ b/__tests__/faults/stops.test.ts
@@ -9,7 +9,7 @@
 	expectedDraft,
 	type StreamResult
 } from "./caller.js"
-import {proves} from "./cells.js"
+import {proves} from "./proves.js"
 
 let bed: Bed
 let entry = ""
