--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -23,6 +23,7 @@
 const order = "mirror-1894"
 const draftMs = 30_000
 const callMs = 10_000
+const applyLinesShown = 2
 const agent = new Agent({keepAliveTimeout: 1000})
 
 async function main(): Promise<void> {
@@ -48,7 +49,8 @@
 async function runDemo(deployment: Deployment, keep: boolean): Promise<void> {
 	const {workers} = deployment.spec.engines
 	console.log(`starting ${workers} engines, 4 services and 3 entries`)
-	console.log(await startConfigured(deployment))
+	const applied = await startConfigured(deployment)
+	console.log(applied.trim().split("\n").slice(-applyLinesShown).join("\n"))
 	const [entry = ""] = deployment.entryUrls
 	await sendDraft(entry)
 	await sendBooking(entry, "the booking runs")
@@ -104,6 +106,7 @@
 
 async function sendStatus(entry: string): Promise<void> {
 	console.log(`\nGET /v1/services/orders/${order}`)
+	console.log("each service stand-in keeps its own orders: others say open")
 	const res = await request(`${entry}/v1/services/orders/${order}`, {
 		dispatcher: agent,
 		headers: {
@@ -114,7 +117,7 @@
 	console.log(`${res.statusCode} ${await res.body.text()}`)
 }
 
-/** Drains the entries but the first, which writes their counts, and reports. */
+/** Replaces the entries, each of which writes its counts, and reports. */
 async function printBurn(deployment: Deployment): Promise<void> {
 	console.log("\nentries write their burn counts as they drain")
 	for (const {id} of deployment.entries) {
