--- a/bench/demo.ts
+++ b/bench/demo.ts
@@ -132,7 +132,7 @@
 }
 
 function printCommands(entry: string, {platformUrl}: Deployment): void {
-	const deadline = '-H "x-deadline: $(date -d +20sec +%s)000"'
+	const deadline = '-H "x-deadline: $(date -d +8sec +%s)000"'
 	const common = `-H "x-member: ${member}" ${deadline}`
 	const json = '-H "content-type: application/json"'
 	console.log(`base URL ${entry}, platform ${platformUrl}; Ctrl-C ends it
