--- /dev/null
+++ b/bench/capacity/configuration.ts
@@ -0,0 +1,105 @@
+/** Memory of the configuration in a process, and the cost of one change. */
+import {
+	type Adapter,
+	type ConfigRoot,
+	type Configuration,
+	splitIntoParts
+} from "../../src/contract/config/index.js"
+import {
+	answerConfigRequest,
+	ConfigStore,
+	decodeJson,
+	encodeJson,
+	type PartMap
+} from "../../src/spread/index.js"
+import {create, toBinary} from "@bufbuild/protobuf"
+import {
+	ConfigRequestSchema,
+	ConfigResponseSchema
+} from "../../src/contract/gen/link_pb.js"
+import {fitLine, type Point} from "./fit.js"
+import {type Cell, formatNumber, printTable} from "./print.js"
+import {readMemoryBytes, timeEachUs} from "./probe.js"
+import {createSettings} from "./settings.js"
+
+const sizes = [1000, 10_000, 50_000, 190_000]
+const baseModels = 5
+const installs = 50
+
+/** Prints memory against adapters, and bytes and time of one change. */
+export function measureConfiguration(): void {
+	const points: Point[] = []
+	const rows: Cell[][] = []
+	for (const adapters of sizes) {
+		const before = readMemoryBytes()
+		const store = fillStore(adapters)
+		const bytes = readMemoryBytes() - before
+		points.push({x: adapters, y: bytes})
+		const parts = store.requireRoot().buckets.length
+		rows.push([String(adapters), String(parts), bytes / 1e6, bytes / adapters])
+		console.log(describeChange(store, adapters))
+	}
+	printTable(
+		"memory of a ConfigStore",
+		["adapters", "parts", "MB", "bytes an adapter"],
+		rows
+	)
+	const {slope, intercept, maxResidual} = fitLine(points.slice(1))
+	console.log(
+		`fit from 10,000 adapters on: ${slope.toFixed(0)} bytes an adapter, ` +
+			`${(intercept / 1e6).toFixed(2)} MB constant, ` +
+			`largest residual ${(100 * maxResidual).toFixed(1)}%`
+	)
+}
+
+/** Parts go through JSON, as they do when a peer sends them. */
+function fillStore(adapters: number): ConfigStore {
+	const store = new ConfigStore()
+	const {root, parts} = splitIntoParts(createConfiguration(adapters))
+	const received: PartMap = new Map()
+	for (const [hash, part] of parts) {
+		received.set(hash, decodeJson(encodeJson(part)) as typeof part)
+	}
+	const text = encodeJson({...root, generation: 1, applies: []})
+	store.install(decodeJson(text) as ConfigRoot, received)
+	return store
+}
+
+function describeChange(store: ConfigStore, adapters: number): string {
+	const root = store.requireRoot()
+	const [hash = ""] = root.buckets
+	const rootBytes = sizeOfAnswer(store, [])
+	const partBytes = sizeOfAnswer(store, [hash])
+	const part = store.part(hash) ?? {adapters: []}
+	const partText = encodeJson(part)
+	let generation = 1
+	const installUs = timeEachUs(() => {
+		generation += 1
+		const next = decodeJson(encodeJson({...root, generation})) as ConfigRoot
+		const content = decodeJson(partText) as typeof part
+		store.install(next, new Map([[hash, content]]))
+	}, installs)
+	return (
+		`${adapters} adapters, one change: root ${rootBytes} bytes, ` +
+		`part ${partBytes} bytes, ${formatNumber(installUs)} us to decode and install`
+	)
+}
+
+function sizeOfAnswer(store: ConfigStore, parts: string[]): number {
+	const req = create(ConfigRequestSchema, {parts, knownGeneration: 0})
+	const res = answerConfigRequest(store, req)
+	return toBinary(ConfigResponseSchema, res).length
+}
+
+export function createConfiguration(count: number): Configuration {
+	const adapters = Array.from({length: count}, (_, index): Adapter => {
+		const base = `loom-${1 + (index % baseModels)}`
+		const name = `m-${String(index).padStart(6, "0")}`
+		const versions = ["v1", "v2"].map(version => ({
+			version,
+			source: `adapters/${base}/${name}/${version}`
+		}))
+		return {base, name, versions}
+	})
+	return {settings: createSettings(baseModels), adapters}
+}
--- /dev/null
+++ b/bench/capacity/decisions.ts
@@ -0,0 +1,214 @@
+/** Processor time of the decisions that an entry or endpoint process takes. */
+import {HostRole, HostState} from "../../src/host/host.js"
+import type {HostRecord} from "../../src/link/index.js"
+import {
+	AdapterScheduler,
+	type EndpointView,
+	RequestClass,
+	ResidencyRouter,
+	type SchedulerAction,
+	SchedulerActionKind,
+	type SchedulerEvent,
+	SchedulerEventKind
+} from "../../src/policy/index.js"
+import {Membership} from "../../src/policy/membership.js"
+import {MembershipEventType} from "../../src/policy/memberTypes.js"
+import {fitLine, type Point} from "./fit.js"
+import {hostIdOf} from "./peerOrders.js"
+import {type Cell, printTable} from "./print.js"
+import {timeEachUs} from "./probe.js"
+
+const endpointCounts = [8, 80, 320]
+const residentPerEndpoint = 12
+const routeChoices = 5000
+const adapterCount = 190_000
+const hostCounts = [60, 180, 360]
+const membershipEvents = 5000
+const listings = 200
+const queueLengths = [16, 400]
+const schedulerSteps = 10_000
+const workers = ["a", "b", "c", "d", "e"]
+
+export function measureDecisions(): void {
+	measureRouter()
+	measureMembership()
+	measureScheduler()
+}
+
+function measureRouter(): void {
+	const points: Point[] = []
+	const rows = endpointCounts.map((count): Cell[] => {
+		const us = timeRouter(count)
+		points.push({x: count, y: us})
+		return [String(count), us]
+	})
+	printTable(
+		`router, ${residentPerEndpoint} resident adapters at each endpoint`,
+		["endpoints", "us a decision"],
+		rows
+	)
+	printFit("us an endpoint", points)
+}
+
+function timeRouter(count: number): number {
+	const views = Array.from({length: count}, (_, index) => createView(index))
+	const router = new ResidencyRouter()
+	const excluded = new Set<string>()
+	let choice = 0
+	return timeEachUs(() => {
+		choice += 1
+		const query = {
+			adapter: adapterOf((choice * 7919) % adapterCount),
+			class: RequestClass.Interactive,
+			member: "member",
+			deadline: 30_000,
+			prefixHash: 0,
+			excluded,
+			failureDomain: "a"
+		}
+		router.choose(query, views, choice, (choice % 100) / 100)
+	}, routeChoices)
+}
+
+function createView(index: number): EndpointView {
+	const first = index * residentPerEndpoint
+	const names = Array.from({length: residentPerEndpoint}, (_, offset) =>
+		adapterOf(first + offset)
+	)
+	return {
+		id: hostIdOf(index),
+		failureDomain: "a",
+		admitting: true,
+		workers: workers.length,
+		seats: 40,
+		slots: 40,
+		resident: new Set(names),
+		loading: new Set(),
+		running: index % 40,
+		queued: index % 4,
+		ownUnreported: 0,
+		loadMs: 250
+	}
+}
+
+function adapterOf(index: number): string {
+	return `loom-1:m-${String(index).padStart(6, "0")}@v1`
+}
+
+function measureMembership(): void {
+	const points: Point[] = []
+	const rows = hostCounts.map((count): Cell[] => {
+		const records = Array.from({length: count}, (_, index) => toRecord(index))
+		const membership = new Membership({selfId: "entry-01"})
+		membership.step({type: MembershipEventType.Listed, hosts: records}, 0)
+		let now = 0
+		const heardUs = timeEachUs(() => {
+			now += 1
+			const hostId = hostIdOf(now % count)
+			const type = MembershipEventType.Heard
+			membership.step({type, hostId, incarnation: 1}, now)
+			membership.nextTickAt()
+		}, membershipEvents)
+		const listedUs = timeEachUs(() => {
+			const type = MembershipEventType.Listed
+			membership.step({type, hosts: records}, now)
+		}, listings)
+		points.push({x: count, y: heardUs})
+		return [String(count), heardUs, listedUs]
+	})
+	printTable(
+		"membership",
+		["hosts", "us a message heard", "us a list read"],
+		rows
+	)
+	printFit("us a message and host", points)
+}
+
+function toRecord(index: number): HostRecord {
+	return {
+		id: hostIdOf(index),
+		role: HostRole.Endpoint,
+		address: `10.0.${Math.floor(index / 250)}.${index % 250}:7000`,
+		failureDomain: "a",
+		pool: "loom-1",
+		state: HostState.Live
+	}
+}
+
+function measureScheduler(): void {
+	const rows = queueLengths.map((queued): Cell[] => [
+		String(queued),
+		timeScheduler(queued)
+	])
+	printTable("scheduler, five workers", ["queued", "us a step"], rows)
+}
+
+/** Keeps the queue at a length: each step ends, loads or adds something. */
+function timeScheduler(queued: number): number {
+	const scheduler = new AdapterScheduler({
+		workers,
+		slots: 8,
+		seats: 8,
+		objective: {loadStalls: 0.5, batchEfficiency: 0.5},
+		share: {loadsPerSecond: 1000, inFlight: 8},
+		msPerToken: 20,
+		loadMs: 250,
+		maxQueued: 4 * queued
+	})
+	const pending: SchedulerEvent[] = []
+	let now = 0
+	let id = 0
+	const step = (event: SchedulerEvent): void => {
+		for (const action of scheduler.step(event, now)) {
+			const reply = replyTo(action)
+			if (reply !== undefined) pending.push(reply)
+		}
+	}
+	const arrive = (): void => {
+		id += 1
+		step(arrivalOf(id, now))
+	}
+	for (let count = 0; count < queued; count++) arrive()
+	return timeEachUs(() => {
+		now += 1
+		const event =
+			scheduler.snapshot().queued < queued ? undefined : pending.shift()
+		if (event === undefined) arrive()
+		else step(event)
+	}, schedulerSteps)
+}
+
+function replyTo(action: SchedulerAction): SchedulerEvent | undefined {
+	if (action.kind === SchedulerActionKind.Run) {
+		const {worker, id} = action
+		return {kind: SchedulerEventKind.RunEnded, worker, id}
+	}
+	if (action.kind !== SchedulerActionKind.Load) return undefined
+	const {worker, adapter} = action
+	const kind = SchedulerEventKind.LoadEnded
+	return {kind, worker, adapter, ok: true, tookMs: 250}
+}
+
+function arrivalOf(id: number, now: number): SchedulerEvent {
+	return {
+		kind: SchedulerEventKind.Arrived,
+		draft: {
+			id: `request-${id}`,
+			adapter: adapterOf((id * 7919) % 300),
+			member: `member-${id % 200}`,
+			class: id % 2 === 0 ? RequestClass.Interactive : RequestClass.Deferrable,
+			deadline: now + 3_600_000,
+			arrivedAt: now,
+			maxTokens: 250,
+			prefixHash: 0
+		}
+	}
+}
+
+function printFit(unit: string, points: readonly Point[]): void {
+	const {slope, intercept, maxResidual} = fitLine(points)
+	console.log(
+		`fit: ${slope.toFixed(3)} ${unit}, ${intercept.toFixed(1)} us constant, ` +
+			`largest residual ${(100 * maxResidual).toFixed(0)}%`
+	)
+}
