Put a later configuration in force in running endpoint processes

Cause, found by reading: objective, Member weights, weight store limits, seats and times were taken once, when the pool opened, so that an accepted change was not in force until a restart. The scheduler now takes a Reconfigured event, and the two kinds of pool (engines, plain service) are classes with one interface, which takes every later root. What waits keeps the rank it was given.

--- a/src/endpoint/endpointTask.ts
+++ b/src/endpoint/endpointTask.ts
@@ -13,8 +13,7 @@
 	HostState,
 	NotRunReason,
 	type ReportAck,
-	Residency,
-	type RunEvent,
+	type Residency,
 	type StatusResponse,
 	StatusResponseSchema,
 	type Ticket,
@@ -24,18 +23,14 @@
 import {HostRole} from "../host/host.js"
 import {
 	checkPlainText,
-	EngineClient,
 	HttpPlatform,
 	LinkServer,
 	type ReportCall,
 	type RunCall,
 	readTlsKeys,
 	RefusedCallError,
-	ServiceClient,
 	type TlsKeys
 } from "../link/index.js"
-import {claimBuckets} from "../policy/claimHome.js"
-import type {AdapterName, LoadShares} from "../policy/index.js"
 import {advertisedAddress} from "../program/commonSpecs.js"
 import {Counters} from "../program/counters.js"
 import {startHealthServer} from "../program/health.js"
@@ -44,21 +39,29 @@
 import type {Service} from "../program/run.js"
 import {answerConfigRequest, ConfigStore} from "../spread/index.js"
 import {sleep} from "../utils/common.js"
-import {ClaimTask} from "./claims/index.js"
-import {createLoadShares, createScheduler} from "./createScheduler.js"
-import {EngineHost} from "./engineHost.js"
-import {EngineWorker} from "./engineWorker.js"
+import {
+	type EndpointPool,
+	type EndpointPoolOptions,
+	type PoolFigures
+} from "./endpointPool.js"
+import {EnginePool, readUsedFences} from "./enginePool.js"
 import {EntryContacts} from "./entryContacts.js"
 import {notRun, type Sink, wrap} from "./generation.js"
 import {IncarnationTask} from "./incarnation.js"
 import {Reporter, type ReportFigures} from "./reporter.js"
-import {ServiceHost} from "./serviceHost.js"
+import {ServicePool} from "./servicePool.js"
 import type {EndpointSettings} from "./settings.js"
 
-/** Longest wait of a call for its claim while the platform is slow. */
-const claimWaitMs = 4000
-const maxQueuedPerSeat = 64
-const maxQueuedCalls = 1024
+const noResidency: ReadonlyMap<string, Residency> = new Map()
+const noFigures: PoolFigures = {
+	workers: 0,
+	seats: 0,
+	slots: 0,
+	running: 0,
+	queued: 0,
+	loadDemand: 0,
+	loadMs: 0
+}
 const drainNoticeMs = 300
 const closeGraceMs = 500
 
@@ -69,16 +72,12 @@
 	private readonly store = new ConfigStore()
 	private readonly contacts: EntryContacts
 	private readonly reporter: Reporter
-	private readonly workers = new Map<string, EngineWorker>()
 	private link: LinkServer | undefined
 	private health: Server | undefined
-	private engines: EngineHost | undefined
-	private services: ServiceHost | undefined
-	private shares: LoadShares | undefined
-	private pool: Pool | undefined
+	private pool: EndpointPool | undefined
+	private isOpening = false
 	private incarnation = 0
 	private fencing: IncarnationTask | undefined
-	private lastLoadMs = 0
 	private state = HostState.LIVE
 
 	private constructor(
@@ -104,7 +103,7 @@
 		})
 		this.reporter = new Reporter({
 			figures: () => this.figures(),
-			residency: () => this.residency(),
+			residency: () => this.pool?.residency() ?? noResidency,
 			onAck: ack => {
 				this.hearEntry(ack)
 			}
@@ -121,13 +120,7 @@
 	}
 
 	get isReady(): boolean {
-		return this.state === HostState.LIVE && this.countUsable() > 0
-	}
-
-	/** Engines or plain services that can take work. */
-	private countUsable(): number {
-		if (this.engines !== undefined) return this.engines.upCount
-		return this.services === undefined ? 0 : this.settings.workers.length
+		return this.state === HostState.LIVE && this.figures().workers > 0
 	}
 
 	async drain(): Promise<void> {
@@ -136,8 +129,10 @@
 		this.reporter.flush()
 		await this.contacts.announce()
 		const limit = new AbortController()
-		const work = Promise.all([this.engines?.drain(), this.services?.drain()])
-		await Promise.race([work, sleep(this.settings.drainMs, limit.signal)])
+		await Promise.race([
+			this.pool?.drain(),
+			sleep(this.settings.drainMs, limit.signal)
+		])
 		limit.abort()
 		await sleep(drainNoticeMs)
 		await this.close()
@@ -148,11 +143,9 @@
 		this.reporter.close()
 		this.contacts.close()
 		this.fencing?.close()
-		this.engines?.close()
-		this.services?.close()
 		await Promise.race([this.link?.drain(), sleep(closeGraceMs)])
 		this.link?.close()
-		await Promise.all([...this.workers.values()].map(w => w.close()))
+		await this.pool?.close()
 		this.health?.close()
 		await this.platform.close()
 		this.counters.close()
@@ -188,131 +181,51 @@
 		void this.contacts.run()
 	}
 
-	/** Builds the hosts of the pool when the first configuration arrives. */
+	/** Opens the pool when the first configuration arrives. */
 	private async configure(root: ConfigRoot): Promise<void> {
-		if (this.pool !== undefined) {
-			this.reporter.noteChange()
-			return
-		}
+		this.pool?.configure(root)
+		this.reporter.noteChange()
+		if (this.isOpening || this.pool !== undefined) return
 		const name = this.settings.pool
 		const pool = root.settings.pools.find(entry => entry.name === name)
 		if (pool === undefined) {
 			this.log.warn("pool is not configured", {pool: name})
 			return
 		}
-		this.pool = pool
-		if (pool.type === PoolType.Engines) await this.openEngines(root, pool)
-		else await this.openServices(pool)
-		this.log.info("serving", {
-			pool: name,
-			incarnation: this.incarnation,
-			generation: root.generation
-		})
+		this.isOpening = true
+		this.pool = await this.openPool(root, pool)
+		const {incarnation} = this
+		const {generation} = this.store
+		this.log.info("serving", {pool: name, incarnation, generation})
+		this.pool.configure(this.store.requireRoot())
 		this.reporter.flush()
 		await this.contacts.announce()
 	}
 
-	private async openEngines(root: ConfigRoot, pool: Pool): Promise<void> {
-		const clients = this.settings.workers.map(
-			url => new EngineClient({url, fence: 0})
-		)
-		const reports = await Promise.allSettled(clients.map(c => c.report()))
-		const used = reports.flatMap(report =>
-			report.status === "fulfilled" ? [report.value.highestFence] : []
-		)
-		await this.takeIncarnation(used)
-		const {weightStore, objective} = root.settings
-		const processes = 1
-		this.shares = createLoadShares(this.settings.policy, {
-			limits: weightStore,
-			processes
-		})
-		const names = clients.map(client => client.url)
-		const scheduler = createScheduler(this.settings.policy, {
-			workers: names,
-			slots: pool.slots,
-			seats: pool.seats,
-			objective,
-			share: this.shares.getShare(Date.now()),
-			msPerToken: pool.msPerToken,
-			loadMs: weightStore.loadMs,
-			maxQueued: maxQueuedPerSeat * pool.seats * names.length
-		})
-		const engines = new EngineHost({
-			hostId: this.settings.id,
+	private async openPool(root: ConfigRoot, pool: Pool): Promise<EndpointPool> {
+		const hasEngines = pool.type === PoolType.Engines
+		const {settings, platform, counters, log} = this
+		const used = hasEngines ? await readUsedFences(settings.workers) : []
+		this.incarnation = await this.takeIncarnation(used)
+		const options: EndpointPoolOptions = {
+			settings,
+			address: advertisedAddress(settings),
 			incarnation: this.incarnation,
-			scheduler,
-			workers: this.workers,
-			counters: this.counters,
-			log: this.log,
+			platform,
+			counters,
+			log,
 			onChange: () => {
 				this.reporter.noteChange()
 			},
-			onLoadTime: ms => {
-				this.lastLoadMs = ms
-				this.shares?.addLoad(ms, Date.now())
-			}
-		})
-		this.engines = engines
-		for (const client of clients) this.openWorker(client, engines)
-	}
-
-	private openWorker(client: EngineClient, engines: EngineHost): void {
-		client.fence = this.incarnation
-		const name = client.url
-		engines.onDown(name)
-		const worker = new EngineWorker({
-			name,
-			engine: client,
-			listener: {
-				onUp: (id, resident) => {
-					engines.onUp(id, resident)
-				},
-				onDown: id => {
-					engines.onDown(id)
-				},
-				onReset: (id, resident) => {
-					engines.onReset(id, resident)
-				},
-				onFenced: (id, detail) => {
-					this.stopFenced(id, detail)
-				}
+			onFenced: (endpoint, detail) => {
+				this.stopFenced(endpoint, detail)
 			}
-		})
-		this.workers.set(name, worker)
-		void worker.watch()
-	}
-
-	private async openServices(pool: Pool): Promise<void> {
-		await this.takeIncarnation()
-		const services = this.settings.workers.map(
-			url => new ServiceClient(url, this.incarnation)
-		)
-		const {id} = this.settings
-		const address = advertisedAddress(this.settings)
-		this.services = new ServiceHost({
-			services,
-			claims: new ClaimTask({
-				platform: this.platform,
-				pool: pool.name,
-				buckets: claimBuckets,
-				claimWaitMs,
-				owner: {hostId: id, address, incarnation: this.incarnation}
-			}),
-			counters: this.counters,
-			seats: pool.seats,
-			maxQueued: maxQueuedCalls,
-			callMs: pool.callMs,
-			onChange: () => {
-				this.reporter.noteChange()
-			},
-			onFenced: (service, detail) => {
-				this.stopFenced(service, detail)
-			}
-		})
+		}
+		if (hasEngines) return new EnginePool(options, root, pool)
+		return new ServicePool(options, pool)
 	}
 
-	private async takeIncarnation(used: readonly number[] = []): Promise<void> {
+	private takeIncarnation(used: readonly number[]): Promise<number> {
 		this.fencing = new IncarnationTask({
 			platform: this.platform,
 			address: this.settings.link,
@@ -322,12 +235,15 @@
 				this.stopFenced(this.settings.link, `incarnation ${observed} is in use`)
 			}
 		})
-		this.incarnation = await this.fencing.take()
+		return this.fencing.take()
 	}
 
 	private async mintTicket({member, route}: TicketRequest): Promise<Ticket> {
 		await Promise.resolve()
-		if (this.services === undefined || !this.isReady) {
+		const minted = this.isReady
+			? this.pool?.mintTicket({member, route})
+			: undefined
+		if (minted === undefined) {
 			return create(TicketSchema, {
 				refused: {
 					reason: NotRunReason.NOT_CONFIGURED,
@@ -335,7 +251,7 @@
 				}
 			})
 		}
-		const {ticket, expiresAt} = this.services.mintTicket({member, route})
+		const {ticket, expiresAt} = minted
 		return create(TicketSchema, {ticket, expiresMs: expiresAt})
 	}
 
@@ -346,56 +262,21 @@
 			if (isLast) call.end()
 		}
 		call.on("error", () => undefined)
-		if (this.engines !== undefined) {
-			const detach = this.engines.run(call.request, write)
-			call.on("cancelled", detach)
+		if (this.pool === undefined) {
+			const detail = `host ${this.settings.id} is not configured yet`
+			write(wrap(notRun(NotRunReason.NOT_CONFIGURED, detail)), true)
 			return
 		}
-		if (this.services !== undefined) {
-			void this.runService(this.services, call, write)
-			return
-		}
-		const detail = `host ${this.settings.id} is not configured yet`
-		write(wrap(notRun(NotRunReason.NOT_CONFIGURED, detail)), true)
-	}
-
-	private async runService(
-		services: ServiceHost,
-		call: RunCall,
-		write: Sink
-	): Promise<void> {
-		let event: RunEvent["event"]
-		try {
-			event = await services.run(call.request)
-		} catch (err) {
-			call.destroy(err instanceof Error ? err : new Error(String(err)))
-			return
-		}
-		write(wrap(event), true)
+		const detach = this.pool.run(call.request, write)
+		call.on("cancelled", detach)
 	}
 
 	private hearEntry(ack: ReportAck): void {
 		this.contacts.hear(ack)
-		if (ack.hasPoolHosts) {
-			const {pool, id} = this.settings
-			this.services?.syncHomes(pool, id, ack.poolHosts)
-		}
-		if (this.shares === undefined || this.engines === undefined) return
-		const now = Date.now()
-		this.shares.setProcesses(Math.max(1, ack.loadingProcesses))
-		this.shares.setDemand(this.engines.snapshot().loadDemand)
-		this.shares.addFleetDemand(
-			{
-				entry: ack.entryId,
-				demand: ack.fleetLoadDemand,
-				demanding: ack.fleetDemanding
-			},
-			now
-		)
-		this.engines.setShare(this.shares.getShare(now))
+		this.pool?.hear(ack)
 	}
 
-	/** A newer process holds the engines: this one must not send any more. */
+	/** A newer process holds the endpoints: this one must not send any more. */
 	private stopFenced(worker: string, detail: string): void {
 		if (this.state === HostState.LEAVING) return
 		this.log.error("fenced by a newer process", {worker, detail})
@@ -415,18 +296,7 @@
 		return create(AckSchema, {generation: this.store.generation})
 	}
 
-	private residency(): ReadonlyMap<AdapterName, Residency> {
-		const residency = new Map<AdapterName, Residency>()
-		if (this.engines === undefined) return residency
-		const {resident, loading} = this.engines.snapshot()
-		for (const adapter of loading) residency.set(adapter, Residency.LOADING)
-		for (const adapter of resident) residency.set(adapter, Residency.RESIDENT)
-		return residency
-	}
-
 	private figures(): ReportFigures {
-		const snapshot = this.engines?.snapshot()
-		const workers = this.countUsable()
 		return {
 			hostId: this.settings.id,
 			incarnation: this.incarnation,
@@ -434,13 +304,7 @@
 			failureDomain: this.settings.failureDomain,
 			state: this.state,
 			generation: this.store.generation,
-			workers,
-			seats: (this.pool?.seats ?? 0) * workers,
-			slots: (this.pool?.slots ?? 0) * workers,
-			running: snapshot?.running ?? this.services?.running ?? 0,
-			queued: snapshot?.queued ?? this.services?.queued ?? 0,
-			loadDemand: snapshot?.loadDemand ?? 0,
-			loadMs: this.lastLoadMs
+			...(this.pool?.figures() ?? noFigures)
 		}
 	}
 
--- a/src/endpoint/engineHost.ts
+++ b/src/endpoint/engineHost.ts
@@ -34,6 +34,7 @@
 	type Sink,
 	unknownOutcome
 } from "./generation.js"
+import {GenerationRegistry} from "./generationRegistry.js"
 
 export interface EngineHostOptions {
 	hostId: string
@@ -54,6 +55,11 @@
 
 type LoadAction = Extract<SchedulerAction, {kind: SchedulerActionKind.Load}>
 
+type ReconfiguredEvent = Extract<
+	SchedulerEvent,
+	{kind: SchedulerEventKind.Reconfigured}
+>
+
 const prefixLength = 64
 const maxLocalAttempts = 3
 const refusedRetryMs = 100
@@ -76,15 +82,12 @@
 
 export class EngineHost {
 	private readonly options: Required<EngineHostOptions>
-	private readonly generations = new Map<string, Generation>()
-	/** Latest generation of each Member's request id. */
-	private readonly byRequest = new Map<string, Generation>()
+	private readonly generations: GenerationRegistry
 	private readonly sources = new Map<AdapterName, string>()
 	private readonly up = new Set<string>()
 	private wakeTimer: NodeJS.Timeout | undefined
 	private wakeAt = Infinity
 	private isLeaving = false
-	private idleWaiters: (() => void)[] = []
 
 	constructor(options: EngineHostOptions) {
 		this.options = {
@@ -93,6 +96,7 @@
 			onLoadTime: () => undefined,
 			...options
 		}
+		this.generations = new GenerationRegistry(this.options.keepFinishedMs)
 	}
 
 	/** Starts or resumes a request; returns the function that stops reading. */
@@ -104,7 +108,7 @@
 			generation.refuse(NotRunReason.LEAVING, "the host is leaving")
 			return detach
 		}
-		this.remember(generation)
+		this.generations.add(generation)
 		this.enqueue(generation)
 		return () => {
 			detach()
@@ -116,6 +120,10 @@
 		this.step({kind: SchedulerEventKind.ShareUpdated, share})
 	}
 
+	reconfigure(event: ReconfiguredEvent): void {
+		this.step(event)
+	}
+
 	/** Engines that answer and can be used. */
 	get upCount(): number {
 		return this.up.size
@@ -137,7 +145,7 @@
 	onReset(worker: string, resident: AdapterName[]): void {
 		this.options.log.warn("engine restarted cold", {worker})
 		this.options.counters.add("engine.restarts")
-		for (const generation of this.generations.values()) {
+		for (const generation of this.generations.listActive()) {
 			if (generation.worker === worker) generation.worker = ""
 		}
 		this.step({kind: SchedulerEventKind.WorkerReset, worker, resident})
@@ -150,13 +158,11 @@
 	/** Gives back what waits, then resolves when nothing runs. */
 	async drain(): Promise<void> {
 		this.isLeaving = true
-		for (const generation of [...this.generations.values()]) {
-			if (generation.state !== GenerationState.Waiting) continue
+		for (const generation of this.generations.listWaiting()) {
 			this.drop(generation)
 			generation.refuse(NotRunReason.LEAVING, "the host is leaving")
 		}
-		if (this.generations.size === 0) return
-		await new Promise<void>(resolve => this.idleWaiters.push(resolve))
+		await this.generations.waitIdle()
 	}
 
 	close(): void {
@@ -164,7 +170,7 @@
 	}
 
 	private resume(req: RunRequest, sink: Sink): () => void {
-		const generation = this.byRequest.get(requestKey(req))
+		const generation = this.generations.findStream(req)
 		if (generation === undefined) {
 			const detail = `stream ${req.requestId} is not held here`
 			const missing = this.createGeneration(req)
@@ -195,11 +201,6 @@
 		return new Generation(req, draft)
 	}
 
-	private remember(generation: Generation): void {
-		this.generations.set(generation.draft.id, generation)
-		this.byRequest.set(requestKey(generation.req), generation)
-	}
-
 	private enqueue(generation: Generation): void {
 		generation.state = GenerationState.Waiting
 		generation.worker = ""
@@ -224,7 +225,7 @@
 	/** Removes a waiting generation from the scheduler. */
 	private drop(generation: Generation): void {
 		const {id} = generation.draft
-		this.forget(generation)
+		this.generations.forget(generation)
 		this.step({kind: SchedulerEventKind.Cancelled, id})
 	}
 
@@ -356,11 +357,11 @@
 					promptTokens: last.promptTokens
 				}
 			})
-			this.forgetLater(generation)
+			this.generations.forgetLater(generation)
 			return
 		}
 		generation.end(explainEnd(result, worker))
-		this.forgetLater(generation)
+		this.generations.forgetLater(generation)
 	}
 
 	private canRetryHere(generation: Generation, result: RunResult): boolean {
@@ -374,7 +375,7 @@
 		setTimeout(() => {
 			if (generation.state !== GenerationState.Waiting) return
 			if (this.isLeaving) {
-				this.forget(generation)
+				this.generations.forget(generation)
 				generation.refuse(NotRunReason.LEAVING, "the host is leaving")
 				return
 			}
@@ -390,7 +391,7 @@
 		const generation = this.generations.get(id)
 		if (generation === undefined) return
 		this.options.counters.add(`refused.${reason}`)
-		this.forget(generation)
+		this.generations.forget(generation)
 		generation.refuse(refusalReasons[reason], reason, retryAfterMs)
 	}
 
@@ -405,28 +406,6 @@
 		}, waitMs)
 	}
 
-	private forgetLater(generation: Generation): void {
-		this.generations.delete(generation.draft.id)
-		this.noteIdle()
-		setTimeout(() => {
-			this.forget(generation)
-		}, this.options.keepFinishedMs).unref()
-	}
-
-	private forget(generation: Generation): void {
-		this.generations.delete(generation.draft.id)
-		const key = requestKey(generation.req)
-		if (this.byRequest.get(key) === generation) this.byRequest.delete(key)
-		this.noteIdle()
-	}
-
-	private noteIdle(): void {
-		if (this.generations.size > 0) return
-		const waiters = this.idleWaiters
-		this.idleWaiters = []
-		for (const resolve of waiters) resolve()
-	}
-
 	private requireWorker(name: string): EngineWorker {
 		const worker = this.options.workers.get(name)
 		if (worker === undefined) throw new TypeError(`unknown engine ${name}`)
@@ -434,11 +413,6 @@
 	}
 }
 
-/** A stream is known by its Member as well, so that no other can resume it. */
-function requestKey(req: RunRequest): string {
-	return JSON.stringify([req.member, req.requestId])
-}
-
 function explainEnd(
 	result: RunResult,
 	worker: string
--- a/src/endpoint/serviceHost.ts
+++ b/src/endpoint/serviceHost.ts
@@ -54,10 +54,12 @@
 	/** Buckets whose keys are routed here, as far as the entries told. */
 	private homes: ReadonlySet<number> = new Set()
 	private nextService = 0
+	private callMs: number
 	private isLeaving = false
 
 	constructor(options: ServiceHostOptions) {
 		this.options = options
+		this.callMs = options.callMs
 		const seats = options.seats * options.services.length
 		this.queue = createCallQueue(seats)
 	}
@@ -91,6 +93,12 @@
 		}
 	}
 
+	/** Takes the seats of each service and the expected time of a call. */
+	configure(seats: number, callMs: number): void {
+		this.queue.concurrency = seats * this.options.services.length
+		this.callMs = callMs
+	}
+
 	/** Reads the claims of the keys that are routed to this process. */
 	syncHomes(pool: string, selfId: string, hostIds: readonly string[]): void {
 		const buckets = listHomeBuckets(pool, selfId, hostIds)
@@ -123,8 +131,8 @@
 
 	/** Refuses at once a call that would still wait at its deadline. */
 	private checkAdmission(req: RunRequest): RunEvent["event"] | undefined {
-		const {callMs, maxQueued} = this.options
-		const drainMs = (callMs * this.queue.size) / this.queue.concurrency
+		const {maxQueued} = this.options
+		const drainMs = (this.callMs * this.queue.size) / this.queue.concurrency
 		if (this.queue.size >= maxQueued) {
 			return this.refuse(NotRunReason.OVERLOADED, drainMs)
 		}
@@ -208,7 +216,7 @@
 		if (err instanceof ServiceError && err.isNotRun) {
 			this.options.counters.add("service.refused")
 			if (err.isFenced) this.options.onFenced(err.peer, detail)
-			const retryAfterMs = this.options.callMs
+			const retryAfterMs = this.callMs
 			return {end: SendEnd.NotStarted, detail, retryAfterMs}
 		}
 		this.options.counters.add("service.unknown")
--- a/src/policy/adapterScheduler.ts
+++ b/src/policy/adapterScheduler.ts
@@ -20,7 +20,8 @@
 	SchedulerAction,
 	SchedulerEvent,
 	SchedulerOptions,
-	SchedulerSnapshot
+	SchedulerSnapshot,
+	SchedulerTuning
 } from "./scheduler.js"
 import {adoptResident, countFreeSeats, SlotState} from "./slots.js"
 import type {Worker} from "./slots.js"
@@ -113,12 +114,23 @@
 			case SchedulerEventKind.ShareUpdated:
 				this.loads.setShare(event.share, now)
 				return
+			case SchedulerEventKind.Reconfigured:
+				this.reconfigure(event.tuning)
+				return
 			case SchedulerEventKind.Tick:
 				this.wakeAt = Infinity
 		}
 	}
 
 	/** A request that is waiting or running already is not taken twice. */
+	/** Requests that wait keep the rank and deadlines they were given. */
+	private reconfigure(tuning: SchedulerTuning): void {
+		this.engines.resize(tuning.slots, tuning.seats)
+		this.estimates.configure(tuning)
+		this.fairShare.setWeights(tuning.memberWeights)
+		this.loads.order.setObjective(tuning.objective)
+	}
+
 	private arrive(draft: Draft, now: number): void {
 		if (this.queue.get(draft.id) || this.engines.hasRun(draft.id)) return
 		this.popularity.add(draft.adapter, now)
--- a/src/policy/baselines/fifoScheduler.ts
+++ b/src/policy/baselines/fifoScheduler.ts
@@ -108,6 +108,12 @@
 			case SchedulerEventKind.ShareUpdated:
 				this.budget.setShare(event.share, now)
 				return
+			case SchedulerEventKind.Reconfigured:
+				for (const worker of this.workers.values()) {
+					worker.capacity = event.tuning.slots
+					worker.seats = event.tuning.seats
+				}
+				return
 			case SchedulerEventKind.Tick:
 		}
 	}
--- a/src/policy/engines.ts
+++ b/src/policy/engines.ts
@@ -49,6 +49,14 @@
 		return false
 	}
 
+	/** Changes the size of every engine; what runs or is loaded stays. */
+	resize(slots: number, seats: number): void {
+		for (const worker of this.workers.values()) {
+			worker.capacity = slots
+			worker.seats = seats
+		}
+	}
+
 	/** True when the adapter is resident or loading on a worker that is up. */
 	hasCopy(adapter: AdapterName): boolean {
 		for (const worker of this.workers.values()) {
--- a/src/policy/estimates.ts
+++ b/src/policy/estimates.ts
@@ -16,8 +16,8 @@
 const maxLoadFactor = 20
 
 export class Estimates {
-	private readonly msPerToken: number
-	private readonly configuredLoadMs: number
+	private msPerToken: number
+	private configuredLoadMs: number
 	private tokenRatio = initialTokenRatio
 	private meanServiceMs: number | undefined
 	/** Mean expectation of what was admitted, until a run has ended. */
@@ -30,6 +30,12 @@
 		this.meanLoadMs = options.loadMs
 	}
 
+	/** Takes new expectations; what was learned is kept. */
+	configure({msPerToken, loadMs}: EstimatesOptions): void {
+		this.msPerToken = msPerToken
+		this.configuredLoadMs = loadMs
+	}
+
 	/** Expected time of one load, in milliseconds. */
 	get loadMs(): number {
 		return this.meanLoadMs
--- a/src/policy/fairShare.ts
+++ b/src/policy/fairShare.ts
@@ -13,7 +13,7 @@
 
 export class FairShare {
 	private readonly clocks = new Map<string, Clock>()
-	private readonly weights: Readonly<Record<string, number>>
+	private weights: Readonly<Record<string, number>>
 	private active = 0
 	private sweepAtSize = sweepSize
 
@@ -21,6 +21,10 @@
 		this.weights = weights
 	}
 
+	setWeights(weights: Readonly<Record<string, number>>): void {
+		this.weights = weights
+	}
+
 	/** Counts a request in and returns how far it is sent back, in ms. */
 	enter(member: string, serviceMs: number, seats: number, now: number): number {
 		const clock = this.getClock(member, now)
--- a/src/policy/loadOrder.ts
+++ b/src/policy/loadOrder.ts
@@ -38,16 +38,20 @@
 const minCompany = 2
 
 export class LoadOrder {
-	private readonly holdShare: number
-	private readonly maxWaitShare: number
+	private holdShare = 0
+	private maxWaitShare = 0
 	/** True when load stalls weigh at least as much as batch efficiency. */
-	private readonly prefersStarts: boolean
+	private prefersStarts = true
 	private readonly urgent = new KeyedHeap<LoadDemand>()
 	private readonly spare = new KeyedHeap<LoadDemand>()
 	private readonly blocked = new KeyedHeap<AdapterName>()
 	private aside: LoadDemand[] = []
 
 	constructor(objective: Objective) {
+		this.setObjective(objective)
+	}
+
+	setObjective(objective: Objective): void {
 		const total = objective.loadStalls + objective.batchEfficiency
 		const share = total > 0 ? objective.batchEfficiency / total : 0
 		this.prefersStarts = objective.loadStalls >= objective.batchEfficiency
--- a/src/policy/scheduler.ts
+++ b/src/policy/scheduler.ts
@@ -21,6 +21,7 @@
 	WorkerUp = "workerUp",
 	WorkerDown = "workerDown",
 	ShareUpdated = "shareUpdated",
+	Reconfigured = "reconfigured",
 	Tick = "tick"
 }
 
@@ -54,6 +55,8 @@
 			resident?: readonly AdapterName[]
 	  }
 	| {kind: SchedulerEventKind.ShareUpdated; share: LoadShare}
+	/** A later configuration is in force. */
+	| {kind: SchedulerEventKind.Reconfigured; tuning: SchedulerTuning}
 	| {kind: SchedulerEventKind.Tick}
 
 export enum SchedulerActionKind {
@@ -89,6 +92,21 @@
 	/** Send a `Tick` no later than `at`. */
 	| {kind: SchedulerActionKind.Wake; at: number}
 
+/** What a later configuration may change. */
+export interface SchedulerTuning {
+	/** Adapter slots of each engine. */
+	slots: number
+	/** Requests that one engine runs at a time. */
+	seats: number
+	objective: Objective
+	/** Relative share of a Member under contention; 1 when absent. */
+	memberWeights: Readonly<Record<string, number>>
+	/** Expected time to generate one token, for deadline estimates. */
+	msPerToken: number
+	/** Expected time to load one adapter. */
+	loadMs: number
+}
+
 export interface SchedulerOptions {
 	workers: readonly string[]
 	/** Adapter slots of each engine. */
