--- a/bench/load/caller.ts
+++ b/bench/load/caller.ts
@@ -57,6 +57,13 @@
 const maxSends = 3
 const connectErrors = new Set(["ECONNREFUSED", "UND_ERR_CONNECT_TIMEOUT"])
 
+/** One sending of a call. */
+interface Sending {
+	deadline: number
+	/** True when the call's key was not sent before. */
+	isFirst: boolean
+}
+
 export class Caller {
 	private next = 0
 
@@ -73,7 +80,10 @@
 		let judgement: Judgement
 		do {
 			sends += 1
-			judgement = await this.sendOnce(call, startedAt, deadline)
+			judgement = await this.sendOnce(call, startedAt, {
+				deadline,
+				isFirst: sends === 1
+			})
 		} while (
 			isRepeatable(call, judgement) &&
 			sends < maxSends &&
@@ -90,10 +100,10 @@
 	private async sendOnce(
 		call: PlannedCall,
 		startedAt: number,
-		deadline: number
+		sending: Sending
 	): Promise<Judgement> {
 		try {
-			const answer = await this.sendToOpenEntry(call, deadline)
+			const answer = await this.sendToOpenEntry(call, sending)
 			return judge(call, answer, startedAt)
 		} catch (err) {
 			return {end: CallEnd.Cut, reason: codeOf(err)}
@@ -103,12 +113,12 @@
 	/** Like a balancer, passes over entries that accept no connection. */
 	private async sendToOpenEntry(
 		call: PlannedCall,
-		deadline: number
+		sending: Sending
 	): Promise<HttpAnswer> {
 		let failure: unknown
 		for (const url of this.rotateEntries()) {
 			try {
-				return await this.sendTo(url, call, deadline)
+				return await this.sendTo(url, call, sending)
 			} catch (err) {
 				if (!connectErrors.has(codeOf(err))) throw err
 				failure = err
@@ -120,17 +130,17 @@
 	private async sendTo(
 		entryUrl: string,
 		call: PlannedCall,
-		deadline: number
+		sending: Sending
 	): Promise<HttpAnswer> {
 		const {kind} = call
 		const isDraft = kind.type === CallType.Draft
 		const path = isDraft ? "/v1/completions" : servicePath(call)
-		const timeoutMs = Math.max(1, deadline - this.now()) + graceMs
+		const timeoutMs = Math.max(1, sending.deadline - this.now()) + graceMs
 		const signal = AbortSignal.timeout(timeoutMs)
 		const res = await request(entryUrl + path, {
 			method: kind.type === CallType.Status ? "GET" : "POST",
 			dispatcher: this.options.agent,
-			headers: headersOf(call, deadline),
+			headers: headersOf(call, sending),
 			body: bodyOf(call),
 			headersTimeout: timeoutMs,
 			bodyTimeout: timeoutMs,
@@ -165,7 +175,7 @@
 
 function headersOf(
 	{kind, member, id}: PlannedCall,
-	deadline: number
+	{deadline, isFirst}: Sending
 ): Record<string, string> {
 	const headers: Record<string, string> = {
 		"content-type": "application/json",
@@ -174,8 +184,10 @@
 		"x-request-id": id
 	}
 	if (kind.type === CallType.Draft) headers["x-route"] = kind.route
-	if (kind.type === CallType.Submission)
+	if (kind.type === CallType.Submission) {
 		headers["idempotency-key"] = `key-${id}`
+		headers["x-first-attempt"] = String(isFirst)
+	}
 	return headers
 }
 
