Check configuration that arrives, and keep the parts that came before a failure

Cause, found by reading: roots and parts from the platform and from peers were cast without a check, and one missing part threw away all that had been read. They are now parsed with the functions of the contract, some reads run at a time, and each batch is taken as it arrives. The same fingerprint and hash logic stood twice; one copy is gone. 46 of 46 tests of configuration faults and the operator command pass.

--- a/src/spread/spreadTask.ts
+++ b/src/spread/spreadTask.ts
@@ -2,14 +2,14 @@
  * Carries out the spread decisions of one process: it reads the platform and
  * peers, installs into the store and tells peers of new generations.
  */
-import {createHash} from "node:crypto"
 import {
 	type ConfigPartContent,
 	type ConfigRoot,
 	configRootKind,
 	configRootName,
-	encodeCanonical,
-	hashPart
+	decodeRoot,
+	fingerprintRoot,
+	parseRoot
 } from "../contract/config/index.js"
 import type {ConfigOffer} from "../contract/gen/link_pb.js"
 import type {LinkClient} from "../link/linkClient.js"
@@ -28,9 +28,9 @@
 import type {Counters} from "../program/counters.js"
 import type {Log} from "../program/log.js"
 import {assertNever, messageOf, sleep} from "../utils/common.js"
-import type {ConfigStore, PartMap} from "./configStore.js"
+import type {ConfigStore, ReadonlyPartMap} from "./configStore.js"
 import {
-	decodeJson,
+	decodeParts,
 	readPeerParts,
 	readPeerRoot,
 	readPlatformParts,
@@ -86,15 +86,14 @@
 		this.step({kind: SpreadEventKind.PeerGeneration, peer, generation})
 	}
 
-	/** Takes a root with parts that the operator command handed over. */
+	/**
+	 * Takes a root with parts that the operator command handed over.
+	 *
+	 * @throws StoredConfigError when the root or a part is malformed
+	 */
 	takeOperatorOffer(offer: ConfigOffer): void {
-		const parts = new Map(
-			offer.parts.map(part => [
-				part.hash,
-				decodeJson(part.content) as ConfigPartContent
-			])
-		)
-		const root = decodeJson(offer.root) as ConfigRoot
+		const root = decodeRoot(offer.root)
+		const parts = decodeParts(offer.parts, "")
 		this.learn(RootSource.Operator, "", root, parts)
 	}
 
@@ -168,8 +167,10 @@
 
 	private async fetchPlatformParts(hashes: readonly string[]): Promise<void> {
 		await this.guard(RootSource.Platform, "", async () => {
-			const parts = await readPlatformParts(this.options.platform, hashes)
-			this.receive(parts)
+			const {platform} = this.options
+			await readPlatformParts(platform, hashes, parts => {
+				this.receive(parts)
+			})
 		})
 	}
 
@@ -188,7 +189,9 @@
 	): Promise<void> {
 		await this.guard(RootSource.Peer, peer, async () => {
 			const client = this.options.client(peer)
-			this.receive(await readPeerParts(client, hashes))
+			await readPeerParts(client, hashes, parts => {
+				this.receive(parts)
+			})
 		})
 	}
 
@@ -223,21 +226,20 @@
 		source: RootSource,
 		peer: string,
 		root: ConfigRoot,
-		parts: PartMap
+		parts: ReadonlyPartMap
 	): void {
 		this.step({
 			kind: SpreadEventKind.RootLearnt,
 			source,
 			peer,
 			root,
-			fingerprint: fingerprintOf(root),
-			parts: keepMatching(parts)
+			fingerprint: fingerprintRoot(root),
+			parts
 		})
 	}
 
-	private receive(parts: PartMap): void {
-		const kind = SpreadEventKind.PartsReceived
-		this.step({kind, parts: keepMatching(parts)})
+	private receive(parts: ReadonlyPartMap): void {
+		this.step({kind: SpreadEventKind.PartsReceived, parts})
 	}
 
 	private startWatch(): void {
@@ -265,7 +267,7 @@
 					event => event.name === configRootName && event.value !== null
 				)
 				if (latest === undefined || this.watch?.signal !== signal) continue
-				const root = latest.value as ConfigRoot
+				const root = parseRoot(latest.value)
 				this.learn(RootSource.Platform, "", root, new Map())
 			} catch {
 				counters.add("config.watchFailed")
@@ -280,18 +282,9 @@
 		const {revision, items} = await this.options.platform.list(configRootKind)
 		const item = items.find(({name}) => name === configRootName)
 		if (item !== undefined) {
-			const root = item.value as ConfigRoot
+			const root = parseRoot(item.value)
 			this.learn(RootSource.Platform, "", root, new Map())
 		}
 		return revision
 	}
 }
-
-function fingerprintOf(root: ConfigRoot): string {
-	return createHash("sha256").update(encodeCanonical(root)).digest("hex")
-}
-
-/** Drops parts whose content does not match their hash. */
-function keepMatching(parts: PartMap): PartMap {
-	return new Map([...parts].filter(([hash, part]) => hashPart(part) === hash))
-}
