Refuse tickets as not run while there is no configuration

An entry without a configuration answered a ticket request with 500 and an unknown outcome, as the store threw; completions and service calls were refused as not run already. Found by reading the handler beside the tests of bad input; the ticket route now goes through the same check. Before: reasoned from the code, not run.

--- a/src/entry/requestHandler.ts
+++ b/src/entry/requestHandler.ts
@@ -87,7 +87,7 @@
 		const envelope = parseEnvelope(req.headers, member, arrivedAt)
 		const bytes = await readBody(req)
 		const body = isChat ? parseChat(bytes) : parseCompletion(bytes)
-		if (this.refuseUnready(res, envelope)) return
+		if (this.refuseUnready(res, envelope.requestId)) return
 		const route = this.routes.findGeneration(envelope.routeName)
 		checkRouteRules(route, envelope, arrivedAt)
 		const runReq = this.createGeneration(route, envelope, body)
@@ -117,7 +117,7 @@
 			sendFailure(res, outcome, requestId)
 			return
 		}
-		if (this.refuseUnready(res, envelope)) return
+		if (this.refuseUnready(res, envelope.requestId)) return
 		const route = this.routes.findGeneration(envelope.routeName)
 		const body: CompletionBody = {
 			model,
@@ -149,7 +149,7 @@
 		const member = this.identify(req)
 		const envelope = parseEnvelope(req.headers, member, arrivedAt)
 		const body = await readBody(req)
-		if (this.refuseUnready(res, envelope)) return
+		if (this.refuseUnready(res, envelope.requestId)) return
 		const method = req.method ?? "GET"
 		const [plainPath = path] = path.split("?")
 		const route = this.routes.findService(method, plainPath)
@@ -166,6 +166,7 @@
 		routeName: unknown
 	): Promise<void> {
 		const member = this.identify(req)
+		if (this.refuseUnready(res, "")) return
 		const root = this.options.store.requireRoot()
 		const route = root.settings.routes.find(({name}) => name === routeName)
 		if (route === undefined || route.idempotent) {
@@ -210,12 +211,12 @@
 		return identifyMember(req.headers, this.options.memberSecret)
 	}
 
-	private refuseUnready(res: ServerResponse, envelope: Envelope): boolean {
+	private refuseUnready(res: ServerResponse, requestId: string): boolean {
 		if (this.table !== undefined) return false
 		const detail = "this entry holds no configuration yet"
 		const {NOT_CONFIGURED} = NotRunReason
 		const outcome = notRunOutcome(NOT_CONFIGURED, detail, notReadyRetryMs)
-		sendFailure(res, outcome, envelope.requestId)
+		sendFailure(res, outcome, requestId)
 		return true
 	}
 
