Load on an idle engine whatever the objective weighs

Cause, found by the library test: with batch efficiency below 1/11 of the weights the share of its slack that a request may wait for its load was negative, so that an idle engine refused every prompt request that needed a load.

--- a/src/policy/loadOrder.ts
+++ b/src/policy/loadOrder.ts
@@ -31,6 +31,8 @@
 const promptHoldShare = 0.25
 /** Part of the slack that is closed to waiting when only stalls count. */
 const stallCut = 1.1
+/** An idle engine has to take a request that needs a load at any weights. */
+const minWaitShare = 0.1
 const maxHoldShare = 0.9
 /** The same for deferrable requests. */
 const deferrableCompanyMs = 20_000
@@ -55,7 +57,8 @@
 		const total = objective.loadStalls + objective.batchEfficiency
 		const share = total > 0 ? objective.batchEfficiency / total : 0
 		this.prefersStarts = objective.loadStalls >= objective.batchEfficiency
-		this.maxWaitShare = 1 - stallCut * (1 - share)
+		const waitShare = 1 - stallCut * (1 - share)
+		this.maxWaitShare = Math.max(minWaitShare, waitShare)
 		this.holdShare = Math.min(maxHoldShare, share)
 	}
 
