Pace reports, acknowledgements and list reads by the number of links

Cause, from the measured slopes: at 320 links a report and an acknowledgement a second, whole lists each 2 s and announcements to linked entries took 407 KB/s and 35.6% of a core of an entry, 21 and 16 times the limits. One pure function now gives the pace: a second up to 33 links, then in proportion; an endpoint process announces itself only to entries that have no link to it. Ruled out for now: relaying reports within a failure domain, which reaches the limits on paper but is a new path to prove. Arithmetic from the same slopes (capacity bench, section plan): entry 407 to 31.6 KB/s (limit 19, missed 1.66 times) and 35.6% to 2.42% of a core (limit 2.2, missed 1.1 times); endpoint process 47.6 to 3.28 KB/s and 7.52% to 1.44%, both hold.

--- a/bench/capacity/peer.ts
+++ b/bench/capacity/peer.ts
@@ -24,7 +24,6 @@
 const workers = 5
 const slotsPerWorker = 8
 const seatsPerWorker = 8
-const minIntervalMs = 200
 /** 1,400 requests a second start and end at 320 endpoint processes. */
 const loadChangeMs = 114
 const maxAnswerBytes = 100_000_000
@@ -55,8 +54,7 @@
 				loadMs: 250
 			}),
 			residency: () => this.resident,
-			onAck: () => undefined,
-			minIntervalMs
+			onAck: () => undefined
 		})
 	}
 
--- a/bench/capacity/plan.ts
+++ b/bench/capacity/plan.ts
@@ -14,6 +14,7 @@
 	platformWrites,
 	sumOf
 } from "./costs.js"
+import {choosePace} from "../../src/policy/linkPace.js"
 import {type Cell, formatNumber, printTable} from "./print.js"
 import {
 	relayedEndpointBytes,
@@ -24,9 +25,10 @@
 import {limits, runningPerEntry, targetSize} from "./size.js"
 import {slopes} from "./slopes.js"
 
-/** The intervals in src/entry/fleet.ts and src/endpoint. */
-const todaysPace: Pace = {heartbeatMs: 1000, announceMs: 5000, listMs: 2000}
-const slowPace: Pace = {heartbeatMs: 10_000, announceMs: 60_000, listMs: 30_000}
+/** The intervals before they depended on the number of links. */
+const fixedPace: Pace = {heartbeatMs: 1000, announceMs: 5000, listMs: 2000}
+/** Endpoint processes announce themselves only to entries without a link. */
+const todaysPace: Pace = createTodaysPace()
 
 const kilobyte = 1000
 const percent = 100
@@ -43,12 +45,19 @@
 
 export function printPlan(): void {
 	for (const sum of listSums("today", todaysPace)) printSum(sum)
-	for (const sum of listSums("slow intervals", slowPace)) printTotal(sum)
+	for (const sum of listSums("fixed intervals", fixedPace)) printTotal(sum)
 	for (const sum of listRelayed()) printSum(sum)
 	printClaims()
 	printTokens()
 }
 
+function createTodaysPace(): Pace {
+	const {entries, endpoints} = targetSize
+	const hosts = entries + endpoints
+	const {heartbeatMs, listIntervalMs} = choosePace(endpoints, hosts)
+	return {heartbeatMs, announceMs: Infinity, listMs: listIntervalMs}
+}
+
 function listSums(state: string, pace: Pace): Sum[] {
 	const kilobytes = {
 		limit: limits.kilobytesPerSecond,
--- a/bench/capacity/wire.ts
+++ b/bench/capacity/wire.ts
@@ -107,7 +107,9 @@
 	fleetLoadDemand: 12.5,
 	fleetDemanding: 40,
 	loadingProcesses: 320,
-	poolHosts: []
+	poolHosts: [],
+	heartbeatMs: ackMs,
+	minReportMs: 200
 }
 
 function row(what: string, bytes: WireBytes, by: number): Cell[] {
--- a/src/endpoint/entryContacts.ts
+++ b/src/endpoint/entryContacts.ts
@@ -59,7 +59,7 @@
 	/** Announces this process until `close`. */
 	async run(): Promise<void> {
 		while (!this.stop.signal.aborted) {
-			await this.announce()
+			await this.announceToUnlinked()
 			const {isReady} = this.options.store
 			const waitMs = isReady ? idleIntervalMs : eagerIntervalMs
 			await sleep(waitMs, this.stop.signal)
@@ -73,6 +73,14 @@
 		await Promise.allSettled(addresses.map(entry => this.announceTo(entry)))
 	}
 
+	/** An entry that acknowledges reports knows this process already. */
+	private async announceToUnlinked(): Promise<void> {
+		const entries = this.listKnown().filter(
+			address => !this.knownUntil.has(address)
+		)
+		await Promise.allSettled(entries.map(entry => this.announceTo(entry)))
+	}
+
 	/** Takes an acknowledgement on a report stream. */
 	hear(ack: ReportAck): void {
 		const isNew = !this.knownUntil.has(ack.entryAddress)
--- a/src/endpoint/reporter.ts
+++ b/src/endpoint/reporter.ts
@@ -33,32 +33,34 @@
 	figures: () => ReportFigures
 	residency: () => ReadonlyMap<AdapterName, Residency>
 	onAck: (ack: ReportAck) => void
-	/** Shortest time between two reports on a stream. */
-	minIntervalMs?: number
-	/** Longest time between two reports on a stream. */
-	heartbeatMs?: number
 }
 
 interface ReportStream {
 	call: ReportCall
 	sent: Map<AdapterName, Residency>
+	/** Longest time between two reports. */
+	heartbeatMs: number
+	/** Shortest time between two reports that tell a change. */
+	minReportMs: number
+	hasChange: boolean
 	lastFigures: string
 	lastSentAt: number
 }
 
+const tickMs = 200
+const firstHeartbeatMs = 1000
 const noResidency: ReadonlyMap<AdapterName, Residency> = new Map()
 
 export class Reporter {
-	private readonly options: Required<ReporterOptions>
+	private readonly options: ReporterOptions
 	private readonly streams = new Set<ReportStream>()
-	private readonly heartbeat: NodeJS.Timeout
-	private flushTimer: NodeJS.Timeout | undefined
+	private readonly ticker: NodeJS.Timeout
 
 	constructor(options: ReporterOptions) {
-		this.options = {minIntervalMs: 200, heartbeatMs: 1000, ...options}
-		this.heartbeat = setInterval(() => {
-			this.sendHeartbeats()
-		}, this.options.heartbeatMs)
+		this.options = options
+		this.ticker = setInterval(() => {
+			this.sendDue()
+		}, tickMs)
 	}
 
 	get streamCount(): number {
@@ -70,6 +72,9 @@
 		const stream: ReportStream = {
 			call,
 			sent: new Map(noResidency),
+			heartbeatMs: firstHeartbeatMs,
+			minReportMs: tickMs,
+			hasChange: false,
 			lastFigures: "",
 			lastSentAt: 0
 		}
@@ -78,6 +83,10 @@
 			this.streams.delete(stream)
 		}
 		call.on("data", (ack: ReportAck) => {
+			if (ack.heartbeatMs > 0) {
+				stream.heartbeatMs = ack.heartbeatMs
+				stream.minReportMs = ack.minReportMs
+			}
 			this.options.onAck(ack)
 		})
 		call.on("cancelled", detach)
@@ -91,34 +100,34 @@
 
 	/** Sends changes soon, several together. */
 	noteChange(): void {
-		this.flushTimer ??= setTimeout(() => {
-			this.flush()
-		}, this.options.minIntervalMs)
+		for (const stream of this.streams) stream.hasChange = true
 	}
 
 	/** Sends changes to every entry now. */
 	flush(): void {
-		clearTimeout(this.flushTimer)
-		this.flushTimer = undefined
 		for (const stream of this.streams) this.send(stream, false)
 	}
 
 	close(): void {
-		clearInterval(this.heartbeat)
-		clearTimeout(this.flushTimer)
+		clearInterval(this.ticker)
 		for (const {call} of this.streams) call.end()
 		this.streams.clear()
 	}
 
-	private sendHeartbeats(): void {
-		const dueBefore = Date.now() - this.options.heartbeatMs / 2
+	private sendDue(): void {
+		const now = Date.now()
 		for (const stream of this.streams) {
-			if (stream.lastSentAt < dueBefore) this.send(stream, true)
+			const silentMs = now - stream.lastSentAt
+			if (silentMs >= stream.heartbeatMs) this.send(stream, true)
+			else if (stream.hasChange && silentMs >= stream.minReportMs) {
+				this.send(stream, false)
+			}
 		}
 	}
 
 	/** Sends what changed; nothing when nothing did, unless forced. */
 	private send(stream: ReportStream, isForced: boolean): void {
+		stream.hasChange = false
 		const figures = this.options.figures()
 		const residency = this.options.residency()
 		const changes = diffResidency(stream.sent, residency)
--- a/src/entry/endpointLink.ts
+++ b/src/entry/endpointLink.ts
@@ -25,6 +25,8 @@
 	fleetLoadDemand: number
 	fleetDemanding: number
 	loadingProcesses: number
+	heartbeatMs: number
+	minReportMs: number
 	/** Hosts of the endpoint's pool that take work. */
 	poolHosts: string[]
 }
--- a/src/entry/fleet.ts
+++ b/src/entry/fleet.ts
@@ -10,7 +10,7 @@
 } from "../contract/gen/link_pb.js"
 import {HostRole, HostState} from "../host/host.js"
 import type {HostRecord, Platform, TlsKeys} from "../link/index.js"
-import type {EndpointView} from "../policy/index.js"
+import {choosePace, type EndpointView} from "../policy/index.js"
 import {Membership} from "../policy/membership.js"
 import {
 	type MemberHost,
@@ -35,9 +35,6 @@
 	generation: () => number
 	/** Called when any host reports a generation. */
 	onGeneration: (address: string, generation: number) => void
-	listIntervalMs?: number
-	ackIntervalMs?: number
-	heartbeatTimeoutMs?: number
 }
 
 /** Adapter loads wanted over all endpoint processes. */
@@ -48,35 +45,29 @@
 }
 
 export class Fleet {
-	private readonly options: Required<FleetOptions>
+	private readonly options: FleetOptions
 	private readonly membership: Membership
 	private readonly links = new Map<string, EndpointLink>()
 	private readonly stop = new AbortController()
-	private readonly ackTimer: NodeJS.Timeout
+	private pace = choosePace(0, 0)
+	private ackTimer: NodeJS.Timeout | undefined
 	private tickTimer: NodeJS.Timeout | undefined
 	private isListKnown = false
 
 	constructor(options: FleetOptions) {
-		this.options = {
-			listIntervalMs: 2000,
-			ackIntervalMs: 1000,
-			heartbeatTimeoutMs: 4000,
-			...options
-		}
+		this.options = options
 		this.membership = new Membership({
 			selfId: options.selfId,
-			heartbeatTimeoutMs: this.options.heartbeatTimeoutMs
+			heartbeatTimeoutMs: this.pace.heartbeatTimeoutMs
 		})
-		this.ackTimer = setInterval(() => {
-			this.acknowledgeAll()
-		}, this.options.ackIntervalMs)
+		this.scheduleAcks()
 	}
 
 	/** Reads the platform's list until `close`. */
 	async run(): Promise<void> {
 		while (!this.stop.signal.aborted) {
 			await this.readList()
-			await sleep(this.options.listIntervalMs, this.stop.signal)
+			await sleep(this.pace.listIntervalMs, this.stop.signal)
 		}
 	}
 
@@ -152,7 +143,7 @@
 
 	close(): void {
 		this.stop.abort()
-		clearInterval(this.ackTimer)
+		clearTimeout(this.ackTimer)
 		clearTimeout(this.tickTimer)
 		for (const link of this.links.values()) link.close()
 		this.links.clear()
@@ -163,6 +154,19 @@
 		return host?.state === MemberState.Suspect
 	}
 
+	private scheduleAcks(): void {
+		this.ackTimer = setTimeout(() => {
+			this.updatePace()
+			this.acknowledgeAll()
+			this.scheduleAcks()
+		}, this.pace.heartbeatMs)
+	}
+
+	private updatePace(): void {
+		this.pace = choosePace(this.links.size, this.hosts().length)
+		this.membership.setHeartbeatTimeout(this.pace.heartbeatTimeoutMs)
+	}
+
 	private poolHosts(pool: string): MemberHost[] {
 		return this.membership.hosts().filter(host => host.pool === pool)
 	}
@@ -309,6 +313,8 @@
 			fleetLoadDemand: Math.max(0, sum.demand - own),
 			fleetDemanding: Math.max(0, sum.demanding - (own > 0 ? 1 : 0)),
 			loadingProcesses: Math.max(1, sum.processes),
+			heartbeatMs: this.pace.heartbeatMs,
+			minReportMs: this.pace.minReportMs,
 			poolHosts: this.listServiceHosts(link.report)
 		}
 	}
--- a/src/policy/membership.ts
+++ b/src/policy/membership.ts
@@ -47,6 +47,11 @@
 		this.options = {...defaultOptions, ...options}
 	}
 
+	/** Takes effect from the next message of each host. */
+	setHeartbeatTimeout(heartbeatTimeoutMs: number): void {
+		this.options.heartbeatTimeoutMs = heartbeatTimeoutMs
+	}
+
 	/** Takes one event and returns what to do about it, in order. */
 	step(event: MembershipEvent, now: number): MembershipAction[] {
 		this.extendAfterPause(now)
