Believe an estimate that a deadline can't be met, and move queued drafts freely

Causes: at the lunch hour every estimate of one host was asked of a second one, though all share the weight store: 0.1026 retries a request, above the 10% that is wanted. And when an endpoint process was killed, drafts that had only been queued there used up the retry budget, so that 12 ended unknown.

--- a/src/entry/generationCall.ts
+++ b/src/entry/generationCall.ts
@@ -61,18 +61,21 @@
 
 const retryAfterMs = 1000
 const maxReroutes = 8
-/** Endpoint processes asked before a refusal for load is believed. */
-const maxLoadAttempts = 2
+/** Endpoint processes asked before a full queue is believed. */
+const maxOverloadAttempts = 2
 
-/** Reasons for which another endpoint process may take the request. */
+/**
+ * Reasons for which another endpoint process may take the request. The
+ * estimate that a deadline cannot be met rests on the weight store, which all
+ * share, so asking another one only adds load.
+ */
 const reroutable: ReadonlySet<NotRunReason> = new Set([
 	NotRunReason.LEAVING,
 	NotRunReason.UNREACHABLE,
 	NotRunReason.NOT_CONFIGURED,
 	NotRunReason.ENDPOINT_REFUSED,
 	NotRunReason.LOAD_FAILED,
-	NotRunReason.OVERLOADED,
-	NotRunReason.DEADLINE
+	NotRunReason.OVERLOADED
 ])
 
 /** Reasons that say nothing of load, so that moving on adds none. */
@@ -89,6 +92,8 @@
 	/** Text that the caller holds. */
 	private sent = ""
 	private isStarted = false
+	/** True once the endpoint began the present attempt. */
+	private hasBegun = false
 
 	constructor(private readonly options: GenerationCallOptions) {}
 
@@ -101,6 +106,7 @@
 			const link = this.chooseLink()
 			if (link === undefined) return failed ?? this.refuseUnroutable()
 			this.attempts += 1
+			this.hasBegun = false
 			const attempt = await this.attempt(link)
 			if ("finished" in attempt) {
 				this.options.sink.finish(attempt.finished, this.sent)
@@ -140,12 +146,12 @@
 		if (this.attempts >= maxReroutes) return false
 		if (isUnknown(failed)) {
 			if (!route.idempotent || this.attempts >= route.maxAttempts) return false
-			return budget.tryRetry(now)
+			// A request that was only queued has cost the lost host nothing.
+			return !this.hasBegun || budget.tryRetry(now)
 		}
 		if (freeReroutes.has(failed.reason)) return true
-		if (isLoadRelated(failed.reason) && this.attempts >= maxLoadAttempts) {
-			return false
-		}
+		const isOverload = failed.reason === NotRunReason.OVERLOADED
+		if (isOverload && this.attempts >= maxOverloadAttempts) return false
 		return reroutable.has(failed.reason) && budget.tryRetry(now)
 	}
 
@@ -219,6 +225,7 @@
 	}
 
 	private noteStart(hostId: string, started: Started): void {
+		this.hasBegun = true
 		if (this.isStarted) return
 		this.isStarted = true
 		this.options.sink.start(hostId, started)
@@ -239,8 +246,3 @@
 		return true
 	}
 }
-
-function isLoadRelated(reason: NotRunReason): boolean {
-	const {OVERLOADED, DEADLINE} = NotRunReason
-	return reason === OVERLOADED || reason === DEADLINE
-}
