--- a/src/spread/configStore.ts
+++ b/src/spread/configStore.ts
@@ -54,11 +54,6 @@
 		this.listeners.push(listener)
 	}
 
-	/** Hashes of the root's parts that this process does not hold. */
-	listMissing(root: ConfigRoot): string[] {
-		return listPartHashes(root).filter(hash => !this.parts.has(hash))
-	}
-
 	part(hash: string): ConfigPartContent | undefined {
 		return this.parts.get(hash)
 	}
