--- a/__tests__/faults/bed.ts
+++ b/__tests__/faults/bed.ts
@@ -88,6 +88,15 @@
 	/** Starts everything with the configuration in force. */
 	static async start(env: Record<string, string> = {}): Promise<Bed> {
 		const deployment = new Deployment({spec: bedSpec, env, logLevel: "info"})
+		try {
+			return await Bed.open(deployment)
+		} catch (err) {
+			await deployment.stop()
+			throw err
+		}
+	}
+
+	private static async open(deployment: Deployment): Promise<Bed> {
 		await deployment.startStandins()
 		const bed = new Bed(deployment)
 		await bed.apply(bedConfiguration())
