--- a/src/report/burnHtml.ts
+++ b/src/report/burnHtml.ts
@@ -1,12 +1,12 @@
 /** The burn report as one self-contained HTML page. */
 import {burnCauses} from "../policy/burn.js"
 import {AlertSeverity, type BurnAssessment} from "../policy/burnAlerts.js"
+import {listCells} from "./burnRow.js"
 import {causeColors, plotBurnRate, plotCauses} from "./burnPlot.js"
 import {
 	formatExhaustion,
 	formatGoodShare,
 	formatPercent,
-	formatRate,
 	formatSeverity,
 	formatTime
 } from "./format.js"
@@ -104,20 +104,8 @@
 }
 
 function renderRow(one: BurnAssessment, at: number): string {
-	const cells = [
-		escapeHtml(one.member ?? "all"),
-		formatSeverity(one.severity),
-		String(one.good),
-		String(one.bad),
-		formatGoodShare(one),
-		formatRate(one.rates.fastShort),
-		formatRate(one.rates.fastLong),
-		formatRate(one.rates.slowShort),
-		formatRate(one.rates.slowLong),
-		formatPercent(one.budgetLeft, 0),
-		formatExhaustion(one, at),
-		one.leadingCause ?? "-"
-	]
+	const [member = "", ...figures] = listCells(one, at)
+	const cells = [escapeHtml(member), ...figures]
 	const isAlert = one.severity !== AlertSeverity.None
 	const open = isAlert ? `<tr class="${one.severity}">` : "<tr>"
 	return `${open}${cells.map(cell => `<td>${cell}</td>`).join("")}</tr>`
--- a/src/report/burnText.ts
+++ b/src/report/burnText.ts
@@ -1,14 +1,8 @@
 /** The burn report as plain text. */
-import {budgetPeriodMs, type BurnAssessment} from "../policy/burnAlerts.js"
+import {budgetPeriodMs} from "../policy/burnAlerts.js"
 import {hourMs} from "../policy/burn.js"
-import {
-	formatExhaustion,
-	formatGoodShare,
-	formatPercent,
-	formatRate,
-	formatSeverity,
-	formatTime
-} from "./format.js"
+import {listCells} from "./burnRow.js"
+import {formatPercent, formatTime} from "./format.js"
 import type {BurnReport, LevelReport} from "./readBurn.js"
 
 const maxMembersShown = 10
@@ -34,7 +28,7 @@
 	const target = formatPercent(level.target, 2)
 	const window = `${level.windowMs / 1000} s`
 	const shown = members.filter(one => one.bad > 0).slice(0, maxMembersShown)
-	const rows = [report.total, ...shown].map(one => renderRow(one, at))
+	const rows = [report.total, ...shown].map(one => listCells(one, at))
 	return [
 		`${level.name}: ${target} complete, once, within ${window} (${level.routes.join(", ")})`,
 		...alignColumns([header, ...rows]),
@@ -57,23 +51,6 @@
 	"leading cause"
 ]
 
-function renderRow(one: BurnAssessment, at: number): string[] {
-	return [
-		one.member ?? "all",
-		formatSeverity(one.severity),
-		String(one.good),
-		String(one.bad),
-		formatGoodShare(one),
-		formatRate(one.rates.fastShort),
-		formatRate(one.rates.fastLong),
-		formatRate(one.rates.slowShort),
-		formatRate(one.rates.slowLong),
-		formatPercent(one.budgetLeft, 0),
-		formatExhaustion(one, at),
-		one.leadingCause ?? "-"
-	]
-}
-
 function renderHidden(count: number): string[] {
 	return count === 0 ? [] : [`  Members not shown: ${count}`]
 }
