Serve the users' platform: gateways, engine agents and the platform adapter

Cause: goldcrestloom ran on its own stand-ins only. Change: gateways on the caller-facing hosts send requests straight to endpoints; an agent beside each engine is the only holder of its orders and owns its queue, and gives gateways grants. platform/ translates the settings file, the store, the workers' entries and headers. Ruled out on paper: leases per worker among gateways (turns and renewals), agents in the data path (twice the processor time and a second point of loss).

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint"
 
 export default tseslint.config(
-	{ignores: ["dist/**", "src/contract/gen/**", "coverage/**"]},
+	{ignores: ["dist/**", "target/**", "src/contract/gen/**", "coverage/**"]},
 	...tseslint.configs.strictTypeChecked,
 	...tseslint.configs.stylisticTypeChecked,
 	{
--- /dev/null
+++ b/src/agent/index.ts
@@ -0,0 +1,2 @@
+export * from "./agentTask.js"
+export * from "./enginePort.js"
--- /dev/null
+++ b/src/gateway/generationTask.ts
@@ -0,0 +1,383 @@
+/**
+ * Serves one generation: asks the agent of an engine for a grant, sends the
+ * request straight to the engine and passes its events on. Where the route
+ * permits it, a stream that breaks goes on at another engine after the last
+ * whole event.
+ */
+import type {FleetEndpoint} from "../contract/fleet.js"
+import {RefuseReason} from "../contract/gen/grants_pb.js"
+import type {EngineRating} from "../policy/dispatch/index.js"
+import type {AgentLink, GrantRefused} from "./agentLink.js"
+import {CallEnd, EndpointCall} from "./endpointCall.js"
+import {EventSplitter} from "./eventSplitter.js"
+import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
+import type {AnswerHead, GenerationHead} from "./wire.js"
+
+/** Engines asked for a grant in turn before the caller is refused. */
+const maxAsks = 2
+/** Sends of one request, those included that an engine rejects unrun. */
+const maxSends = 4
+/** Share of the time left that the expected wait may take. */
+const maxWaitShare = 0.6
+/** An engine that is this far over its expected time counts as silent. */
+const firstEventFactor = 3
+const firstEventFloorMs = 1200
+/** Silence in a running stream, in pauses that still count as on time. */
+const silentGaps = 3
+const silentFloorMs = 900
+const minRetryAfterMs = 150
+const httpOk = 200
+const firstServerFailure = 500
+
+interface Send {
+	endpoint: FleetEndpoint
+	link: AgentLink | undefined
+	key: string
+	sentAt: number
+	isStarted: boolean
+	splitter: EventSplitter
+	body: Buffer[]
+	call: EndpointCall | undefined
+	isStalled: boolean
+}
+
+export class GenerationTask {
+	private readonly refusedBy = new Set<string>()
+	private readonly failedAt = new Set<string>()
+	private asks = 0
+	private sends = 0
+	private runs = 0
+	private mayHaveRun = false
+	private isOver = false
+	private waiting: {link: AgentLink; key: string} | undefined
+	private current: Send | undefined
+	private lastEventId: string | undefined
+	private readonly timer: NodeJS.Timeout
+	private silenceTimer: NodeJS.Timeout | undefined
+
+	constructor(
+		private readonly ctx: GatewayContext,
+		private readonly request: RoutedRequest,
+		private readonly generation: GenerationHead
+	) {
+		const leftMs = request.deadline - ctx.now()
+		this.timer = setTimeout(() => {
+			this.timeOut()
+		}, Math.max(1, leftMs))
+		request.exchange.onLeave = () => {
+			this.stop()
+		}
+	}
+
+	start(): void {
+		this.ctx.repeats.addRequest(this.request.pool)
+		this.askNext()
+	}
+
+	/** Asks the best engine that has not refused yet. */
+	private askNext(refusal?: GrantRefused): void {
+		if (this.isOver) return
+		const best = this.asks >= maxAsks ? undefined : this.rate()
+		const leftMs = this.request.deadline - this.ctx.now()
+		if (best === undefined || best.expectedMs > leftMs * maxWaitShare) {
+			this.giveUpUnsent(best, refusal)
+			return
+		}
+		const endpoint = this.ctx.fleet.getEndpoint(best.id)
+		if (endpoint === undefined) return
+		const link = this.ctx.links.get(best.id)
+		if (best.isLinked && link !== undefined) this.ask(endpoint, link, best)
+		else this.send(endpoint, undefined, "", endpoint.id, 0, best.expectedMs)
+	}
+
+	private rate(): EngineRating | undefined {
+		const {ctx, request, generation} = this
+		const ready = ctx.fleet.listReady(request.pool)
+		const candidates = ready
+			.filter(({id}) => !this.refusedBy.has(id) && !this.failedAt.has(id))
+			.map(({id, failureDomain}) => ({
+				id,
+				isNear: failureDomain === ctx.failureDomain
+			}))
+		const query = {
+			placeKey: `${generation.model}/${generation.adapter}`,
+			hasAdapter: generation.adapter !== "",
+			promptTokens: generation.promptTokens
+		}
+		return ctx.engines.rate(query, candidates, ctx.now())[0]
+	}
+
+	private ask(
+		endpoint: FleetEndpoint,
+		link: AgentLink,
+		rating: EngineRating
+	): void {
+		const {ctx, request, generation} = this
+		const {route, exchange} = request
+		this.asks += 1
+		const key = `${exchange.head.id}#${this.asks + this.sends}`
+		this.waiting = {link, key}
+		ctx.engines.addAsk(endpoint.id, generation.promptTokens)
+		const now = ctx.now()
+		const ask = {
+			$typeName: "goldcrestloom.grants.v1.Ask" as const,
+			key,
+			model: generation.model,
+			adapter: generation.adapter,
+			minVersion: ctx.fleet.getVersion(generation.model, generation.adapter),
+			parts: generation.parts.map(part => ({
+				$typeName: "goldcrestloom.grants.v1.PromptPart" as const,
+				...part
+			})),
+			promptTokens: generation.promptTokens,
+			outputTokens: generation.outputTokens,
+			priority: Math.max(0, route.priority),
+			objectiveLeftMs: Math.round(request.arrivedAt + route.objectiveMs - now),
+			deadlineLeftMs: Math.round(request.deadline - now)
+		}
+		link.ask(ask, {
+			onGrant: grant => {
+				this.waiting = undefined
+				ctx.log.request("granted", exchange.head.id, {
+					endpoint: endpoint.id,
+					version: grant.version,
+					waitedMs: Math.round(ctx.now() - now),
+					expectedMs: grant.expectedMs,
+					rated: Math.round(rating.expectedMs)
+				})
+				const {engineId, version, expectedMs} = grant
+				if (ctx.fleet.isReady(endpoint)) {
+					const id = engineId === "" ? endpoint.id : engineId
+					this.send(endpoint, link, key, id, version, expectedMs)
+					return
+				}
+				// The endpoint began to leave while the request was queued.
+				link.end(key)
+				this.refusedBy.add(endpoint.id)
+				this.asks -= 1
+				this.askNext()
+			},
+			onRefuse: refusal => {
+				this.waiting = undefined
+				this.refusedBy.add(endpoint.id)
+				this.askNext(refusal)
+			},
+			onLost: () => {
+				this.waiting = undefined
+				this.refusedBy.add(endpoint.id)
+				this.asks -= 1
+				this.askNext()
+			}
+		})
+	}
+
+	private send(
+		endpoint: FleetEndpoint,
+		link: AgentLink | undefined,
+		key: string,
+		engineId: string,
+		version: number,
+		expectedMs: number
+	): void {
+		const {ctx, request} = this
+		const {exchange, route, body} = request
+		if (this.sends > 0 && !ctx.repeats.tryRepeat(request.pool)) {
+			link?.end(key)
+			this.fail("no repeats left")
+			return
+		}
+		this.sends += 1
+		ctx.engines.begin(endpoint.id)
+		const send: Send = {
+			endpoint,
+			link,
+			key,
+			sentAt: ctx.now(),
+			isStarted: false,
+			splitter: new EventSplitter(),
+			body: [],
+			call: undefined,
+			isStalled: false
+		}
+		this.current = send
+		send.call = new EndpointCall({
+			address: endpoint.address,
+			wire: ctx.wire,
+			head: exchange.head,
+			headers: ctx.wire.encodeRequest(exchange.head, {
+				endpointId: engineId,
+				leftMs: request.deadline - ctx.now(),
+				bodyBytes: body.length,
+				adapterVersion: version,
+				priority: route.priority,
+				resumeAfter: this.lastEventId
+			}),
+			body,
+			handlers: {
+				onHead: () => undefined,
+				onData: chunk => {
+					this.receive(send, chunk)
+				},
+				onEnd: (end, detail) => {
+					this.endSend(send, end, detail)
+				}
+			}
+		})
+		const factorMs = expectedMs * firstEventFactor
+		this.watchSilence(send, Math.max(firstEventFloorMs, factorMs))
+	}
+
+	private receive(send: Send, chunk: Buffer): void {
+		const answer = send.call?.head
+		if (answer === undefined || this.current !== send) return
+		if (answer.status !== httpOk) {
+			send.body.push(chunk)
+			return
+		}
+		const {exchange, route} = this.request
+		for (const event of send.splitter.push(chunk)) {
+			if (!send.isStarted) {
+				send.isStarted = true
+				send.link?.started(send.key)
+				exchange.beginStream(answer)
+			}
+			if (event.id !== "") this.lastEventId = event.id
+			exchange.writeEvent(event.bytes)
+		}
+		const gapMs = route.eventGapMs * silentGaps
+		this.watchSilence(send, Math.max(silentFloorMs, gapMs))
+	}
+
+	/** Gives up on an engine that has gone silent, if another can go on. */
+	private watchSilence(send: Send, limitMs: number): void {
+		clearTimeout(this.silenceTimer)
+		if (!this.canResume(1)) return
+		this.silenceTimer = setTimeout(() => {
+			send.isStalled = true
+			send.call?.abort()
+		}, limitMs)
+	}
+
+	/** Whether the request may run once more beside `running` current runs. */
+	private canResume(running: number): boolean {
+		const {route} = this.request
+		return route.isResumable && this.runs + running < route.maxAttempts
+	}
+
+	private endSend(send: Send, end: CallEnd, detail: string): void {
+		const {ctx, request} = this
+		const {exchange} = request
+		clearTimeout(this.silenceTimer)
+		const answer = send.call?.head
+		const id = send.endpoint.id
+		ctx.metrics.countSend(request.pool, end)
+		ctx.engines.end(id)
+		send.link?.end(send.key, answer?.isMisdirected ?? false)
+		if (this.current === send) this.current = undefined
+		if (this.isOver || !exchange.isOpen) return
+		this.learn(id, end, answer)
+		if (end === CallEnd.Complete && answer !== undefined) {
+			if (this.finish(send, answer)) return
+			detail = `status ${answer.status}`
+		}
+		ctx.log.request("send.failed", exchange.head.id, {
+			endpoint: id,
+			end: send.isStalled ? "stalled" : end,
+			detail,
+			lastEvent: this.lastEventId,
+			elapsedMs: Math.round(ctx.now() - send.sentAt)
+		})
+		const isUnrun = end === CallEnd.NeverSent || end === CallEnd.NotRun
+		if (!isUnrun) {
+			this.runs += 1
+			this.mayHaveRun = true
+		}
+		this.failedAt.add(id)
+		const mayRepeat = (isUnrun && !this.mayHaveRun) || this.canResume(0)
+		if (!mayRepeat || this.sends >= maxSends) {
+			this.fail(detail)
+			return
+		}
+		this.asks = 0
+		this.askNext()
+	}
+
+	/** Passes a whole answer on; false when another engine should try. */
+	private finish(send: Send, answer: AnswerHead): boolean {
+		const {exchange} = this.request
+		const inputs = {endpoint: send.endpoint.id, sends: this.sends}
+		if (answer.status === httpOk) {
+			// An event that has not ended means that the answer was cut.
+			if (send.splitter.pendingBytes > 0) return false
+			if (!exchange.hasAnswer) return false
+			this.clear()
+			exchange.endStream(inputs)
+			return true
+		}
+		const isFailure = answer.status >= firstServerFailure
+		if (exchange.hasAnswer || (isFailure && this.canResume(1))) return false
+		this.clear()
+		exchange.deliver(answer, Buffer.concat(send.body), inputs)
+		return true
+	}
+
+	private learn(id: string, end: CallEnd, answer: AnswerHead | undefined): void {
+		const {engines, now} = this.ctx
+		// The engine does not hold the adapter any more, or has started anew.
+		if (answer?.isMisdirected === true) return
+		if (end === CallEnd.Complete && answer?.status === httpOk) {
+			engines.addSuccess(id, now())
+		} else engines.addFailure(id, now())
+	}
+
+	/** Ends a request that no engine can take. */
+	private giveUpUnsent(
+		best: EngineRating | undefined,
+		refusal: GrantRefused | undefined
+	): void {
+		if (this.mayHaveRun) {
+			this.fail("no engine to go on at")
+			return
+		}
+		this.clear()
+		const reason =
+			refusal === undefined
+				? "no engine in time"
+				: RefuseReason[refusal.reason].toLowerCase()
+		const spread = 1 + this.ctx.random()
+		const retryAfterMs = refusal?.retryAfterMs ?? minRetryAfterMs * spread
+		this.request.exchange.refuse(reason, retryAfterMs, {
+			expectedMs: Math.round(best?.expectedMs ?? refusal?.expectedMs ?? 0),
+			asks: this.asks,
+			sends: this.sends
+		})
+	}
+
+	private fail(detail: string, isTimeout = false): void {
+		this.clear()
+		const {exchange} = this.request
+		const inputs = {sends: this.sends, lastEvent: this.lastEventId}
+		if (exchange.hasAnswer) exchange.cutStream({detail, ...inputs})
+		else if (this.mayHaveRun) exchange.failUnknown(detail, inputs, isTimeout)
+		else exchange.refuse(detail, minRetryAfterMs, inputs)
+	}
+
+	private timeOut(): void {
+		if (this.current?.call?.wasSent === true) this.mayHaveRun = true
+		this.stop()
+		this.fail("deadline", true)
+	}
+
+	private stop(): void {
+		this.clear()
+		this.isOver = true
+		this.waiting?.link.end(this.waiting.key)
+		this.waiting = undefined
+		this.current?.call?.abort()
+	}
+
+	private clear(): void {
+		clearTimeout(this.timer)
+		clearTimeout(this.silenceTimer)
+	}
+}
--- /dev/null
+++ b/src/gateway/index.ts
@@ -0,0 +1,3 @@
+export * from "./fleetState.js"
+export * from "./gatewayTask.js"
+export * from "./wire.js"
--- /dev/null
+++ b/src/gateway/repeatBudgets.ts
@@ -0,0 +1,54 @@
+/**
+ * The share of the fleet's repeats that one gateway may spend, for each pool. A
+ * send beyond a request's first is a repeat, also when the endpoint rejects it.
+ */
+import {RetryBudget} from "../policy/retryBudget.js"
+
+export interface RepeatBudgetsOptions {
+	/** Repeats permitted for each request. */
+	ratio: number
+	/** Repeats permitted besides in each window, over all gateways. */
+	extra: number
+	windowMs: number
+	now: () => number
+}
+
+/** Left for what gateways can't see of each other within a window. */
+const safeShare = 0.6
+/** Gateways assumed until agents tell how many there are. */
+const assumedGateways = 8
+
+export class RepeatBudgets {
+	private readonly budgets = new Map<string, RetryBudget>()
+	private gateways = assumedGateways
+
+	constructor(private readonly options: RepeatBudgetsOptions) {}
+
+	setGateways(count: number): void {
+		if (count === this.gateways) return
+		this.gateways = Math.max(1, count)
+		this.budgets.clear()
+	}
+
+	addRequest(pool: string): void {
+		this.get(pool).addRequest(this.options.now())
+	}
+
+	tryRepeat(pool: string): boolean {
+		return this.get(pool).tryRetry(this.options.now())
+	}
+
+	private get(pool: string): RetryBudget {
+		let budget = this.budgets.get(pool)
+		if (budget === undefined) {
+			const {ratio, extra, windowMs} = this.options
+			const perSecond = (extra * 1000) / windowMs / this.gateways
+			budget = new RetryBudget({
+				ratio: ratio * safeShare,
+				minPerSecond: perSecond * safeShare
+			})
+			this.budgets.set(pool, budget)
+		}
+		return budget
+	}
+}
--- a/src/link/index.ts
+++ b/src/link/index.ts
@@ -1,3 +1,4 @@
+export * from "./grantLink.js"
 export * from "./clientPool.js"
 export * from "./engineClient.js"
 export * from "./httpPlatform.js"
--- a/src/link/methods.ts
+++ b/src/link/methods.ts
@@ -22,18 +22,24 @@
 	TicketRequestSchema,
 	TicketSchema
 } from "../contract/gen/link_pb.js"
+import {
+	AgentMessageSchema,
+	GatewayMessageSchema
+} from "../contract/gen/grants_pb.js"
 
 const servicePath = "/goldcrestloom.link.v1.Link/"
+const grantServicePath = "/goldcrestloom.grants.v1.Grants/"
 
 function defineMethod<I extends DescMessage, O extends DescMessage>(
 	name: string,
 	input: I,
 	output: O,
 	requestStream: boolean,
-	responseStream: boolean
+	responseStream: boolean,
+	service = servicePath
 ): grpc.MethodDefinition<MessageShape<I>, MessageShape<O>> {
 	return {
-		path: servicePath + name,
+		path: service + name,
 		requestStream,
 		responseStream,
 		requestSerialize: message => Buffer.from(toBinary(input, message)),
@@ -72,3 +78,15 @@
 		false
 	)
 } satisfies grpc.ServiceDefinition
+
+/** The stream between a gateway and the agent beside an engine. */
+export const grantMethods = {
+	grants: defineMethod(
+		"Grants",
+		GatewayMessageSchema,
+		AgentMessageSchema,
+		true,
+		true,
+		grantServicePath
+	)
+} satisfies grpc.ServiceDefinition
--- /dev/null
+++ b/src/policy/dispatch/index.ts
@@ -0,0 +1,3 @@
+export * from "./endpointTrust.js"
+export * from "./engineChoice.js"
+export * from "./serviceChoice.js"
--- /dev/null
+++ b/src/policy/grants/grantScheduler.ts
@@ -0,0 +1,328 @@
+/**
+ * Decides which request goes to an engine next, for all gateways. One scheduler
+ * owns the engine's queue, so gateways need no view of each other's requests.
+ *
+ * - At most `readAheadMs` of prompt reading is given out, so that the order of
+ *   work is decided here until shortly before a prompt is read (a lunch-hour
+ *   crowd: many prompts at once).
+ * - Requests that can still be on time come before those that are late already,
+ *   then the earliest objective (a backlog: without this every answer is late).
+ * - What can't begin before its deadline is refused on arrival.
+ */
+import {AdapterPlaces, type AdapterDemand} from "./places.js"
+import {PromptCache} from "./promptCache.js"
+import {ReadingRate} from "./readingRate.js"
+import {
+	type EngineLimits,
+	type EngineOrder,
+	type EngineReport,
+	GrantActionKind,
+	type GrantRequest,
+	type GrantStep,
+	type OrderOutcome,
+	RefusalReason
+} from "./types.js"
+
+export interface GrantSchedulerOptions {
+	/** Reading time given out ahead, milliseconds. */
+	readAheadMs?: number
+	/** Share of the time to the deadline that a wait may take. */
+	maxWaitShare?: number
+	/** A value in [0, 1) that spreads the return of refused callers. */
+	random: () => number
+}
+
+/** About two prompts: enough that the engine never idles between grants. */
+const defaultReadAheadMs = 250
+/** The rest of the time is left for generating the answer. */
+const defaultMaxWaitShare = 0.6
+/** Lead of each step of priority in the order of objectives. */
+const priorityLeadMs = 300
+/** Seats left for requests that bypass grants, as in a loss of the agent. */
+const reservedSeats = 2
+/** Share of the engine's memory given out; the rest absorbs estimates. */
+const memoryShare = 0.9
+/** Share of the memory that keeps prompt parts of ended requests. */
+const cacheShare = 0.6
+const minRetryAfterMs = 150
+/** Expected wait while the base model is loaded, until a report says more. */
+const baseLoadMs = 1000
+
+interface Waiting {
+	request: GrantRequest
+	arrivedAt: number
+}
+
+interface Granted {
+	request: GrantRequest
+	grantedAt: number
+	unread: number
+	tokens: number
+	isStarted: boolean
+}
+
+export interface SchedulerView {
+	isUsable: boolean
+	waitMs: number
+	tokensPerSecond: number
+	openPlaces: number
+	running: number
+}
+
+export class GrantScheduler {
+	readonly places = new AdapterPlaces()
+	private readonly rate = new ReadingRate()
+	private readonly cache = new PromptCache(0)
+	private readonly waiting = new Map<string, Waiting>()
+	private readonly granted = new Map<string, Granted>()
+	private readonly readAheadMs: number
+	private readonly maxWaitShare: number
+	private readonly random: () => number
+	private bornAt = 0
+	/** False once the engine doesn't answer its agent. */
+	private isUp = false
+	private unreadAhead = 0
+	private memoryUsed = 0
+
+	constructor(options: GrantSchedulerOptions) {
+		this.readAheadMs = options.readAheadMs ?? defaultReadAheadMs
+		this.maxWaitShare = options.maxWaitShare ?? defaultMaxWaitShare
+		this.random = options.random
+	}
+
+	setLimits(limits: EngineLimits): void {
+		this.places.limits = limits
+		this.cache.setCapacity(limits.memoryTokens * cacheShare)
+	}
+
+	/** Takes in a report; true when the engine has started anew. */
+	applyReport(report: EngineReport, now: number): boolean {
+		const isRestart = this.bornAt !== 0 && report.bornAt !== this.bornAt
+		if (isRestart) this.forgetEngine()
+		this.bornAt = report.bornAt
+		this.isUp = true
+		this.places.apply(report, now)
+		return isRestart
+	}
+
+	/** Takes in that the engine doesn't answer its agent. */
+	markDown(): void {
+		this.isUp = false
+	}
+
+	/** Queues a request, or refuses it at once. */
+	ask(request: GrantRequest, now: number): GrantStep[] {
+		if (this.waiting.has(request.key) || this.granted.has(request.key)) {
+			return []
+		}
+		if (!this.isUp) {
+			return [this.refuse(request, RefusalReason.Unavailable, 0, now)]
+		}
+		const expectedMs = this.estimate(request, now)
+		const leftMs = request.deadline - now
+		if (expectedMs > leftMs * this.maxWaitShare) {
+			const reason = RefusalReason.Overloaded
+			return [this.refuse(request, reason, expectedMs, now)]
+		}
+		this.waiting.set(request.key, {request, arrivedAt: now})
+		return this.schedule(now)
+	}
+
+	/** The first event of a granted request arrived. */
+	start(key: string, now: number): GrantStep[] {
+		const granted = this.granted.get(key)
+		if (granted === undefined || granted.isStarted) return []
+		granted.isStarted = true
+		this.unreadAhead -= granted.unread
+		this.rate.addStart(granted.unread, granted.grantedAt, now)
+		const {model, adapter, parts} = granted.request
+		this.cache.add(`${model}/${adapter}`, parts)
+		return this.schedule(now)
+	}
+
+	/** A request ended, was given up or moved elsewhere. */
+	end(key: string, now: number): GrantStep[] {
+		this.waiting.delete(key)
+		this.release(key)
+		return this.schedule(now)
+	}
+
+	/** A gateway is gone, and with it all it asked for. */
+	dropOwner(owner: string, now: number): GrantStep[] {
+		for (const [key, {request}] of this.waiting) {
+			if (request.owner === owner) this.waiting.delete(key)
+		}
+		for (const [key, {request}] of this.granted) {
+			if (request.owner === owner) this.release(key)
+		}
+		return this.schedule(now)
+	}
+
+	/** Grants what can go now, and refuses what can't be served any more. */
+	schedule(now: number): GrantStep[] {
+		const steps: GrantStep[] = []
+		for (const {request} of this.rank(now)) {
+			const leftMs = request.deadline - now
+			const readMs = this.rate.getReadMs(this.getUnread(request))
+			if (!this.isUp || leftMs < readMs) {
+				this.waiting.delete(request.key)
+				const reason = this.isUp
+					? RefusalReason.Deadline
+					: RefusalReason.Unavailable
+				steps.push(this.refuse(request, reason, readMs, now))
+				continue
+			}
+			const step = this.tryGrant(request, now)
+			if (step !== undefined) steps.push(step)
+		}
+		return steps
+	}
+
+	/** The next order for the engine, if one is needed and possible. */
+	planOrder(now: number): EngineOrder | undefined {
+		const demands: AdapterDemand[] = this.rank(now).map(({request}) => request)
+		return this.places.planOrder(demands, now)
+	}
+
+	endOrder(outcome: OrderOutcome, now: number): void {
+		this.places.endOrder(outcome, now)
+	}
+
+	get waitingCount(): number {
+		return this.waiting.size
+	}
+
+	getView(): SchedulerView {
+		let queued = 0
+		for (const {request} of this.waiting.values()) {
+			queued += this.getUnread(request)
+		}
+		return {
+			isUsable: this.isUp && this.places.hasAnyModel(),
+			waitMs: this.rate.getReadMs(this.unreadAhead + queued),
+			tokensPerSecond: this.rate.tokensPerMs * 1000,
+			openPlaces: this.places.countOpen(),
+			running: this.granted.size
+		}
+	}
+
+	/** Expected time to the first event of a request that asks now. */
+	private estimate(request: GrantRequest, now: number): number {
+		let ahead = this.unreadAhead
+		const rank = this.getRank(request, now)
+		for (const waiting of this.waiting.values()) {
+			if (this.getRank(waiting.request, now) > rank) continue
+			ahead += this.getUnread(waiting.request)
+		}
+		const readMs = this.rate.getReadMs(ahead + this.getUnread(request))
+		const {model, adapter} = request
+		if (!this.places.hasModel(model)) return readMs + baseLoadMs
+		return readMs + this.places.getLoadMs(model, adapter, now)
+	}
+
+	private rank(now: number): Waiting[] {
+		const ranked = [...this.waiting.values()].map(waiting => ({
+			waiting,
+			rank: this.getRank(waiting.request, now)
+		}))
+		ranked.sort((a, b) => a.rank - b.rank)
+		return ranked.map(({waiting}) => waiting)
+	}
+
+	private getRank(request: GrantRequest, now: number): number {
+		const readMs = this.rate.getReadMs(this.getUnread(request))
+		const isLate = now + readMs > request.objectiveAt
+		const rank = request.objectiveAt + request.priority * priorityLeadMs
+		// Behind every request that can be on time.
+		return isLate ? rank + lateRank : rank
+	}
+
+	private tryGrant(request: GrantRequest, now: number): GrantStep | undefined {
+		const {model, adapter} = request
+		const version = this.places.getReadyVersion(model, adapter, now)
+		if (version === undefined) return undefined
+		const unread = this.getUnread(request)
+		const tokens = request.promptTokens + request.outputTokens
+		if (!this.hasRoom(unread, tokens)) return undefined
+		this.waiting.delete(request.key)
+		this.granted.set(request.key, {
+			request,
+			grantedAt: now,
+			unread,
+			tokens,
+			isStarted: false
+		})
+		this.unreadAhead += unread
+		this.memoryUsed += tokens
+		this.places.pin(model, adapter, now)
+		return {
+			kind: GrantActionKind.Grant,
+			request,
+			version,
+			expectedMs: this.rate.getReadMs(this.unreadAhead)
+		}
+	}
+
+	private hasRoom(unread: number, tokens: number): boolean {
+		const limits = this.places.limits
+		if (limits === undefined) return false
+		if (this.granted.size >= limits.seats - reservedSeats) return false
+		const memory = limits.memoryTokens * memoryShare
+		if (this.granted.size > 0 && this.memoryUsed + tokens > memory) return false
+		if (this.unreadAhead === 0) return true
+		const readMs = this.rate.getReadMs(this.unreadAhead + unread)
+		return readMs <= this.readAheadMs
+	}
+
+	private release(key: string): void {
+		const granted = this.granted.get(key)
+		if (granted === undefined) return
+		this.granted.delete(key)
+		if (!granted.isStarted) this.unreadAhead -= granted.unread
+		this.memoryUsed -= granted.tokens
+		this.places.unpin(granted.request.model, granted.request.adapter)
+	}
+
+	private refuse(
+		request: GrantRequest,
+		reason: RefusalReason,
+		expectedMs: number,
+		now: number
+	): GrantStep {
+		return {
+			kind: GrantActionKind.Refuse,
+			request,
+			reason,
+			expectedMs,
+			retryAfterMs: this.getRetryAfterMs(request, expectedMs, now)
+		}
+	}
+
+	/** Time until the request would fit, spread so that callers return apart. */
+	private getRetryAfterMs(
+		request: GrantRequest,
+		expectedMs: number,
+		now: number
+	): number {
+		const affordableMs = (request.deadline - now) * this.maxWaitShare
+		const excessMs = Math.max(minRetryAfterMs, expectedMs - affordableMs)
+		return excessMs * (1 + this.random())
+	}
+
+	private getUnread(request: GrantRequest): number {
+		const {model, adapter, parts, promptTokens} = request
+		if (parts.length === 0) return promptTokens
+		return this.cache.getUnread(`${model}/${adapter}`, parts)
+	}
+
+	private forgetEngine(): void {
+		this.places.reset()
+		this.rate.reset()
+		this.cache.clear()
+		this.granted.clear()
+		this.unreadAhead = 0
+		this.memoryUsed = 0
+	}
+}
+
+const lateRank = 1e9
--- /dev/null
+++ b/src/policy/grants/index.ts
@@ -0,0 +1,5 @@
+export * from "./grantScheduler.js"
+export * from "./places.js"
+export * from "./promptCache.js"
+export * from "./readingRate.js"
+export * from "./types.js"
--- /dev/null
+++ b/src/policy/grants/places.ts
@@ -0,0 +1,403 @@
+/**
+ * The adapter places of one engine: what it holds, what is on its way, and the
+ * next order that is safe to give.
+ *
+ * Orders are planned one at a time, each for the engine's current sequence. An
+ * order whose answer was lost can only be carried out while no other order was,
+ * so planning again from a fresh report is always safe: whichever order comes
+ * first makes the other one invalid.
+ */
+import {Popularity} from "../popularity.js"
+import {
+	type EngineLimits,
+	type EngineOrder,
+	type EngineReport,
+	OrderKind,
+	OrderOutcome
+} from "./types.js"
+
+/** Time an adapter takes that the engine keeps at hand, until learned. */
+const initialRecentLoadMs = 30
+/** Time an adapter takes from the weight store, until learned. */
+const initialStoreLoadMs = 260
+/** Limit of the platform's engines on adapters in transit. */
+const maxIncoming = 4
+/** Runs of the old version may start for this long after a newer is known. */
+const versionGraceMs = 1500
+/** Adapters assumed to be kept at hand by the engine besides those in place. */
+const recentCapacity = 30
+/** Popularity forgets a shift of demand within a few seconds. */
+const popularityHalfLifeMs = 8000
+
+interface Place {
+	model: string
+	adapter: string
+	version: number
+	isReady: boolean
+	/** Expected end of the load. */
+	readyAt: number
+	loadStartedAt: number
+	isFromStore: boolean
+	isUnloading: boolean
+}
+
+export interface AdapterDemand {
+	model: string
+	adapter: string
+	/** Most urgent requests come first. */
+	objectiveAt: number
+}
+
+export class AdapterPlaces {
+	limits: EngineLimits | undefined
+	private sequence = -1
+	private isBusy = false
+	private orderInFlight: EngineOrder | undefined
+	private readonly models = new Set<string>()
+	private readonly places = new Map<string, Place>()
+	private readonly pins = new Map<string, number>()
+	/** Adapters at hand, least recently held first. */
+	private readonly recent = new Set<string>()
+	private readonly newest = new Map<string, {version: number; at: number}>()
+	private readonly popularity = new Popularity({
+		halfLifeMs: popularityHalfLifeMs
+	})
+	private recentLoadMs = initialRecentLoadMs
+	private storeLoadMs = initialStoreLoadMs
+
+	get isKnown(): boolean {
+		return this.sequence >= 0
+	}
+
+	hasModel(model: string): boolean {
+		return this.models.has(model)
+	}
+
+	hasAnyModel(): boolean {
+		return this.models.size > 0
+	}
+
+	/** Takes in a fresh report, which replaces what was believed. */
+	apply(report: EngineReport, now: number): void {
+		this.sequence = report.sequence
+		this.isBusy = report.isBusy
+		this.models.clear()
+		const held = new Map<string, {version: number; isReady: boolean}>()
+		for (const {name, adapters} of report.models) {
+			this.models.add(name)
+			for (const {adapter, version} of adapters) {
+				held.set(placeKey(name, adapter), {version, isReady: true})
+			}
+		}
+		for (const {model, adapter, version} of report.incoming) {
+			held.set(placeKey(model, adapter), {version, isReady: false})
+		}
+		for (const key of this.places.keys()) {
+			if (!held.has(key)) this.places.delete(key)
+		}
+		for (const [key, {version, isReady}] of held) {
+			this.applyPlace(key, version, isReady, now)
+		}
+	}
+
+	/** Forgets all: the engine started anew. */
+	reset(): void {
+		this.sequence = -1
+		this.models.clear()
+		this.places.clear()
+		this.pins.clear()
+		this.recent.clear()
+		this.orderInFlight = undefined
+	}
+
+	/** Takes in that `version` of the adapter is the newest; false if known. */
+	announce(
+		model: string,
+		adapter: string,
+		version: number,
+		now: number
+	): boolean {
+		const key = placeKey(model, adapter)
+		const known = this.newest.get(key)
+		if (known !== undefined && known.version >= version) return false
+		this.newest.set(key, {version, at: now})
+		return true
+	}
+
+	/** Version that may serve now; undefined when none may. */
+	getReadyVersion(
+		model: string,
+		adapter: string,
+		now: number
+	): number | undefined {
+		if (!this.models.has(model)) return undefined
+		if (adapter === "") return 0
+		const key = placeKey(model, adapter)
+		const place = this.places.get(key)
+		if (place === undefined || !place.isReady || place.isUnloading) {
+			return undefined
+		}
+		const newest = this.newest.get(key)
+		const isStale = newest !== undefined && place.version < newest.version
+		if (isStale && now > newest.at + versionGraceMs) return undefined
+		return place.version
+	}
+
+	/** Expected time until the adapter can serve, with a free place. */
+	getLoadMs(model: string, adapter: string, now: number): number {
+		if (this.getReadyVersion(model, adapter, now) !== undefined) return 0
+		const key = placeKey(model, adapter)
+		const place = this.places.get(key)
+		if (place !== undefined && !place.isReady) {
+			return Math.max(0, place.readyAt - now)
+		}
+		return this.recent.has(key) ? this.recentLoadMs : this.storeLoadMs
+	}
+
+	/** Places that are free or whose adapter no request uses. */
+	countOpen(): number {
+		const slots = this.limits?.adapterSlots ?? 0
+		let used = 0
+		for (const [key, place] of this.places) {
+			if (!place.isReady || place.isUnloading || this.isPinned(key)) used += 1
+		}
+		return Math.max(0, slots - used)
+	}
+
+	pin(model: string, adapter: string, now: number): void {
+		const key = placeKey(model, adapter)
+		this.pins.set(key, (this.pins.get(key) ?? 0) + 1)
+		this.popularity.add(key, now)
+	}
+
+	unpin(model: string, adapter: string): void {
+		const key = placeKey(model, adapter)
+		const count = this.pins.get(key) ?? 0
+		if (count <= 1) this.pins.delete(key)
+		else this.pins.set(key, count - 1)
+	}
+
+	listResident(): string[] {
+		return [...this.places].filter(([, p]) => p.isReady).map(([key]) => key)
+	}
+
+	listRecent(): string[] {
+		return [...this.recent].filter(key => !this.places.has(key))
+	}
+
+	/** Time of the next expected change at the engine. */
+	getNextReadyAt(): number {
+		let next = Number.POSITIVE_INFINITY
+		for (const place of this.places.values()) {
+			if (!place.isReady) next = Math.min(next, place.readyAt)
+		}
+		return next
+	}
+
+	get isChanging(): boolean {
+		if (this.isBusy || this.orderInFlight !== undefined) return true
+		return [...this.places.values()].some(p => !p.isReady || p.isUnloading)
+	}
+
+	/** The next order to give, or undefined when none is needed or possible. */
+	planOrder(
+		demands: readonly AdapterDemand[],
+		now: number
+	): EngineOrder | undefined {
+		if (!this.isKnown || this.isBusy || this.orderInFlight !== undefined) {
+			return undefined
+		}
+		const order = this.planBaseLoad(demands) ?? this.planReplacement(now)
+		return order ?? this.planAdapterLoad(demands, now)
+	}
+
+	beginOrder(order: EngineOrder): void {
+		this.orderInFlight = order
+	}
+
+	/** Takes in how the order in flight ended; a report settles the rest. */
+	endOrder(outcome: OrderOutcome, now: number): void {
+		const order = this.orderInFlight
+		this.orderInFlight = undefined
+		if (order === undefined) return
+		if (outcome === OrderOutcome.Accepted) this.applyAccepted(order, now)
+		else if (
+			outcome === OrderOutcome.Holds &&
+			order.kind === OrderKind.Unload
+		) {
+			this.sequence += 1
+			this.places.delete(placeKey(order.model, order.adapter))
+		} else this.sequence = -1
+	}
+
+	private applyAccepted(order: EngineOrder, now: number): void {
+		this.sequence += 1
+		if (order.adapter === "") {
+			this.isBusy = true
+			return
+		}
+		const key = placeKey(order.model, order.adapter)
+		const place = this.places.get(key)
+		if (order.kind === OrderKind.Unload) {
+			if (place !== undefined) place.isUnloading = true
+			return
+		}
+		const isFromStore = !this.recent.has(key) || place !== undefined
+		const loadMs = isFromStore ? this.storeLoadMs : this.recentLoadMs
+		this.places.set(key, {
+			model: order.model,
+			adapter: order.adapter,
+			version: order.version,
+			isReady: false,
+			readyAt: now + loadMs,
+			loadStartedAt: now,
+			isFromStore,
+			isUnloading: false
+		})
+	}
+
+	private applyPlace(
+		key: string,
+		version: number,
+		isReady: boolean,
+		now: number
+	): void {
+		const known = this.places.get(key)
+		if (known !== undefined && !known.isReady && isReady) {
+			this.learnLoad(known, now)
+		}
+		const {model, adapter} = splitKey(key)
+		const readyAt = known?.readyAt ?? now + this.storeLoadMs
+		this.places.set(key, {
+			model,
+			adapter,
+			version,
+			isReady,
+			readyAt: isReady ? now : Math.max(now, readyAt),
+			loadStartedAt: known?.loadStartedAt ?? now,
+			isFromStore: known?.isFromStore ?? true,
+			isUnloading: known?.isUnloading ?? false
+		})
+		this.recent.delete(key)
+		this.recent.add(key)
+		if (this.recent.size > recentCapacity) {
+			for (const oldest of this.recent) {
+				this.recent.delete(oldest)
+				break
+			}
+		}
+	}
+
+	private learnLoad(place: Place, now: number): void {
+		const elapsedMs = Math.max(1, now - place.loadStartedAt)
+		const weight = 0.25
+		if (place.isFromStore) {
+			this.storeLoadMs += weight * (elapsedMs - this.storeLoadMs)
+		} else this.recentLoadMs += weight * (elapsedMs - this.recentLoadMs)
+	}
+
+	private planBaseLoad(
+		demands: readonly AdapterDemand[]
+	): EngineOrder | undefined {
+		const limits = this.limits
+		if (limits === undefined) return undefined
+		const loadedMb = limits.models
+			.filter(model => this.models.has(model.name))
+			.reduce((sum, model) => sum + model.weightsMb, 0)
+		const wanted = demands.find(({model}) => !this.models.has(model))?.model
+		const name = wanted ?? (this.hasAnyModel() ? undefined : limits.models[0]?.name)
+		const model = limits.models.find(each => each.name === name)
+		if (model === undefined) return undefined
+		const adaptersMb = limits.adapterSlots * model.adapterMb
+		if (loadedMb + model.weightsMb + adaptersMb > limits.weightsMb) {
+			return undefined
+		}
+		return this.createOrder(OrderKind.Load, model.name, "", 0)
+	}
+
+	private planReplacement(now: number): EngineOrder | undefined {
+		for (const [key, place] of this.places) {
+			const newest = this.newest.get(key)
+			if (newest === undefined || !place.isReady || place.isUnloading) continue
+			if (place.version >= newest.version) continue
+			const isDue = !this.isPinned(key) || now > newest.at + versionGraceMs
+			if (!isDue || this.countIncoming() >= maxIncoming) continue
+			const {model, adapter} = place
+			return this.createOrder(OrderKind.Load, model, adapter, newest.version)
+		}
+		return undefined
+	}
+
+	private planAdapterLoad(
+		demands: readonly AdapterDemand[],
+		now: number
+	): EngineOrder | undefined {
+		const slots = this.limits?.adapterSlots ?? 0
+		const wanted = new Set(demands.map(d => placeKey(d.model, d.adapter)))
+		for (const {model, adapter} of demands) {
+			if (adapter === "" || !this.models.has(model)) continue
+			const key = placeKey(model, adapter)
+			if (this.places.has(key)) continue
+			if (this.countIncoming() >= maxIncoming) return undefined
+			if (this.places.size < slots) {
+				const version = this.newest.get(key)?.version ?? 0
+				return this.createOrder(OrderKind.Load, model, adapter, version)
+			}
+			const victim = this.findVictim(wanted, now)
+			if (victim === undefined) return undefined
+			return this.createOrder(
+				OrderKind.Unload,
+				victim.model,
+				victim.adapter,
+				0
+			)
+		}
+		return undefined
+	}
+
+	private findVictim(
+		wanted: ReadonlySet<string>,
+		now: number
+	): Place | undefined {
+		// One that is leaving already frees its place soon.
+		if ([...this.places.values()].some(p => p.isUnloading)) return undefined
+		let victim: Place | undefined
+		let least = Number.POSITIVE_INFINITY
+		for (const [key, place] of this.places) {
+			if (!place.isReady || this.isPinned(key) || wanted.has(key)) continue
+			const uses = this.popularity.read(key, now)
+			if (uses >= least) continue
+			least = uses
+			victim = place
+		}
+		return victim
+	}
+
+	private createOrder(
+		kind: OrderKind,
+		model: string,
+		adapter: string,
+		version: number
+	): EngineOrder {
+		return {kind, model, adapter, version, expectedSequence: this.sequence}
+	}
+
+	private countIncoming(): number {
+		let count = 0
+		for (const place of this.places.values()) if (!place.isReady) count += 1
+		return count
+	}
+
+	private isPinned(key: string): boolean {
+		return this.pins.has(key)
+	}
+}
+
+export function placeKey(model: string, adapter: string): string {
+	return `${model}/${adapter}`
+}
+
+function splitKey(key: string): {model: string; adapter: string} {
+	const separator = key.lastIndexOf("/")
+	return {model: key.slice(0, separator), adapter: key.slice(separator + 1)}
+}
--- a/src/program/run.ts
+++ b/src/program/run.ts
@@ -101,7 +101,8 @@
 	process.exit(ExitCode.Usage)
 }
 
-function drainOnSignal(service: Service): void {
+/** Drains once at SIGTERM or SIGINT and exits. */
+export function drainOnSignal(service: Service): void {
 	let draining = false
 	const drain = (): void => {
 		if (draining) return
