Stop listening once the balancer has noticed a stop

Change: after 2.5 s the listener closes, answers close their connections and idle ones are closed as they appear. Ruled out: requests on kept connections (all answers said close already).

--- /dev/null
+++ b/src/gateway/__tests__/bed.ts
@@ -0,0 +1,234 @@
+/** A gateway before endpoints of the tests' own, on loopback. */
+import {type IncomingMessage, request, Server, type ServerResponse} from "node:http"
+import {createServer as createHttpServer} from "node:http"
+import winston from "winston"
+import {PlatformWire} from "../../../platform/wire.js"
+import {
+	EndpointState,
+	type FleetConfig,
+	type FleetEndpoint,
+	type ForwardRoute,
+	RouteKind
+} from "../../contract/fleet.js"
+import {DecisionLog} from "../../program/decisionLog.js"
+import {GatewayTask} from "../gatewayTask.js"
+
+export const host = "orders.example"
+
+export interface BedOptions {
+	graceMs?: number
+	routes?: Partial<ForwardRoute>[]
+	agentPort?: number
+	hasEngine?: boolean
+}
+
+export interface Answer {
+	status: number
+	body: string
+	headers: IncomingMessage["headers"]
+	isWhole: boolean
+}
+
+type Handler = (req: IncomingMessage, res: ServerResponse) => void
+
+export class Bed {
+	readonly task: GatewayTask
+	readonly logLines: Record<string, unknown>[] = []
+	private readonly servers: Server[] = []
+	private nextId = 1
+
+	private constructor(
+		private readonly port: number,
+		readonly options: BedOptions
+	) {
+		const sink = new winston.transports.Stream({
+			stream: new LineSink(this.logLines)
+		})
+		this.task = new GatewayTask({
+			host: "gateway-1",
+			failureDomain: "a",
+			callerAddress: `127.0.0.1:${port}`,
+			readyAddress: `127.0.0.1:${port + 1}`,
+			metricsAddress: "",
+			agentPort: options.agentPort ?? 1,
+			graceMs: options.graceMs ?? 8000,
+			repeatRatio: 0.2,
+			repeatExtra: 50,
+			repeatWindowMs: 10_000,
+			wire: new PlatformWire(),
+			log: new DecisionLog({
+				role: "gateway",
+				host: "gateway-1",
+				transport: sink
+			}),
+			random: () => 0.5
+		})
+	}
+
+	static async start(options: BedOptions = {}): Promise<Bed> {
+		const bed = new Bed(await findPort(), options)
+		await bed.task.start()
+		bed.task.fleet.applyConfig(createConfig(options), "test")
+		return bed
+	}
+
+	/** Starts an endpoint and registers it. */
+	async addEndpoint(
+		handler: Handler,
+		endpoint: Partial<FleetEndpoint> = {}
+	): Promise<FleetEndpoint> {
+		const server = createHttpServer(handler)
+		this.servers.push(server)
+		await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))
+		const address = server.address()
+		const port = address !== null && typeof address === "object" ? address.port : 0
+		const added: FleetEndpoint = {
+			id: `i-${this.servers.length}`,
+			pool: "desk",
+			address: `127.0.0.1:${port}`,
+			failureDomain: "a",
+			seats: 6,
+			state: EndpointState.Ready,
+			bornAt: 1,
+			residents: [],
+			...endpoint
+		}
+		this.task.fleet.applyEndpoint(added)
+		return added
+	}
+
+	/** Sends a request to the gateway; rejects when there is no answer. */
+	send(
+		options: {
+			method?: string
+			path?: string
+			headers?: Record<string, string>
+			body?: string
+			agent?: import("node:http").Agent
+		} = {}
+	): Promise<Answer> {
+		const {method = "POST", path = "/book/1", headers = {}} = options
+		return new Promise((resolve, reject) => {
+			const req = request({
+				host: "127.0.0.1",
+				port: this.port,
+				method,
+				path,
+				agent: options.agent,
+				headers: {
+					Host: host,
+					"X-Request-Id": `r${this.nextId++}`,
+					"X-Deadline-Ms": "1500",
+					...headers
+				}
+			})
+			req.on("error", reject)
+			req.on("response", res => {
+				const chunks: Buffer[] = []
+				res.on("data", (chunk: Buffer) => chunks.push(chunk))
+				res.on("error", () => undefined)
+				res.on("close", () => {
+					resolve({
+						status: res.statusCode ?? 0,
+						body: Buffer.concat(chunks).toString(),
+						headers: res.headers,
+						isWhole: res.complete
+					})
+				})
+			})
+			req.end(options.body)
+		})
+	}
+
+	async stop(): Promise<void> {
+		await this.task.drain()
+		for (const server of this.servers) {
+			server.closeAllConnections()
+			server.close()
+		}
+	}
+}
+
+/** Answers as an endpoint that vouches for its answer. */
+export function answer(
+	req: IncomingMessage,
+	res: ServerResponse,
+	body: string,
+	status = 200
+): void {
+	res.writeHead(status, {
+		"X-Request-Id": req.headers["x-request-id"] ?? "",
+		"X-Server-Stamp": "s"
+	})
+	res.end(body)
+}
+
+export function shed(_req: IncomingMessage, res: ServerResponse): void {
+	res.writeHead(503, {"X-Not-Run": "1"})
+	res.end()
+}
+
+class LineSink extends (await import("node:stream")).Writable {
+	constructor(private readonly lines: Record<string, unknown>[]) {
+		super()
+	}
+
+	override _write(chunk: Buffer, _encoding: string, done: () => void): void {
+		for (const line of chunk.toString().split("\n")) {
+			if (line.trim() === "") continue
+			this.lines.push(JSON.parse(line) as Record<string, unknown>)
+		}
+		done()
+	}
+}
+
+function createConfig({routes = [{}], hasEngine}: BedOptions): FleetConfig {
+	return {
+		version: 1,
+		routes: routes.map((route, index) => ({
+			name: `route-${index}`,
+			host,
+			pathPrefix: "/book/",
+			kind: RouteKind.Unsafe,
+			pools: [{pool: "desk", weight: 1}],
+			timeoutMs: 800,
+			objectiveMs: 150,
+			eventGapMs: 300,
+			priority: 1,
+			maxAttempts: 2,
+			isResumable: false,
+			...route
+		})),
+		pools: [
+			{name: "desk", maxConnections: 100, engine: undefined},
+			{
+				name: "writers",
+				maxConnections: 100,
+				engine:
+					hasEngine === true
+						? {
+								seats: 64,
+								adapterSlots: 5,
+								memoryTokens: 100_000,
+								weightsMb: 66_000,
+								models: [{name: "base", weightsMb: 65_000, adapterMb: 12}]
+							}
+						: undefined
+			}
+		],
+		limits: {
+			maxHeaderBytes: 16_384,
+			maxBodyBytes: 10_000,
+			headerTimeoutMs: 3000,
+			idleTimeoutMs: 5000
+		}
+	}
+}
+
+async function findPort(): Promise<number> {
+	const server = createHttpServer()
+	await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))
+	const address = server.address()
+	await new Promise(resolve => server.close(resolve))
+	return address !== null && typeof address === "object" ? address.port : 0
+}
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -183,7 +183,7 @@
 			this.isUp = false
 			this.options.onDown(reason)
 		}
-		for (const {onLost} of asks) onLost()
+		for (const handlers of asks) handlers.onLost()
 	}
 }
 
--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -110,7 +110,7 @@
 		if (length !== undefined) headers.push("Content-Length", String(length))
 		const isClosing = res.getHeader("connection") === "close"
 		if (isClosing) headers.push("Connection", "close")
-		res.writeHead(answer.status, headers as unknown as string[])
+		res.writeHead(answer.status, headers)
 		metrics.observeFirstByte(kind, now() - arrivedAt)
 	}
 
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -13,6 +13,7 @@
 	type PoolShare,
 	RouteKind
 } from "../contract/fleet.js"
+import {sleep} from "../utils/common.js"
 import {CallerExchange} from "./callerExchange.js"
 import type {GatewayContext} from "./gatewayContext.js"
 import {GenerationTask} from "./generationTask.js"
@@ -34,8 +35,6 @@
 const noticeMs = 2500
 /** Left of the grace period to end what still runs. */
 const finalMs = 700
-/** Idle connections are closed once none has been used for this long. */
-const quietMs = 700
 const pollMs = 50
 const httpNotFound = 404
 const httpTooLarge = 413
@@ -45,7 +44,6 @@
 export class GatewayServer {
 	private readonly server: Server
 	private active = 0
-	private lastUsedAt = 0
 	private stoppingAt: number | undefined
 
 	constructor(private readonly options: GatewayServerOptions) {
@@ -83,27 +81,24 @@
 		const {now} = this.options.ctx
 		this.stoppingAt = now()
 		const lastAt = this.stoppingAt + this.options.graceMs - finalMs
-		for (;;) {
-			const at = now()
-			if (at >= lastAt) break
-			const isNoticed = at >= this.stoppingAt + noticeMs
-			const isQuiet = this.active === 0 && at >= this.lastUsedAt + quietMs
-			if (isNoticed && isQuiet) break
-			await new Promise(resolve => setTimeout(resolve, pollMs))
-		}
+		await sleep(noticeMs)
+		// From here on a request can only come on a connection that is in use, and
+		// the answer there closes it.
 		this.server.close()
-		this.server.closeIdleConnections()
+		while (this.active > 0 && now() < lastAt) {
+			this.server.closeIdleConnections()
+			await sleep(pollMs)
+		}
+		this.server.closeAllConnections()
 	}
 
 	private handle(req: IncomingMessage, res: ServerResponse): void {
 		const {ctx} = this.options
 		const arrivedAt = ctx.now()
-		this.lastUsedAt = arrivedAt
 		this.active += 1
 		ctx.metrics.active.set(this.active)
 		res.once("close", () => {
 			this.active -= 1
-			this.lastUsedAt = ctx.now()
 			ctx.metrics.active.set(this.active)
 		})
 		if (this.stoppingAt !== undefined) res.setHeader("Connection", "close")
@@ -177,7 +172,7 @@
 			exchange.refuse("the route has no service", startupRetryMs, {})
 			return
 		}
-		if (this.isLeaving(route)) {
+		if (this.isLeaving()) {
 			exchange.refuse("leaving", 0, {})
 			return
 		}
@@ -189,10 +184,9 @@
 		} else new GenerationTask(ctx, request, generation).start()
 	}
 
-	/** Whether a request would outlive this process. */
-	private isLeaving(route: ForwardRoute): boolean {
+	/** Whether a request that comes now might outlive this process. */
+	private isLeaving(): boolean {
 		if (this.stoppingAt === undefined) return false
-		if (route.kind !== RouteKind.Generation) return false
 		return this.options.ctx.now() > this.stoppingAt + noticeMs
 	}
 }
--- a/src/program/decisionLog.ts
+++ b/src/program/decisionLog.ts
@@ -40,6 +40,8 @@
 				winston.format.timestamp(),
 				winston.format.json()
 			),
+			// winston's declarations of transports and of formats disagree.
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
 			transports: [options.transport ?? new winston.transports.Console()]
 		})
 	}
