Count the wait for an adapter place in choice and admission

Load pattern: rare models asked for at once; places are held by running requests (1.2 s on average) while the engine reads at 40% of its rate. Change: agents tell free places and the time between places becoming free; gateways and agents refuse at once what can't begin while it is of use; the bias against loads no longer counts as waiting time.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -298,6 +298,7 @@
 		outputTokens: ask.outputTokens,
 		priority: ask.priority,
 		objectiveAt: now + ask.objectiveLeftMs,
+		startBy: now + ask.startByLeftMs,
 		deadline: now + ask.deadlineLeftMs
 	}
 }
--- a/src/gateway/__tests__/bed.ts
+++ b/src/gateway/__tests__/bed.ts
@@ -1,5 +1,10 @@
 /** A gateway before endpoints of the tests' own, on loopback. */
-import {type IncomingMessage, request, Server, type ServerResponse} from "node:http"
+import {
+	type IncomingMessage,
+	request,
+	Server,
+	type ServerResponse
+} from "node:http"
 import {createServer as createHttpServer} from "node:http"
 import winston from "winston"
 import {PlatformWire} from "../../../platform/wire.js"
@@ -81,7 +86,8 @@
 		this.servers.push(server)
 		await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))
 		const address = server.address()
-		const port = address !== null && typeof address === "object" ? address.port : 0
+		const port =
+			address !== null && typeof address === "object" ? address.port : 0
 		const added: FleetEndpoint = {
 			id: `i-${this.servers.length}`,
 			pool: "desk",
--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -106,7 +106,8 @@
 					isUsable: state.usable,
 					waitMs: state.waitMs,
 					tokensPerMs: Math.max(1, state.tokensPerSecond) / 1000,
-					openPlaces: state.openPlaces
+					freePlaces: state.freePlaces,
+					placeStepMs: state.placeStepMs
 				})
 				if (!state.hasResidency) return
 				choice.applyResidency(id, state.resident, state.recent)
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -6,7 +6,7 @@
  */
 import type {FleetEndpoint} from "../contract/fleet.js"
 import {RefuseReason} from "../contract/gen/grants_pb.js"
-import type {EngineRating} from "../policy/dispatch/index.js"
+import type {EngineQuery, EngineRating} from "../policy/dispatch/index.js"
 import type {AgentLink, GrantRefused} from "./agentLink.js"
 import {CallEnd, EndpointCall} from "./endpointCall.js"
 import {EventSplitter} from "./eventSplitter.js"
@@ -17,8 +17,11 @@
 const maxAsks = 2
 /** Sends of one request, those included that an engine rejects unrun. */
 const maxSends = 4
-/** Share of the time left that the expected wait may take. */
-const maxWaitShare = 0.6
+/** Callers give up on a first event after some objectives, well before their
+ * deadline; one that comes later than this is of no use. */
+const startObjectives = 2.5
+/** The rest of the time to the deadline is left for the events themselves. */
+const maxStartShare = 0.6
 /** An engine that is this far over its expected time counts as silent. */
 const firstEventFactor = 3
 const firstEventFloorMs = 1200
@@ -81,8 +84,8 @@
 	private askNext(refusal?: GrantRefused): void {
 		if (this.isOver) return
 		const best = this.asks >= maxAsks ? undefined : this.rate()
-		const leftMs = this.request.deadline - this.ctx.now()
-		if (best === undefined || best.expectedMs > leftMs * maxWaitShare) {
+		const startByLeftMs = this.getStartBy() - this.ctx.now()
+		if (best === undefined || best.expectedMs > startByLeftMs) {
 			this.giveUpUnsent(best, refusal)
 			return
 		}
@@ -93,8 +96,27 @@
 		else this.send(endpoint, undefined, "", endpoint.id, 0, best.expectedMs)
 	}
 
+	/** Latest time at which a first event is of use. */
+	private getStartBy(): number {
+		const {route, arrivedAt, deadline} = this.request
+		const patienceMs = Math.min(
+			route.objectiveMs * startObjectives,
+			(deadline - arrivedAt) * maxStartShare
+		)
+		return arrivedAt + patienceMs
+	}
+
+	private get query(): EngineQuery {
+		const {model, adapter, promptTokens} = this.generation
+		return {
+			placeKey: `${model}/${adapter}`,
+			hasAdapter: adapter !== "",
+			promptTokens
+		}
+	}
+
 	private rate(): EngineRating | undefined {
-		const {ctx, request, generation} = this
+		const {ctx, request} = this
 		const ready = ctx.fleet.listReady(request.pool)
 		const candidates = ready
 			.filter(({id}) => !this.refusedBy.has(id) && !this.failedAt.has(id))
@@ -102,12 +124,7 @@
 				id,
 				isNear: failureDomain === ctx.failureDomain
 			}))
-		const query = {
-			placeKey: `${generation.model}/${generation.adapter}`,
-			hasAdapter: generation.adapter !== "",
-			promptTokens: generation.promptTokens
-		}
-		return ctx.engines.rate(query, candidates, ctx.now())[0]
+		return ctx.engines.rate(this.query, candidates, ctx.now())[0]
 	}
 
 	private ask(
@@ -120,7 +137,7 @@
 		this.asks += 1
 		const key = `${exchange.head.id}#${this.asks + this.sends}`
 		this.waiting = {link, key}
-		ctx.engines.addAsk(endpoint.id, generation.promptTokens)
+		ctx.engines.addAsk(endpoint.id, this.query)
 		const now = ctx.now()
 		const ask = {
 			$typeName: "goldcrestloom.grants.v1.Ask" as const,
@@ -136,6 +153,7 @@
 			outputTokens: generation.outputTokens,
 			priority: Math.max(0, route.priority),
 			objectiveLeftMs: Math.round(request.arrivedAt + route.objectiveMs - now),
+			startByLeftMs: Math.round(this.getStartBy() - now),
 			deadlineLeftMs: Math.round(request.deadline - now)
 		}
 		link.ask(ask, {
--- a/src/policy/dispatch/engineChoice.ts
+++ b/src/policy/dispatch/engineChoice.ts
@@ -18,10 +18,9 @@
 
 /** An adapter at hand beside the engine takes this long to place. */
 const recentLoadMs = 40
-/** From the weight store, which all engines share: slow, and dear to others. */
-const storeLoadMs = 700
-/** Added when the engine has no place that can be had at once. */
-const noPlaceMs = 350
+const storeLoadMs = 270
+/** Makes a load from the weight store, which all engines share, a last resort. */
+const storeBiasMs = 430
 /** Steers each adapter to the same engine while all are idle. */
 const homeStepMs = 25
 const maxHomeSteps = 6
@@ -40,7 +39,10 @@
 	isUsable: boolean
 	waitMs: number
 	tokensPerMs: number
-	openPlaces: number
+	/** Places that can be had, less the adapters that wait for one. */
+	freePlaces: number
+	/** Expected time between places becoming free. */
+	placeStepMs: number
 }
 
 export interface EngineQuery {
@@ -57,6 +59,8 @@
 	recents: ReadonlySet<string>
 	/** Tokens asked for since the view. */
 	askedTokens: number
+	/** Adapters without a place asked for since the view. */
+	askedPlaces: number
 	/** Own requests that run at the engine. */
 	outstanding: number
 	trust: EndpointTrust
@@ -65,7 +69,10 @@
 
 export interface EngineRating {
 	id: string
+	/** Expected time to the first event. */
 	expectedMs: number
+	/** What engines are ordered by: the time, and what should tip the choice. */
+	cost: number
 	isLinked: boolean
 }
 
@@ -77,6 +84,7 @@
 		const known = this.get(id)
 		known.view = view
 		known.askedTokens = 0
+		known.askedPlaces = 0
 	}
 
 	applyResidency(
@@ -98,8 +106,10 @@
 		return this.get(id).view !== undefined
 	}
 
-	addAsk(id: string, tokens: number): void {
-		this.get(id).askedTokens += tokens
+	addAsk(id: string, {placeKey, hasAdapter, promptTokens}: EngineQuery): void {
+		const known = this.get(id)
+		known.askedTokens += promptTokens
+		if (hasAdapter && !known.residents.has(placeKey)) known.askedPlaces += 1
 	}
 
 	begin(id: string): void {
@@ -135,31 +145,39 @@
 		for (const {id, isNear} of candidates) {
 			const known = this.get(id)
 			const homeMs = Math.min(maxHomeSteps, homes.get(id) ?? 0) * homeStepMs
-			const waitMs = this.getWaitMs(known, query)
-			if (waitMs === undefined) continue
-			const expectedMs =
-				waitMs + known.trust.getPenaltyMs(now) + homeMs + (isNear ? 0 : farMs)
-			ratings.push({id, expectedMs, isLinked: known.view !== undefined})
+			const expected = this.getExpected(known, query)
+			if (expected === undefined) continue
+			const {expectedMs, biasMs} = expected
+			const doubtMs = known.trust.getPenaltyMs(now)
+			const cost = expectedMs + biasMs + doubtMs + homeMs + (isNear ? 0 : farMs)
+			const isLinked = known.view !== undefined
+			ratings.push({id, expectedMs, cost, isLinked})
 		}
-		ratings.sort((a, b) => a.expectedMs - b.expectedMs)
+		ratings.sort((a, b) => a.cost - b.cost)
 		return ratings
 	}
 
-	private getWaitMs(known: Known, query: EngineQuery): number | undefined {
+	private getExpected(
+		known: Known,
+		query: EngineQuery
+	): {expectedMs: number; biasMs: number} | undefined {
 		const {view} = known
 		const isResident = known.residents.has(query.placeKey)
 		if (view === undefined) {
 			if (query.hasAdapter && !isResident) return undefined
-			return unlinkedMs + known.outstanding * unlinkedOutstandingMs
+			const expectedMs = unlinkedMs + known.outstanding * unlinkedOutstandingMs
+			return {expectedMs, biasMs: 0}
 		}
 		if (!view.isUsable) return undefined
-		const askedMs = known.askedTokens / view.tokensPerMs
-		const readMs = query.promptTokens / view.tokensPerMs
-		const waitMs = view.waitMs + askedMs + readMs
-		if (!query.hasAdapter || isResident) return waitMs
-		const placeMs = view.openPlaces > 0 ? 0 : noPlaceMs
+		const tokens = known.askedTokens + query.promptTokens
+		const waitMs = view.waitMs + tokens / view.tokensPerMs
+		if (!query.hasAdapter || isResident) return {expectedMs: waitMs, biasMs: 0}
+		const missing = Math.max(0, known.askedPlaces + 1 - view.freePlaces)
+		const placeMs = missing * view.placeStepMs
 		const isRecent = known.recents.has(query.placeKey)
-		return waitMs + placeMs + (isRecent ? recentLoadMs : storeLoadMs)
+		const loadMs = isRecent ? recentLoadMs : storeLoadMs
+		const biasMs = isRecent ? 0 : storeBiasMs
+		return {expectedMs: waitMs + placeMs + loadMs, biasMs}
 	}
 
 	private rankHomes(
@@ -183,6 +201,7 @@
 				residents: new Set(),
 				recents: new Set(),
 				askedTokens: 0,
+				askedPlaces: 0,
 				outstanding: 0,
 				trust: new EndpointTrust(),
 				hash: hashString(id)
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -7,9 +7,12 @@
  *   crowd: many prompts at once).
  * - Requests that can still be on time come before those that are late already,
  *   then the earliest objective (a backlog: without this every answer is late).
- * - What can't begin before its deadline is refused on arrival.
+ * - Adapter places are held by running requests, often longer than a prompt is
+ *   read (rare models asked for at once: engines idle behind full places). The
+ *   wait for a place is part of the estimate.
+ * - What can't begin while it is of use is refused on arrival.
  */
-import {AdapterPlaces, type AdapterDemand} from "./places.js"
+import {AdapterPlaces, type AdapterDemand, placeKey} from "./places.js"
 import {PromptCache} from "./promptCache.js"
 import {ReadingRate} from "./readingRate.js"
 import {
@@ -26,16 +29,12 @@
 export interface GrantSchedulerOptions {
 	/** Reading time given out ahead, milliseconds. */
 	readAheadMs?: number
-	/** Share of the time to the deadline that a wait may take. */
-	maxWaitShare?: number
 	/** A value in [0, 1) that spreads the return of refused callers. */
 	random: () => number
 }
 
 /** About two prompts: enough that the engine never idles between grants. */
 const defaultReadAheadMs = 250
-/** The rest of the time is left for generating the answer. */
-const defaultMaxWaitShare = 0.6
 /** Lead of each step of priority in the order of objectives. */
 const priorityLeadMs = 300
 /** Seats left for requests that bypass grants, as in a loss of the agent. */
@@ -45,6 +44,10 @@
 /** Share of the memory that keeps prompt parts of ended requests. */
 const cacheShare = 0.6
 const minRetryAfterMs = 150
+/** Time a request holds its place, until learned. */
+const initialHoldMs = 800
+/** Weight of the newest sample of the time a place is held. */
+const holdSampleWeight = 0.1
 /** Expected wait while the base model is loaded, until a report says more. */
 const baseLoadMs = 1000
 
@@ -65,7 +68,10 @@
 	isUsable: boolean
 	waitMs: number
 	tokensPerSecond: number
-	openPlaces: number
+	/** Places that can be had, less the adapters that wait for one. */
+	freePlaces: number
+	/** Expected time between places becoming free. */
+	placeStepMs: number
 	running: number
 }
 
@@ -76,7 +82,7 @@
 	private readonly waiting = new Map<string, Waiting>()
 	private readonly granted = new Map<string, Granted>()
 	private readonly readAheadMs: number
-	private readonly maxWaitShare: number
+	private holdMs = initialHoldMs
 	private readonly random: () => number
 	private bornAt = 0
 	/** False once the engine doesn't answer its agent. */
@@ -86,7 +92,6 @@
 
 	constructor(options: GrantSchedulerOptions) {
 		this.readAheadMs = options.readAheadMs ?? defaultReadAheadMs
-		this.maxWaitShare = options.maxWaitShare ?? defaultMaxWaitShare
 		this.random = options.random
 	}
 
@@ -119,8 +124,7 @@
 			return [this.refuse(request, RefusalReason.Unavailable, 0, now)]
 		}
 		const expectedMs = this.estimate(request, now)
-		const leftMs = request.deadline - now
-		if (expectedMs > leftMs * this.maxWaitShare) {
+		if (now + expectedMs > request.startBy) {
 			const reason = RefusalReason.Overloaded
 			return [this.refuse(request, reason, expectedMs, now)]
 		}
@@ -143,6 +147,11 @@
 	/** A request ended, was given up or moved elsewhere. */
 	end(key: string, now: number): GrantStep[] {
 		this.waiting.delete(key)
+		const granted = this.granted.get(key)
+		if (granted?.isStarted === true) {
+			const heldMs = now - granted.grantedAt
+			this.holdMs += holdSampleWeight * (heldMs - this.holdMs)
+		}
 		this.release(key)
 		return this.schedule(now)
 	}
@@ -162,9 +171,8 @@
 	schedule(now: number): GrantStep[] {
 		const steps: GrantStep[] = []
 		for (const {request} of this.rank(now)) {
-			const leftMs = request.deadline - now
 			const readMs = this.rate.getReadMs(this.getUnread(request))
-			if (!this.isUp || leftMs < readMs) {
+			if (!this.isUp || now + readMs > request.startBy) {
 				this.waiting.delete(request.key)
 				const reason = this.isUp
 					? RefusalReason.Deadline
@@ -201,7 +209,8 @@
 			isUsable: this.isUp && this.places.hasAnyModel(),
 			waitMs: this.rate.getReadMs(this.unreadAhead + queued),
 			tokensPerSecond: this.rate.tokensPerMs * 1000,
-			openPlaces: this.places.countOpen(),
+			freePlaces: this.places.countOpen() - this.listWantedPlaces().size,
+			placeStepMs: this.getPlaceStepMs(),
 			running: this.granted.size
 		}
 	}
@@ -217,7 +226,33 @@
 		const readMs = this.rate.getReadMs(ahead + this.getUnread(request))
 		const {model, adapter} = request
 		if (!this.places.hasModel(model)) return readMs + baseLoadMs
-		return readMs + this.places.getLoadMs(model, adapter, now)
+		const loadMs = this.places.getLoadMs(model, adapter, now)
+		return readMs + loadMs + this.getPlaceWaitMs(model, adapter)
+	}
+
+	/** Expected wait for a place, behind the adapters that want one already. */
+	private getPlaceWaitMs(model: string, adapter: string): number {
+		const key = placeKey(model, adapter)
+		if (adapter === "" || this.places.hasPlace(key)) return 0
+		const wanted = this.listWantedPlaces()
+		wanted.delete(key)
+		const missing = wanted.size + 1 - this.places.countOpen()
+		return Math.max(0, missing) * this.getPlaceStepMs()
+	}
+
+	/** Adapters of waiting requests that have no place. */
+	private listWantedPlaces(): Set<string> {
+		const wanted = new Set<string>()
+		for (const {request} of this.waiting.values()) {
+			const key = placeKey(request.model, request.adapter)
+			if (request.adapter !== "" && !this.places.hasPlace(key)) wanted.add(key)
+		}
+		return wanted
+	}
+
+	private getPlaceStepMs(): number {
+		const slots = this.places.limits?.adapterSlots ?? 1
+		return this.holdMs / Math.max(1, slots)
 	}
 
 	private rank(now: number): Waiting[] {
@@ -304,7 +339,7 @@
 		expectedMs: number,
 		now: number
 	): number {
-		const affordableMs = (request.deadline - now) * this.maxWaitShare
+		const affordableMs = request.startBy - now
 		const excessMs = Math.max(minRetryAfterMs, expectedMs - affordableMs)
 		return excessMs * (1 + this.random())
 	}
--- a/src/policy/grants/places.ts
+++ b/src/policy/grants/places.ts
@@ -154,6 +154,10 @@
 		return this.recent.has(key) ? this.recentLoadMs : this.storeLoadMs
 	}
 
+	hasPlace(key: string): boolean {
+		return this.places.has(key)
+	}
+
 	/** Places that are free or whose adapter no request uses. */
 	countOpen(): number {
 		const slots = this.limits?.adapterSlots ?? 0
--- a/src/policy/grants/types.ts
+++ b/src/policy/grants/types.ts
@@ -21,6 +21,8 @@
 	priority: number
 	/** Time after which an answer is late. */
 	objectiveAt: number
+	/** Time after which a first event is of no use to the caller. */
+	startBy: number
 	/** Time at which the caller gives up. */
 	deadline: number
 }
