--- a/src/gateway/__tests__/bed.ts
+++ b/src/gateway/__tests__/bed.ts
@@ -38,22 +38,29 @@
 
 export class Bed {
 	readonly task: GatewayTask
+	readonly log: DecisionLog
 	readonly logLines: Record<string, unknown>[] = []
 	private readonly servers: Server[] = []
 	private nextId = 1
 
 	private constructor(
-		private readonly port: number,
+		readonly callerPort: number,
 		readonly options: BedOptions
 	) {
 		const sink = new winston.transports.Stream({
 			stream: new LineSink(this.logLines)
 		})
+		this.log = new DecisionLog({
+			role: "gateway",
+			host: "gateway-1",
+			// eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
+			transport: sink
+		})
 		this.task = new GatewayTask({
 			host: "gateway-1",
 			failureDomain: "a",
-			callerAddress: `127.0.0.1:${port}`,
-			readyAddress: `127.0.0.1:${port + 1}`,
+			callerAddress: `127.0.0.1:${callerPort}`,
+			readyAddress: `127.0.0.1:${callerPort + 1}`,
 			metricsAddress: "",
 			agentPort: options.agentPort ?? 1,
 			graceMs: options.graceMs ?? 8000,
@@ -61,11 +68,7 @@
 			repeatExtra: 50,
 			repeatWindowMs: 10_000,
 			wire: new PlatformWire(),
-			log: new DecisionLog({
-				role: "gateway",
-				host: "gateway-1",
-				transport: sink
-			}),
+			log: this.log,
 			random: () => 0.5
 		})
 	}
@@ -117,7 +120,7 @@
 		return new Promise((resolve, reject) => {
 			const req = request({
 				host: "127.0.0.1",
-				port: this.port,
+				port: this.callerPort,
 				method,
 				path,
 				agent: options.agent,
@@ -146,6 +149,32 @@
 		})
 	}
 
+	/** Sends a request and leaves after a while. */
+	sendAndLeave(
+		options: {path: string; headers: Record<string, string>},
+		afterMs: number
+	): Promise<void> {
+		return new Promise(resolve => {
+			const req = request({
+				host: "127.0.0.1",
+				port: this.callerPort,
+				method: "POST",
+				path: options.path,
+				headers: {Host: host, "X-Request-Id": "leaver", ...options.headers}
+			})
+			req.on("error", () => undefined)
+			req.on("response", res => {
+				res.on("error", () => undefined)
+				res.resume()
+			})
+			req.end()
+			setTimeout(() => {
+				req.destroy()
+				resolve()
+			}, afterMs)
+		})
+	}
+
 	async stop(): Promise<void> {
 		await this.task.drain()
 		for (const server of this.servers) {
--- a/src/gateway/__tests__/drain.test.ts
+++ b/src/gateway/__tests__/drain.test.ts
@@ -17,11 +17,10 @@
 			}, 40)
 		})
 		const agent = new Agent({keepAlive: true, maxSockets: 1})
-		const draining = bed.task.drain().then(() => true)
 		const statuses: number[] = []
-		let isDrained = false
-		void draining.then(() => (isDrained = true))
-		while (!isDrained) {
+		const stopping = {isDone: false}
+		void bed.task.drain().then(() => (stopping.isDone = true))
+		while (!stopping.isDone) {
 			try {
 				const {status, isWhole} = await bed.send({agent})
 				expect(isWhole).toBe(true)
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -137,8 +137,8 @@
 		this.asks += 1
 		const key = `${exchange.head.id}#${this.asks + this.sends}`
 		this.waiting = {link, key}
-		ctx.engines.addAsk(endpoint.id, this.query)
 		const now = ctx.now()
+		ctx.engines.addAsk(endpoint.id, this.query, now)
 		const ask = {
 			$typeName: "goldcrestloom.grants.v1.Ask" as const,
 			key,
--- a/src/gateway/repeatBudgets.ts
+++ b/src/gateway/repeatBudgets.ts
@@ -27,7 +27,8 @@
 	setGateways(count: number): void {
 		if (count === this.gateways) return
 		this.gateways = Math.max(1, count)
-		this.budgets.clear()
+		const {perSecond, burst} = this.getAllowance()
+		for (const budget of this.budgets.values()) budget.adjust(perSecond, burst)
 	}
 
 	addRequest(pool: string): void {
@@ -41,14 +42,21 @@
 	private get(pool: string): RetryBudget {
 		let budget = this.budgets.get(pool)
 		if (budget === undefined) {
-			const {ratio, extra, windowMs} = this.options
-			const perSecond = (extra * 1000) / windowMs / this.gateways
+			const {perSecond, burst} = this.getAllowance()
 			budget = new RetryBudget({
-				ratio: ratio * safeShare,
-				minPerSecond: perSecond * safeShare
+				ratio: this.options.ratio * safeShare,
+				minPerSecond: perSecond,
+				burst
 			})
 			this.budgets.set(pool, budget)
 		}
 		return budget
 	}
+
+	/** Half of a window's extra repeats at once, the other half as it passes. */
+	private getAllowance(): {perSecond: number; burst: number} {
+		const {extra, windowMs} = this.options
+		const burst = (extra * safeShare) / this.gateways / 2
+		return {perSecond: (burst * 1000) / windowMs, burst}
+	}
 }
--- /dev/null
+++ b/src/policy/dispatch/__tests__/engineChoice.test.ts
@@ -0,0 +1,95 @@
+import {describe, expect, it} from "vitest"
+import {EngineChoice, type EngineView} from "../engineChoice.js"
+
+const idle: EngineView = {
+	isUsable: true,
+	waitMs: 0,
+	tokensPerMs: 20,
+	freePlaces: 3,
+	placeStepMs: 200
+}
+const engines = ["e1", "e2", "e3"].map(id => ({id, isNear: true}))
+const query = {placeKey: "base/a1", hasAdapter: true, promptTokens: 2000}
+
+function createChoice(
+	views: Record<string, Partial<EngineView>> = {}
+): EngineChoice {
+	const choice = new EngineChoice()
+	for (const {id} of engines) choice.applyView(id, {...idle, ...views[id]})
+	return choice
+}
+
+function listIds(choice: EngineChoice, now = 0): string[] {
+	return choice.rate(query, engines, now).map(({id}) => id)
+}
+
+describe("EngineChoice", () => {
+	it("prefers the engine that holds the adapter", () => {
+		const choice = createChoice()
+		choice.applyResidency("e2", ["base/a1"], [])
+		expect(listIds(choice)[0]).toBe("e2")
+	})
+
+	it("prefers the engine that kept the adapter at hand", () => {
+		const choice = createChoice()
+		choice.applyResidency("e3", [], ["base/a1"])
+		expect(listIds(choice)[0]).toBe("e3")
+	})
+
+	it("gives all gateways the same home for an adapter that none holds", () => {
+		expect(listIds(createChoice())).toEqual(listIds(createChoice()))
+	})
+
+	it("spills a hot adapter when its engine's queue costs more than a load", () => {
+		const choice = createChoice({e2: {waitMs: 1500}})
+		choice.applyResidency("e2", ["base/a1"], [])
+		expect(listIds(choice)[0]).not.toBe("e2")
+	})
+
+	it("counts its own asks until the agent has told its state again", () => {
+		const choice = createChoice()
+		choice.applyResidency("e2", ["base/a1"], [])
+		for (let n = 0; n < 12; n++) choice.addAsk("e2", query, 0)
+		expect(listIds(choice)[0]).not.toBe("e2")
+		choice.applyView("e2", idle)
+		expect(listIds(choice)[0]).toBe("e2")
+	})
+
+	it("does not add up asks that were served at once in a steady flow", () => {
+		const choice = createChoice()
+		choice.applyResidency("e2", ["base/a1"], [])
+		// The agent's state stays the same, so it tells nothing for a while.
+		for (let now = 0; now < 600; now += 50) choice.addAsk("e2", query, now)
+		const [best] = choice.rate(query, engines, 600)
+		expect(best?.id).toBe("e2")
+		expect(best?.expectedMs).toBeLessThan(500)
+	})
+
+	it("expects the wait for a place when rare adapters come at once", () => {
+		const choice = createChoice({
+			e1: {freePlaces: -2},
+			e2: {freePlaces: -2},
+			e3: {freePlaces: 1}
+		})
+		const [best, next] = choice.rate(query, engines, 0)
+		expect(best?.id).toBe("e3")
+		expect((next?.expectedMs ?? 0) - (best?.expectedMs ?? 0)).toBe(600)
+	})
+
+	it("avoids an engine that failed, and comes back to it", () => {
+		const choice = createChoice()
+		choice.applyResidency("e2", ["base/a1"], [])
+		for (let n = 0; n < 5; n++) choice.addFailure("e2", 0)
+		expect(listIds(choice)[0]).not.toBe("e2")
+		expect(listIds(choice, 20_000)[0]).toBe("e2")
+	})
+
+	it("uses what an engine held last while its agent is gone", () => {
+		const choice = createChoice()
+		choice.applyResidency("e2", ["base/a1"], [])
+		for (const {id} of engines) choice.dropView(id)
+		expect(choice.rate(query, engines, 0)).toMatchObject([
+			{id: "e2", isLinked: false}
+		])
+	})
+})
--- a/src/policy/dispatch/engineChoice.ts
+++ b/src/policy/dispatch/engineChoice.ts
@@ -27,6 +27,9 @@
 /** An agent that does not answer leaves only what the engine held last. */
 const unlinkedMs = 300
 const unlinkedOutstandingMs = 60
+/** An agent whose state has changed tells so within this time; an ask that did
+ * not change it was served at once. */
+const askShownMs = 200
 /** Beyond one's own failure domain a call takes longer, and costs. */
 const farMs = 5
 
@@ -53,14 +56,18 @@
 	hasAdapter: boolean
 }
 
+interface Ask {
+	at: number
+	tokens: number
+	needsPlace: boolean
+}
+
 interface Known {
 	view: EngineView | undefined
 	residents: ReadonlySet<string>
 	recents: ReadonlySet<string>
-	/** Tokens asked for since the view. */
-	askedTokens: number
-	/** Adapters without a place asked for since the view. */
-	askedPlaces: number
+	/** Own asks that the view may not show yet. */
+	asks: Ask[]
 	/** Own requests that run at the engine. */
 	outstanding: number
 	trust: EndpointTrust
@@ -83,8 +90,7 @@
 	applyView(id: string, view: EngineView): void {
 		const known = this.get(id)
 		known.view = view
-		known.askedTokens = 0
-		known.askedPlaces = 0
+		known.asks.length = 0
 	}
 
 	applyResidency(
@@ -106,10 +112,11 @@
 		return this.get(id).view !== undefined
 	}
 
-	addAsk(id: string, {placeKey, hasAdapter, promptTokens}: EngineQuery): void {
+	addAsk(id: string, query: EngineQuery, now: number): void {
+		const {placeKey, hasAdapter, promptTokens: tokens} = query
 		const known = this.get(id)
-		known.askedTokens += promptTokens
-		if (hasAdapter && !known.residents.has(placeKey)) known.askedPlaces += 1
+		const needsPlace = hasAdapter && !known.residents.has(placeKey)
+		known.asks.push({at: now, tokens, needsPlace})
 	}
 
 	begin(id: string): void {
@@ -145,7 +152,7 @@
 		for (const {id, isNear} of candidates) {
 			const known = this.get(id)
 			const homeMs = Math.min(maxHomeSteps, homes.get(id) ?? 0) * homeStepMs
-			const expected = this.getExpected(known, query)
+			const expected = this.getExpected(known, query, now)
 			if (expected === undefined) continue
 			const {expectedMs, biasMs} = expected
 			const doubtMs = known.trust.getPenaltyMs(now)
@@ -159,7 +166,8 @@
 
 	private getExpected(
 		known: Known,
-		query: EngineQuery
+		query: EngineQuery,
+		now: number
 	): {expectedMs: number; biasMs: number} | undefined {
 		const {view} = known
 		const isResident = known.residents.has(query.placeKey)
@@ -169,10 +177,13 @@
 			return {expectedMs, biasMs: 0}
 		}
 		if (!view.isUsable) return undefined
-		const tokens = known.askedTokens + query.promptTokens
+		known.asks = known.asks.filter(({at}) => now - at < askShownMs)
+		const asked = known.asks.reduce((sum, ask) => sum + ask.tokens, 0)
+		const tokens = asked + query.promptTokens
 		const waitMs = view.waitMs + tokens / view.tokensPerMs
 		if (!query.hasAdapter || isResident) return {expectedMs: waitMs, biasMs: 0}
-		const missing = Math.max(0, known.askedPlaces + 1 - view.freePlaces)
+		const askedPlaces = known.asks.filter(ask => ask.needsPlace).length
+		const missing = Math.max(0, askedPlaces + 1 - view.freePlaces)
 		const placeMs = missing * view.placeStepMs
 		const isRecent = known.recents.has(query.placeKey)
 		const loadMs = isRecent ? recentLoadMs : storeLoadMs
@@ -200,8 +211,7 @@
 				view: undefined,
 				residents: new Set(),
 				recents: new Set(),
-				askedTokens: 0,
-				askedPlaces: 0,
+				asks: [],
 				outstanding: 0,
 				trust: new EndpointTrust(),
 				hash: hashString(id)
--- /dev/null
+++ b/src/policy/grants/__tests__/grantScheduler.test.ts
@@ -0,0 +1,164 @@
+import {describe, expect, it} from "vitest"
+import {GrantScheduler} from "../grantScheduler.js"
+import {
+	GrantActionKind,
+	type GrantStep,
+	OrderKind,
+	OrderOutcome,
+	RefusalReason
+} from "../types.js"
+import {createReport, createRequest, limits} from "./requests.js"
+
+function createScheduler(adapters: readonly string[]): GrantScheduler {
+	const scheduler = new GrantScheduler({random: () => 0})
+	scheduler.setLimits(limits)
+	scheduler.applyReport(createReport(adapters), 0)
+	return scheduler
+}
+
+function listKeys(
+	steps: readonly GrantStep[],
+	kind: GrantActionKind
+): string[] {
+	return steps.filter(step => step.kind === kind).map(s => s.request.key)
+}
+
+describe("GrantScheduler", () => {
+	it("grants at once where the adapter is resident", () => {
+		const scheduler = createScheduler(["a1"])
+		const steps = scheduler.ask(createRequest("r1", 0), 0)
+		expect(steps).toMatchObject([{kind: GrantActionKind.Grant, version: 1}])
+	})
+
+	it("gives out only as much reading as the engine does ahead", () => {
+		const scheduler = createScheduler(["a1"])
+		const granted = [1, 2, 3, 4, 5].flatMap(n =>
+			listKeys(
+				scheduler.ask(createRequest(`r${n}`, 0), 0),
+				GrantActionKind.Grant
+			)
+		)
+		expect(granted).toEqual(["r1", "r2"])
+		const next = scheduler.start("r1", 100)
+		expect(listKeys(next, GrantActionKind.Grant)).toEqual(["r3"])
+	})
+
+	it("serves a crowd in the order of objectives, late ones last", () => {
+		const scheduler = createScheduler(["a1"])
+		scheduler.ask(createRequest("busy1", 0), 0)
+		scheduler.ask(createRequest("busy2", 0), 0)
+		scheduler.ask(createRequest("late", 0, {objectiveAt: 10}), 0)
+		scheduler.ask(createRequest("later", 0, {objectiveAt: 900}), 0)
+		scheduler.ask(createRequest("sooner", 0, {objectiveAt: 700}), 0)
+		const order: string[] = []
+		for (const [index, key] of [
+			"busy1",
+			"busy2",
+			"sooner",
+			"later"
+		].entries()) {
+			const steps = scheduler.start(key, 100 * (index + 1))
+			order.push(...listKeys(steps, GrantActionKind.Grant))
+		}
+		expect(order).toEqual(["sooner", "later", "late"])
+	})
+
+	it("lets a more urgent kind go ahead of an objective that is near it", () => {
+		const scheduler = createScheduler(["a1"])
+		scheduler.ask(createRequest("busy1", 0), 0)
+		scheduler.ask(createRequest("busy2", 0), 0)
+		scheduler.ask(createRequest("draft", 0, {objectiveAt: 700}), 0)
+		scheduler.ask(createRequest("urgent", 0, {priority: 0}), 0)
+		const steps = scheduler.start("busy1", 100)
+		expect(listKeys(steps, GrantActionKind.Grant)).toEqual(["urgent"])
+	})
+
+	it("refuses at once what can't begin while it is of use", () => {
+		const scheduler = createScheduler(["a1"])
+		const refused = Array.from({length: 40}, (_, n) =>
+			scheduler.ask(createRequest(`r${n}`, 0), 0)
+		).flat()
+		const steps = refused.filter(s => s.kind === GrantActionKind.Refuse)
+		// 2,000 tokens at 20 a millisecond: 20 prompts begin within 2 s.
+		expect(steps).toHaveLength(20)
+		expect(steps[0]).toMatchObject({reason: RefusalReason.Overloaded})
+		expect(steps.every(step => step.retryAfterMs > 0)).toBe(true)
+	})
+
+	it("counts the wait for a place when rare adapters are asked for at once", () => {
+		const scheduler = createScheduler(["a1", "a2"])
+		scheduler.ask(createRequest("r1", 0), 0)
+		scheduler.ask(createRequest("r2", 0, {adapter: "a2"}), 0)
+		const steps = Array.from({length: 10}, (_, n) =>
+			scheduler.ask(createRequest(`x${n}`, 0, {adapter: `b${n}`}), 0)
+		).flat()
+		// Both places are held for 800 ms: one is free each 400 ms.
+		expect(listKeys(steps, GrantActionKind.Refuse).length).toBeGreaterThan(4)
+		expect(scheduler.getView().freePlaces).toBeLessThan(0)
+	})
+
+	it("refuses a waiting request as soon as it can't be of use any more", () => {
+		const scheduler = createScheduler(["a1", "a2"])
+		scheduler.ask(createRequest("r1", 0), 0)
+		scheduler.ask(createRequest("r2", 0, {adapter: "a2"}), 0)
+		scheduler.ask(createRequest("x", 0, {adapter: "b"}), 0)
+		expect(scheduler.schedule(1800)).toEqual([])
+		expect(scheduler.schedule(1950)).toMatchObject([
+			{kind: GrantActionKind.Refuse, reason: RefusalReason.Deadline}
+		])
+	})
+
+	it("orders the base model of an engine that started empty", () => {
+		const scheduler = createScheduler([])
+		scheduler.applyReport(createReport([], {bornAt: 2, models: []}), 10)
+		expect(scheduler.planOrder(10)).toMatchObject({
+			kind: OrderKind.Load,
+			model: "base",
+			adapter: ""
+		})
+	})
+
+	it("forgets the grants of an engine that started anew", () => {
+		const scheduler = createScheduler(["a1"])
+		scheduler.ask(createRequest("r1", 0), 0)
+		expect(scheduler.getView().running).toBe(1)
+		expect(scheduler.applyReport(createReport([], {bornAt: 2}), 10)).toBe(true)
+		expect(scheduler.getView().running).toBe(0)
+	})
+
+	it("frees what a gateway held when it is gone", () => {
+		const scheduler = createScheduler(["a1", "a2"])
+		scheduler.ask(createRequest("r1", 0), 0)
+		scheduler.ask(createRequest("r2", 0, {owner: "g2", adapter: "a2"}), 0)
+		scheduler.ask(createRequest("r3", 0, {adapter: "b"}), 0)
+		expect(scheduler.planOrder(1)).toBeUndefined()
+		scheduler.dropOwner("g2", 1)
+		expect(scheduler.planOrder(1)).toMatchObject({
+			kind: OrderKind.Unload,
+			adapter: "a2"
+		})
+	})
+
+	it("refuses at once while the engine doesn't answer its agent", () => {
+		const scheduler = createScheduler(["a1"])
+		scheduler.markDown()
+		expect(scheduler.ask(createRequest("r1", 0), 0)).toMatchObject([
+			{kind: GrantActionKind.Refuse, reason: RefusalReason.Unavailable}
+		])
+	})
+
+	it("joins requests for one adapter to one load", () => {
+		const scheduler = createScheduler([])
+		scheduler.ask(createRequest("r1", 0, {adapter: "b"}), 0)
+		scheduler.ask(createRequest("r2", 0, {adapter: "b"}), 0)
+		const order = scheduler.planOrder(0)
+		expect(order).toMatchObject({kind: OrderKind.Load, adapter: "b"})
+		if (order !== undefined) scheduler.places.beginOrder(order)
+		scheduler.endOrder(OrderOutcome.Accepted, 1)
+		expect(scheduler.planOrder(2)).toBeUndefined()
+		const report = createReport(["b"], {sequence: 1})
+		scheduler.applyReport(report, 30)
+		const steps = scheduler.schedule(30)
+		expect(listKeys(steps, GrantActionKind.Grant)).toEqual(["r1", "r2"])
+	})
+})
--- /dev/null
+++ b/src/policy/grants/__tests__/places.test.ts
@@ -0,0 +1,154 @@
+import fc from "fast-check"
+import {describe, expect, it} from "vitest"
+import {AdapterPlaces} from "../places.js"
+import {type EngineOrder, OrderKind, OrderOutcome} from "../types.js"
+import {createReport, limits} from "./requests.js"
+
+function createPlaces(adapters: readonly string[]): AdapterPlaces {
+	const places = new AdapterPlaces()
+	places.limits = limits
+	places.apply(createReport(adapters), 0)
+	return places
+}
+
+function want(adapter: string): {
+	model: string
+	adapter: string
+	objectiveAt: number
+} {
+	return {model: "base", adapter, objectiveAt: 0}
+}
+
+describe("AdapterPlaces", () => {
+	it("never evicts an adapter that a request uses", () => {
+		const places = createPlaces(["a1", "a2"])
+		places.pin("base", "a1", 0)
+		expect(places.planOrder([want("b")], 1)).toMatchObject({
+			kind: OrderKind.Unload,
+			adapter: "a2"
+		})
+		places.pin("base", "a2", 1)
+		expect(places.planOrder([want("b")], 2)).toBeUndefined()
+	})
+
+	it("evicts the adapter that is used least, and not one that is waited for", () => {
+		const places = createPlaces(["a1", "a2"])
+		for (let n = 0; n < 3; n++) {
+			places.pin("base", "a1", n)
+			places.unpin("base", "a1")
+		}
+		const order = places.planOrder([want("b")], 10)
+		expect(order).toMatchObject({kind: OrderKind.Unload, adapter: "a2"})
+		const demands = [want("b"), want("a2")]
+		expect(places.planOrder(demands, 10)).toMatchObject({adapter: "a1"})
+	})
+
+	it("counts the place of an order without an answer until a report", () => {
+		const places = createPlaces(["a1"])
+		const order = places.planOrder([want("b")], 0)
+		expect(order).toMatchObject({kind: OrderKind.Load, adapter: "b"})
+		if (order !== undefined) places.beginOrder(order)
+		places.endOrder(OrderOutcome.Lost, 1)
+		expect(places.planOrder([want("c")], 2)).toBeUndefined()
+		// It was not carried out: the next order takes its sequence.
+		places.apply(createReport(["a1"]), 3)
+		expect(places.planOrder([want("c")], 3)).toMatchObject({
+			adapter: "c",
+			expectedSequence: 0
+		})
+	})
+
+	it("replaces an old version once nothing runs on it, or when it is time", () => {
+		const places = createPlaces(["a1"])
+		places.pin("base", "a1", 0)
+		expect(places.announce("base", "a1", 4, 100)).toBe(true)
+		expect(places.announce("base", "a1", 3, 100)).toBe(false)
+		expect(places.planOrder([], 200)).toBeUndefined()
+		expect(places.getReadyVersion("base", "a1", 200)).toBe(1)
+		const late = places.planOrder([], 2000)
+		expect(late).toMatchObject({kind: OrderKind.Load, version: 4})
+		expect(places.getReadyVersion("base", "a1", 2000)).toBeUndefined()
+	})
+
+	it("loads an adapter at the version that was announced", () => {
+		const places = createPlaces([])
+		places.announce("base", "b", 7, 0)
+		expect(places.planOrder([want("b")], 1)).toMatchObject({version: 7})
+	})
+
+	it("never has more adapters ordered than the engine has places", () => {
+		const arbitraryOutcome = fc.constantFrom(
+			OrderOutcome.Accepted,
+			OrderOutcome.Holds,
+			OrderOutcome.Conflict,
+			OrderOutcome.Lost
+		)
+		const arbitraryStep = fc.record({
+			adapter: fc.integer({min: 0, max: 6}),
+			outcome: arbitraryOutcome,
+			/** Whether a lost order is carried out after all, late. */
+			isLate: fc.boolean(),
+			pinned: fc.integer({min: 0, max: 6})
+		})
+		fc.assert(
+			fc.property(fc.array(arbitraryStep, {maxLength: 60}), steps => {
+				const engine = new FakeEngine(limits.adapterSlots)
+				const places = createPlaces([])
+				let now = 0
+				for (const {adapter, outcome, isLate, pinned} of steps) {
+					now += 300
+					places.apply(engine.report(), now)
+					places.pin("base", `a${pinned}`, now)
+					const order = places.planOrder([want(`a${adapter}`)], now)
+					places.unpin("base", `a${pinned}`)
+					if (order === undefined) continue
+					places.beginOrder(order)
+					places.endOrder(engine.take(order, outcome, isLate), now)
+				}
+				return engine.most <= limits.adapterSlots
+			})
+		)
+	})
+})
+
+/** An engine that may lose answers and carry orders out late. */
+class FakeEngine {
+	most = 0
+	private sequence = 0
+	private readonly adapters = new Set<string>()
+	private late: EngineOrder | undefined
+
+	constructor(readonly slots: number) {}
+
+	report(): ReturnType<typeof createReport> {
+		return createReport([...this.adapters], {sequence: this.sequence})
+	}
+
+	take(
+		order: EngineOrder,
+		outcome: OrderOutcome,
+		isLate: boolean
+	): OrderOutcome {
+		if (outcome === OrderOutcome.Lost) {
+			if (!isLate) this.carryOut(order)
+			else this.late = order
+			return outcome
+		}
+		if (outcome === OrderOutcome.Conflict) return outcome
+		if (!this.carryOut(order)) return OrderOutcome.Conflict
+		if (this.late !== undefined) this.carryOut(this.late)
+		this.late = undefined
+		return order.kind === OrderKind.Unload
+			? OrderOutcome.Holds
+			: OrderOutcome.Accepted
+	}
+
+	private carryOut(order: EngineOrder): boolean {
+		if (order.expectedSequence !== this.sequence) return false
+		this.sequence += 1
+		if (order.kind === OrderKind.Load) this.adapters.add(order.adapter)
+		else this.adapters.delete(order.adapter)
+		this.most = Math.max(this.most, this.adapters.size)
+		return true
+	}
+}
--- /dev/null
+++ b/src/policy/grants/__tests__/promptCache.test.ts
@@ -0,0 +1,49 @@
+import {describe, expect, it} from "vitest"
+import {PromptCache} from "../promptCache.js"
+import {ReadingRate} from "../readingRate.js"
+
+const parts = [
+	{id: "x", tokens: 300},
+	{id: "y", tokens: 200},
+	{id: "z", tokens: 1000}
+]
+
+describe("PromptCache", () => {
+	it("keeps parts for one adapter, and only behind kept ones", () => {
+		const cache = new PromptCache(10_000)
+		expect(cache.getUnread("a1", parts)).toBe(1500)
+		cache.add("a1", parts.slice(0, 2))
+		expect(cache.getUnread("a1", parts)).toBe(1000)
+		expect(cache.getUnread("a2", parts)).toBe(1500)
+		expect(cache.getUnread("a1", parts.slice(1))).toBe(1200)
+	})
+
+	it("forgets the least recently used parts beyond its capacity", () => {
+		const cache = new PromptCache(1600)
+		cache.add("a1", parts)
+		cache.add("a2", parts.slice(0, 1))
+		expect(cache.getUnread("a2", parts.slice(0, 1))).toBe(0)
+		expect(cache.getUnread("a1", parts)).toBe(1500)
+	})
+})
+
+describe("ReadingRate", () => {
+	it("learns within a few answers that an engine has turned slow", () => {
+		const rate = new ReadingRate()
+		let now = 0
+		for (let n = 0; n < 10; n++) {
+			now += 500
+			rate.addStart(2000, now - 500, now)
+		}
+		expect(rate.tokensPerMs).toBeGreaterThan(3.9)
+		expect(rate.tokensPerMs).toBeLessThan(5.5)
+	})
+
+	it("counts a prompt from the first event before it", () => {
+		const rate = new ReadingRate()
+		// Granted together: the second began to be read when the first started.
+		rate.addStart(2000, 0, 100)
+		rate.addStart(2000, 0, 200)
+		expect(rate.tokensPerMs).toBe(20)
+	})
+})
--- a/src/policy/retryBudget.ts
+++ b/src/policy/retryBudget.ts
@@ -7,6 +7,8 @@
 	ratio?: number
 	/** Retries always permitted per second. */
 	minPerSecond?: number
+	/** Retries that quiet times save up; those of a second when absent. */
+	burst?: number
 }
 
 const defaultRatio = 0.1
@@ -16,7 +18,8 @@
 
 export class RetryBudget {
 	private readonly ratio: number
-	private readonly minPerSecond: number
+	private minPerSecond: number
+	private burst: number
 	private tokens: number
 	/** Requests of the window, decayed. */
 	private recent = 0
@@ -25,7 +28,15 @@
 	constructor(options: RetryBudgetOptions = {}) {
 		this.ratio = options.ratio ?? defaultRatio
 		this.minPerSecond = options.minPerSecond ?? defaultMinPerSecond
-		this.tokens = this.minPerSecond
+		this.burst = options.burst ?? Math.max(1, this.minPerSecond)
+		this.tokens = options.burst ?? this.minPerSecond
+	}
+
+	/** Changes what is always permitted; nothing is gained at once. */
+	adjust(minPerSecond: number, burst: number): void {
+		this.minPerSecond = minPerSecond
+		this.burst = burst
+		this.tokens = Math.min(this.tokens, this.getCapacity())
 	}
 
 	/** Counts a request that is not a retry. */
@@ -58,7 +69,6 @@
 	}
 
 	private getCapacity(): number {
-		const quiet = Math.max(1, this.minPerSecond)
-		return quiet + this.ratio * this.recent
+		return this.burst + this.ratio * this.recent
 	}
 }
