Let gateways follow those that watch the store

Change: the gateways named as seeds watch; others follow them over a stream and read the store themselves while fewer than two sources have heard from it lately. Endpoints carry the store's revision, so news from two sources can't bring back what has left. A gateway that starts without the store gets the configuration from its sources. Ruled out: stale lists (older than a leaving worker may be ignored); one source (it may be cut off without knowing). Test: fleetState.test.ts.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -11,7 +11,7 @@
 	GatewayMessage
 } from "../contract/gen/grants_pb.js"
 import {RefuseReason} from "../contract/gen/grants_pb.js"
-import {startGrantServer} from "../link/grantLink.js"
+import {startGrantServer} from "../link/fleetLink.js"
 import type {TlsKeys} from "../link/tls.js"
 import {
 	type EngineOrder,
--- a/src/agent/gatewayLinks.ts
+++ b/src/agent/gatewayLinks.ts
@@ -5,7 +5,7 @@
 	AgentMessageSchema,
 	type GatewayMessage
 } from "../contract/gen/grants_pb.js"
-import type {GrantCall} from "../link/grantLink.js"
+import type {GrantCall} from "../link/fleetLink.js"
 import type {SchedulerView} from "../policy/grants/index.js"
 
 export interface GatewayLinksOptions {
--- a/src/contract/fleet.ts
+++ b/src/contract/fleet.ts
@@ -89,6 +89,8 @@
 	state: EndpointState
 	/** Unix milliseconds of its start; 0 when it doesn't say. */
 	bornAt: number
+	/** Revision of the registration; a lower one is older news. */
+	revision: number
 	/** Resident adapters as `model/adapter`, as old as the registration. */
 	residents: readonly string[]
 }
--- a/src/gateway/__tests__/bed.ts
+++ b/src/gateway/__tests__/bed.ts
@@ -99,6 +99,7 @@
 			seats: 6,
 			state: EndpointState.Ready,
 			bornAt: 1,
+			revision: this.servers.length,
 			residents: [],
 			...endpoint
 		}
--- /dev/null
+++ b/src/gateway/__tests__/fleetState.test.ts
@@ -0,0 +1,191 @@
+import {Writable} from "node:stream"
+import winston from "winston"
+import {afterEach, describe, expect, it, vi} from "vitest"
+import {
+	EndpointState,
+	type FleetConfig,
+	type FleetEndpoint
+} from "../../contract/fleet.js"
+import {DecisionLog} from "../../program/decisionLog.js"
+import {FleetFollower} from "../fleetFollower.js"
+import {FleetPublisher} from "../fleetPublisher.js"
+import {FleetState} from "../fleetState.js"
+
+function createLog(): DecisionLog {
+	const stream = new Writable({
+		write: (_chunk, _encoding, done) => {
+			done()
+		}
+	})
+	const transport = new winston.transports.Stream({stream})
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
+	return new DecisionLog({role: "test", host: "h", transport})
+}
+
+function createConfig(version: number): FleetConfig {
+	const limits = {
+		maxHeaderBytes: 1,
+		maxBodyBytes: 1,
+		headerTimeoutMs: 1,
+		idleTimeoutMs: 1
+	}
+	return {version, routes: [], pools: [], limits}
+}
+
+function createEndpoint(
+	id: string,
+	revision: number,
+	state = EndpointState.Ready
+): FleetEndpoint {
+	return {
+		id,
+		pool: "desk",
+		address: "10.0.0.1:80",
+		failureDomain: "a",
+		seats: 6,
+		state,
+		bornAt: 1,
+		revision,
+		residents: []
+	}
+}
+
+describe("FleetState", () => {
+	it("moves forward only, whatever the source", () => {
+		const fleet = new FleetState(createLog())
+		expect(fleet.applyConfig(createConfig(5), "store")).toBe(true)
+		expect(fleet.applyConfig(createConfig(4), "peer")).toBe(false)
+		expect(fleet.config?.version).toBe(5)
+		fleet.applyVersion({model: "m", adapter: "a", version: 3})
+		fleet.applyVersion({model: "m", adapter: "a", version: 2})
+		expect(fleet.getVersion("m", "a")).toBe(3)
+	})
+
+	it("ignores older news of an endpoint, also of one that is gone", () => {
+		const fleet = new FleetState(createLog())
+		fleet.applyEndpoint(createEndpoint("i-1", 4, EndpointState.Draining))
+		fleet.applyEndpoint(createEndpoint("i-1", 3))
+		expect(fleet.listReady("desk")).toEqual([])
+		fleet.applyRemoval("i-1", 6, false, 0)
+		fleet.applyEndpoint(createEndpoint("i-1", 5))
+		expect(fleet.listEndpoints()).toEqual([])
+		fleet.applyEndpoint(createEndpoint("i-1", 7))
+		fleet.applyRemoval("i-1", 6, false, 0)
+		expect(fleet.listReady("desk")).toHaveLength(1)
+	})
+
+	it("takes the route with the longest prefix", () => {
+		const fleet = new FleetState(createLog())
+		const [short, long] = ["/a/", "/a/b/"].map(pathPrefix => ({
+			name: pathPrefix,
+			host: "h",
+			pathPrefix
+		}))
+		const routes = [short, long] as unknown as FleetConfig["routes"]
+		fleet.applyConfig({...createConfig(1), routes}, "test")
+		expect(fleet.findRoute("h", "/a/b/c")?.name).toBe("/a/b/")
+		expect(fleet.findRoute("h", "/a/x")?.name).toBe("/a/")
+		expect(fleet.findRoute("h", "/b/")).toBeUndefined()
+	})
+})
+
+describe("a gateway that follows others", () => {
+	const stops: (() => void)[] = []
+
+	afterEach(() => {
+		for (const stop of stops.splice(0)) stop()
+	})
+
+	async function startSource(
+		port: number
+	): Promise<{
+		fleet: FleetState
+		health: {isFresh: boolean}
+		stop: () => void
+	}> {
+		const fleet = new FleetState(createLog())
+		const health = {isFresh: true}
+		const publisher = new FleetPublisher({
+			address: `127.0.0.1:${port}`,
+			fleet,
+			isFresh: () => health.isFresh
+		})
+		await publisher.start()
+		const stop = (): void => {
+			publisher.stop()
+		}
+		stops.push(stop)
+		return {fleet, health, stop}
+	}
+
+	function follow(ports: readonly number[]): {
+		fleet: FleetState
+		follower: FleetFollower
+	} {
+		const fleet = new FleetState(createLog())
+		const follower = new FleetFollower({
+			gateway: "g",
+			sources: ports.map(port => `127.0.0.1:${port}`),
+			fleet,
+			log: createLog(),
+			now: () => performance.now()
+		})
+		const timer = setInterval(() => {
+			follower.tick()
+		}, 50)
+		stops.push(() => {
+			clearInterval(timer)
+			follower.stop()
+		})
+		return {fleet, follower}
+	}
+
+	it("starts from what they know, and hears of each change", async () => {
+		const ports = [41_301, 41_302]
+		const [first, second] = await Promise.all(ports.map(startSource))
+		first?.fleet.applyConfig(createConfig(3), "store")
+		first?.fleet.applyEndpoint(createEndpoint("i-1", 2))
+		const {fleet, follower} = follow(ports)
+		await vi.waitFor(() => {
+			expect(fleet.config?.version).toBe(3)
+			expect(fleet.listReady("desk")).toHaveLength(1)
+			expect(follower.isCovered).toBe(true)
+		})
+		second?.fleet.applyConfig(createConfig(4), "store")
+		const left = createEndpoint("i-1", 5, EndpointState.Draining)
+		second?.fleet.applyEndpoint(left)
+		second?.fleet.applyVersion({model: "m", adapter: "a", version: 2})
+		await vi.waitFor(() => {
+			expect(fleet.config?.version).toBe(4)
+			expect(fleet.listReady("desk")).toHaveLength(0)
+			expect(fleet.getVersion("m", "a")).toBe(2)
+		})
+	})
+
+	it("is not covered by one alone, nor by one that is cut off", async () => {
+		const ports = [41_303, 41_304]
+		const [first, second] = await Promise.all(ports.map(startSource))
+		const {follower} = follow(ports)
+		await vi.waitFor(() => {
+			expect(follower.isCovered).toBe(true)
+		})
+		if (first !== undefined) first.health.isFresh = false
+		await vi.waitFor(() => {
+			expect(follower.isCovered).toBe(false)
+		})
+		if (first !== undefined) first.health.isFresh = true
+		await vi.waitFor(
+			() => {
+				expect(follower.isCovered).toBe(true)
+			},
+			{timeout: 3000}
+		)
+		second?.stop()
+		await vi.waitFor(
+			() => {
+				expect(follower.isCovered).toBe(false)
+			},
+			{timeout: 3000}
+		)
+	})
+})
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -8,7 +8,7 @@
 	GatewayMessageSchema,
 	RefuseReason
 } from "../contract/gen/grants_pb.js"
-import {type OpenGrantStream, openGrantStream} from "../link/grantLink.js"
+import {type OpenGrantStream, openGrantStream} from "../link/fleetLink.js"
 import type {TlsKeys} from "../link/tls.js"
 
 export interface GrantGiven {
--- a/src/gateway/fleetState.ts
+++ b/src/gateway/fleetState.ts
@@ -30,6 +30,8 @@
 	private readonly routesByHost = new Map<string, ForwardRoute[]>()
 	private readonly pools = new Map<string, EndpointPool>()
 	private readonly endpoints = new Map<string, FleetEndpoint>()
+	/** Revisions at which registrations were removed. */
+	private readonly removed = new Map<string, number>()
 	private readonly versions = new Map<string, AnnouncedVersion>()
 	/** Endpoints whose registration lapsed, with the time they count as gone. */
 	private readonly lapsed = new Map<string, number>()
@@ -106,6 +108,7 @@
 	/** Takes in a whole list; after an outage, what is missing may come back. */
 	replaceEndpoints(
 		list: readonly FleetEndpoint[],
+		revision: number,
 		isAfterOutage: boolean,
 		now: number
 	): void {
@@ -113,7 +116,7 @@
 		for (const id of this.endpoints.keys()) {
 			if (ids.has(id)) continue
 			if (isAfterOutage) this.lapse(id, now)
-			else this.removeEndpoint(id, "not listed")
+			else this.removeEndpoint(id, revision, "not listed")
 		}
 		for (const endpoint of list) this.putEndpoint(endpoint)
 		this.notifyEndpoints()
@@ -124,9 +127,14 @@
 		this.notifyEndpoints()
 	}
 
-	applyRemoval(id: string, isAfterOutage: boolean, now: number): void {
+	applyRemoval(
+		id: string,
+		revision: number,
+		isAfterOutage: boolean,
+		now: number
+	): void {
 		if (isAfterOutage) this.lapse(id, now)
-		else this.removeEndpoint(id, "registration removed")
+		else this.removeEndpoint(id, revision, "registration removed")
 		this.notifyEndpoints()
 	}
 
@@ -134,7 +142,8 @@
 	expireLapsed(now: number): void {
 		for (const [id, goneAt] of this.lapsed) {
 			if (now < goneAt) continue
-			this.removeEndpoint(id, "did not come back")
+			const revision = this.endpoints.get(id)?.revision ?? 0
+			this.removeEndpoint(id, revision, "did not come back")
 			this.notifyEndpoints()
 		}
 	}
@@ -161,6 +170,11 @@
 		return this.versions.get(`${model}/${adapter}`)?.version ?? 0
 	}
 
+	/** Revision at which a registration was removed; 0 if it never was. */
+	getRemovedAt(id: string): number {
+		return this.removed.get(id) ?? 0
+	}
+
 	listVersions(): AnnouncedVersion[] {
 		return [...this.versions.values()]
 	}
@@ -168,7 +182,11 @@
 	private putEndpoint(endpoint: FleetEndpoint): void {
 		const {id, pool, state, address} = endpoint
 		const known = this.endpoints.get(id)
+		const knownRevision = known?.revision ?? this.removed.get(id) ?? 0
+		// Another source may have told of a later change already.
+		if (endpoint.revision < knownRevision) return
 		this.lapsed.delete(id)
+		this.removed.delete(id)
 		const isNewLife = known !== undefined && known.bornAt !== endpoint.bornAt
 		if (isNewLife || known?.address !== address) this.misplaced.delete(id)
 		this.endpoints.set(id, endpoint)
@@ -182,7 +200,10 @@
 		this.log.decide("endpoint.lapsed", {endpoint: id})
 	}
 
-	private removeEndpoint(id: string, reason: string): void {
+	private removeEndpoint(id: string, revision: number, reason: string): void {
+		const known = this.endpoints.get(id)
+		if (known !== undefined && known.revision > revision) return
+		this.removed.set(id, revision)
 		this.lapsed.delete(id)
 		this.misplaced.delete(id)
 		if (!this.endpoints.delete(id)) return
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -5,6 +5,8 @@
 import type {DecisionLog} from "../program/decisionLog.js"
 import {startProbeServer} from "../program/probeServer.js"
 import {AgentLinks} from "./agentLinks.js"
+import {FleetFollower} from "./fleetFollower.js"
+import {FleetPublisher} from "./fleetPublisher.js"
 import {FleetState} from "./fleetState.js"
 import type {GatewayContext} from "./gatewayContext.js"
 import {GatewayMetrics} from "./gatewayMetrics.js"
@@ -21,6 +23,12 @@
 	readyAddress: string
 	/** `ip:port` of the metrics; none when empty. */
 	metricsAddress: string
+	/** `ip:port` at which other gateways follow this one; none when empty. */
+	followAddress?: string
+	/** Gateways that may watch the platform, this one perhaps included. */
+	sources?: readonly string[]
+	/** Whether what this gateway knows is fresh enough to be followed. */
+	isFresh?: () => boolean
 	agentPort: number
 	graceMs: number
 	repeatRatio: number
@@ -41,6 +49,9 @@
 	private readonly ctx: GatewayContext
 	private readonly server: GatewayServer
 	private readonly servers: Server[] = []
+	private readonly publisher: FleetPublisher | undefined
+	private readonly follower: FleetFollower
+	private readonly isSource: boolean
 	private timer: NodeJS.Timeout | undefined
 
 	constructor(private readonly options: GatewayTaskOptions) {
@@ -81,12 +92,37 @@
 				this.ctx.services.retain(new Set(ids))
 			}
 		})
+		const {followAddress = "", sources = []} = options
+		const isSource = sources.includes(followAddress)
+		if (isSource) {
+			this.publisher = new FleetPublisher({
+				address: followAddress,
+				fleet: this.fleet,
+				isFresh: options.isFresh ?? (() => false),
+				tls
+			})
+		}
+		this.follower = new FleetFollower({
+			gateway: options.host,
+			sources: sources.filter(source => source !== followAddress),
+			fleet: this.fleet,
+			log,
+			now,
+			tls
+		})
+		this.isSource = isSource
 		const {callerAddress: address, graceMs} = options
 		this.server = new GatewayServer({address, ctx: this.ctx, graceMs})
 	}
 
+	/** Whether others keep this gateway up to date with the platform. */
+	get isCovered(): boolean {
+		return !this.isSource && this.follower.isCovered
+	}
+
 	async start(): Promise<void> {
 		const {readyAddress, metricsAddress} = this.options
+		await this.publisher?.start()
 		await this.server.start()
 		this.servers.push(
 			await startProbeServer(readyAddress, {isReady: () => this.server.isReady})
@@ -104,12 +140,15 @@
 		await this.server.drain()
 		clearInterval(this.timer)
 		this.ctx.links.close()
+		this.publisher?.stop()
+		this.follower.stop()
 		for (const server of this.servers) server.close()
 	}
 
 	private tick(): void {
 		const {links, repeats, now} = this.ctx
 		links.tick()
+		this.follower.tick()
 		repeats.setGateways(links.gateways)
 		this.fleet.expireLapsed(now())
 	}
--- /dev/null
+++ b/src/link/fleetLink.ts
@@ -0,0 +1,121 @@
+/** The gRPC streams between gateways, and between them and agents. */
+import * as grpc from "@grpc/grpc-js"
+import {create} from "@bufbuild/protobuf"
+import {
+	type FleetUpdate,
+	type FollowRequest,
+	FollowRequestSchema
+} from "../contract/gen/fleet_pb.js"
+import type {AgentMessage, GatewayMessage} from "../contract/gen/grants_pb.js"
+import {fleetMethods, grantMethods} from "./methods.js"
+import {clientCredentials, serverCredentials, type TlsKeys} from "./tls.js"
+
+export type GrantStream = grpc.ClientDuplexStream<GatewayMessage, AgentMessage>
+export type GrantCall = grpc.ServerDuplexStream<GatewayMessage, AgentMessage>
+
+/** A stream to one agent, with the connection it runs on. */
+export interface OpenGrantStream {
+	stream: GrantStream
+	close(): void
+}
+
+/** The callers' heartbeats replace gRPC's, whose shortest period is seconds. */
+const reconnectMs = 200
+
+/** Opens a stream on a connection of its own. */
+export function openGrantStream(
+	address: string,
+	tls?: TlsKeys
+): OpenGrantStream {
+	const client = openClient(address, tls)
+	const {path, requestSerialize, responseDeserialize} = grantMethods.grants
+	const stream = client.makeBidiStreamRequest(
+		path,
+		requestSerialize,
+		responseDeserialize
+	)
+	return {
+		stream,
+		close: () => {
+			// A call that is still open reports its cancellation as an error.
+			stream.on("error", () => undefined)
+			stream.cancel()
+			client.close()
+		}
+	}
+}
+
+export type FollowStream = grpc.ClientReadableStream<FleetUpdate>
+export type FollowCall = grpc.ServerWritableStream<FollowRequest, FleetUpdate>
+
+/** Follows a gateway that watches the platform. */
+export function openFollowStream(
+	address: string,
+	gateway: string,
+	tls?: TlsKeys
+): {stream: FollowStream; close: () => void} {
+	const client = openClient(address, tls)
+	const {path, requestSerialize, responseDeserialize} = fleetMethods.follow
+	const stream = client.makeServerStreamRequest(
+		path,
+		requestSerialize,
+		responseDeserialize,
+		create(FollowRequestSchema, {gateway})
+	)
+	return {
+		stream,
+		close: () => {
+			stream.on("error", () => undefined)
+			stream.cancel()
+			client.close()
+		}
+	}
+}
+
+export interface StreamServerOptions {
+	/** `ip:port`. */
+	address: string
+	tls?: TlsKeys | undefined
+}
+
+/** Serves the grant streams of gateways; rejects when the address is taken. */
+export function startGrantServer(
+	options: StreamServerOptions & {onCall: (call: GrantCall) => void}
+): Promise<grpc.Server> {
+	return bindServer(options, server => {
+		server.addService(grantMethods, {grants: options.onCall})
+	})
+}
+
+/** Serves gateways that follow this one; rejects when the address is taken. */
+export function startFollowServer(
+	options: StreamServerOptions & {onCall: (call: FollowCall) => void}
+): Promise<grpc.Server> {
+	return bindServer(options, server => {
+		server.addService(fleetMethods, {follow: options.onCall})
+	})
+}
+
+function openClient(address: string, tls: TlsKeys | undefined): grpc.Client {
+	return new grpc.Client(address, clientCredentials(tls), {
+		"grpc.initial_reconnect_backoff_ms": reconnectMs,
+		"grpc.max_reconnect_backoff_ms": reconnectMs,
+		"grpc.use_local_subchannel_pool": 1,
+		"grpc.enable_retries": 0
+	})
+}
+
+async function bindServer(
+	{address, tls}: StreamServerOptions,
+	addServices: (server: grpc.Server) => void
+): Promise<grpc.Server> {
+	const server = new grpc.Server({"grpc.so_reuseport": 0})
+	addServices(server)
+	await new Promise<void>((resolve, reject) => {
+		server.bindAsync(address, serverCredentials(tls), err => {
+			if (err === null) resolve()
+			else reject(err)
+		})
+	})
+	return server
+}
--- a/src/link/index.ts
+++ b/src/link/index.ts
@@ -1,4 +1,4 @@
-export * from "./grantLink.js"
+export * from "./fleetLink.js"
 export * from "./clientPool.js"
 export * from "./engineClient.js"
 export * from "./httpPlatform.js"
--- a/src/link/methods.ts
+++ b/src/link/methods.ts
@@ -22,12 +22,17 @@
 	TicketRequestSchema,
 	TicketSchema
 } from "../contract/gen/link_pb.js"
+import {
+	FleetUpdateSchema,
+	FollowRequestSchema
+} from "../contract/gen/fleet_pb.js"
 import {
 	AgentMessageSchema,
 	GatewayMessageSchema
 } from "../contract/gen/grants_pb.js"
 
 const servicePath = "/goldcrestloom.link.v1.Link/"
+const fleetServicePath = "/goldcrestloom.fleet.v1.Fleet/"
 const grantServicePath = "/goldcrestloom.grants.v1.Grants/"
 
 function defineMethod<I extends DescMessage, O extends DescMessage>(
@@ -90,3 +95,15 @@
 		grantServicePath
 	)
 } satisfies grpc.ServiceDefinition
+
+/** The stream by which a gateway follows one that watches the platform. */
+export const fleetMethods = {
+	follow: defineMethod(
+		"Follow",
+		FollowRequestSchema,
+		FleetUpdateSchema,
+		false,
+		true,
+		fleetServicePath
+	)
+} satisfies grpc.ServiceDefinition
