Let a stream go on however long after its first event it breaks

Change: a request that ran waits a pause from now, and ranks by the pause its caller notices. Test: a stream broken 700 ms in goes on; failed before.

--- a/src/gateway/__tests__/fleetState.test.ts
+++ b/src/gateway/__tests__/fleetState.test.ts
@@ -96,9 +96,7 @@
 		for (const stop of stops.splice(0)) stop()
 	})
 
-	async function startSource(
-		port: number
-	): Promise<{
+	async function startSource(port: number): Promise<{
 		fleet: FleetState
 		health: {isFresh: boolean}
 		stop: () => void
--- a/src/gateway/__tests__/generation.test.ts
+++ b/src/gateway/__tests__/generation.test.ts
@@ -187,6 +187,28 @@
 		expect(answered["x-server-stamp"]).toBe("stamp-of-i-1")
 	})
 
+	it("goes on after a break long after its first event was due", async () => {
+		const {bed, engine} = await startBed({objectiveMs: 400})
+		engine.adapters = [{adapter: "a1", version: 1}]
+		const serve = (req: IncomingMessage, res: ServerResponse): void => {
+			beginStream(req, res)
+			if (req.headers["last-event-id"] !== undefined) {
+				res.end(formatEvent(2))
+				return
+			}
+			res.write(formatEvent(1))
+			setTimeout(() => res.socket?.resetAndDestroy(), 700)
+		}
+		await bed.addEndpoint(serve, {pool: "writers"})
+		await bed.addEndpoint(serve, {pool: "writers"})
+		await waitForAgent(bed)
+		const {body, isWhole} = await bed.send({path, headers})
+		expect({body, isWhole}).toEqual({
+			body: formatEvent(1) + formatEvent(2),
+			isWhole: true
+		})
+	})
+
 	it("does not look complete when it can't go on", async () => {
 		const {bed, engine} = await startBed({isResumable: false})
 		engine.adapters = [{adapter: "a1", version: 1}]
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -17,9 +17,14 @@
 const maxAsks = 2
 /** Sends of one request, those included that an engine rejects unrun. */
 const maxSends = 4
-/** Callers give up on a first event after some objectives, well before their
- * deadline; one that comes later than this is of no use. */
-const startObjectives = 2.5
+/** A request that would wait longer than this is better told to come back. */
+const firstStartObjectives = 1.5
+/** One that came back waits longer before it is refused again: callers give up
+ * on a first event after some objectives, well before their deadline. */
+const returnedStartObjectives = 2.5
+/** Part of the longest time that a caller waits, less than which is left to one
+ * that came back after a refusal. */
+const returnedShare = 0.95
 /** The rest of the time to the deadline is left for the events themselves. */
 const maxStartShare = 0.6
 /** An engine that is this far over its expected time counts as silent. */
@@ -28,7 +33,7 @@
 /** Silence in a running stream, in pauses that still count as on time. */
 const silentGaps = 3
 const silentFloorMs = 900
-const minRetryAfterMs = 150
+const minRetryAfterMs = 400
 const httpOk = 200
 const firstServerFailure = 500
 
@@ -96,14 +101,28 @@
 		else this.send(endpoint, undefined, "", endpoint.id, 0, best.expectedMs)
 	}
 
-	/** Latest time at which a first event is of use. */
+	/** Latest time at which the next event is of use. */
 	private getStartBy(): number {
 		const {route, arrivedAt, deadline} = this.request
-		const patienceMs = Math.min(
-			route.objectiveMs * startObjectives,
-			(deadline - arrivedAt) * maxStartShare
-		)
-		return arrivedAt + patienceMs
+		if (this.mayHaveRun) {
+			const now = this.ctx.now()
+			const pauseMs = route.objectiveMs * returnedStartObjectives
+			return now + Math.min(pauseMs, (deadline - now) * maxStartShare)
+		}
+		const leftMs = deadline - arrivedAt
+		const isReturned = leftMs < route.timeoutMs * returnedShare
+		const objectives = isReturned
+			? returnedStartObjectives
+			: firstStartObjectives
+		const patienceMs = route.objectiveMs * objectives
+		return arrivedAt + Math.min(patienceMs, leftMs * maxStartShare)
+	}
+
+	/** A caller that reads a stream already notices a pause soonest. */
+	private getObjectiveAt(): number {
+		const {route, arrivedAt, exchange} = this.request
+		if (exchange.hasAnswer) return this.ctx.now() + route.eventGapMs
+		return arrivedAt + route.objectiveMs
 	}
 
 	private get query(): EngineQuery {
@@ -152,7 +171,7 @@
 			promptTokens: generation.promptTokens,
 			outputTokens: generation.outputTokens,
 			priority: Math.max(0, route.priority),
-			objectiveLeftMs: Math.round(request.arrivedAt + route.objectiveMs - now),
+			objectiveLeftMs: Math.round(this.getObjectiveAt() - now),
 			startByLeftMs: Math.round(this.getStartBy() - now),
 			deadlineLeftMs: Math.round(request.deadline - now)
 		}
