--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -17,14 +17,9 @@
 const maxAsks = 2
 /** Sends of one request, those included that an engine rejects unrun. */
 const maxSends = 4
-/** A request that would wait longer than this is better told to come back. */
-const firstStartObjectives = 1.5
-/** One that came back waits longer before it is refused again: callers give up
- * on a first event after some objectives, well before their deadline. */
-const returnedStartObjectives = 2.5
-/** Part of the longest time that a caller waits, less than which is left to one
- * that came back after a refusal. */
-const returnedShare = 0.95
+/** Callers give up on an event after some objectives, well before their
+ * deadline; one that comes later than this is of no use. */
+const startObjectives = 2.5
 /** The rest of the time to the deadline is left for the events themselves. */
 const maxStartShare = 0.6
 /** An engine that is this far over its expected time counts as silent. */
@@ -33,7 +28,7 @@
 /** Silence in a running stream, in pauses that still count as on time. */
 const silentGaps = 3
 const silentFloorMs = 900
-const minRetryAfterMs = 400
+const minRetryAfterMs = 150
 const httpOk = 200
 const firstServerFailure = 500
 
@@ -104,17 +99,12 @@
 	/** Latest time at which the next event is of use. */
 	private getStartBy(): number {
 		const {route, arrivedAt, deadline} = this.request
+		const patienceMs = route.objectiveMs * startObjectives
 		if (this.mayHaveRun) {
 			const now = this.ctx.now()
-			const pauseMs = route.objectiveMs * returnedStartObjectives
-			return now + Math.min(pauseMs, (deadline - now) * maxStartShare)
+			return now + Math.min(patienceMs, (deadline - now) * maxStartShare)
 		}
 		const leftMs = deadline - arrivedAt
-		const isReturned = leftMs < route.timeoutMs * returnedShare
-		const objectives = isReturned
-			? returnedStartObjectives
-			: firstStartObjectives
-		const patienceMs = route.objectiveMs * objectives
 		return arrivedAt + Math.min(patienceMs, leftMs * maxStartShare)
 	}
 
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -44,7 +44,7 @@
 const memoryShare = 0.9
 /** Share of the memory that keeps prompt parts of ended requests. */
 const cacheShare = 0.6
-const minRetryAfterMs = 400
+const minRetryAfterMs = 150
 /** Time a request holds its place, until learned. */
 const initialHoldMs = 800
 /** Weight of the newest sample of the time a place is held. */
