Soak the platform programs with faults from outside

Real gateways and agents as processes before stand-ins of the store and of workers, with relays between them: kills, stops, freezes, reloads, crashed, leaving, lossy and grey workers, late orders, cut, slow and reset links, a store that refuses, is silent, loses answers or forgets, configurations and versions, in a seeded series that overlaps. Callers keep connections open and judge every answer; workers record what ran.

--- /dev/null
+++ b/bench/soak/soak.ts
@@ -0,0 +1,139 @@
+/** Runs faults of one seed against a deployment and judges its promises. */
+import {sleep} from "../../src/utils/common.js"
+import {Random} from "../load/random.js"
+import {CallEnd, Callers, type CallRecord} from "./callers.js"
+import {SoakDeployment, type SoakSizes} from "./deployment.js"
+import {type Fault, pickFault} from "./faults.js"
+
+export interface SoakOptions {
+	seed: number
+	durationMs: number
+	sizes?: SoakSizes
+	callers?: number
+	/** Second number of the loopback addresses, one for each soak at a time. */
+	block?: number
+	onProgress?: (text: string) => void
+}
+
+export interface SoakReport {
+	seed: number
+	faults: string[]
+	calls: number
+	answered: number
+	/** Share answered once all faults had ended and time to recover passed. */
+	recovered: number
+	breaches: string[]
+}
+
+const defaultSizes: SoakSizes = {gateways: 4, engines: 3, desks: 3}
+const defaultBlock = 77
+const startupMs = 4000
+/** Time that the platform gives a system to recover. */
+const recoveryMs = 12_000
+const judgedMs = 4000
+const minRecovered = 0.9
+const maxFaultMs = 5000
+const maxPauseMs = 1500
+
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+	const {seed, durationMs, sizes = defaultSizes} = options
+	// Of their own, so that what workers draw doesn't change the series of faults.
+	const [random, workers, draws] = [seed, seed + 1, seed + 2].map(each => {
+		const generator = new Random(each)
+		return () => generator.uniform()
+	}) as [() => number, () => number, () => number]
+	const block = options.block ?? defaultBlock
+	const deployment = await SoakDeployment.start(sizes, block, workers)
+	const callers = new Callers(deployment, draws)
+	try {
+		await sleep(startupMs)
+		callers.start(options.callers ?? 12)
+		const faults = await runFaults(deployment, random, options, durationMs)
+		await sleep(recoveryMs)
+		const judgedAt = performance.now()
+		await sleep(judgedMs)
+		await callers.stop()
+		const {records} = callers
+		const recovered = getShareAnswered(
+			records.filter(({sentAt}) => sentAt >= judgedAt)
+		)
+		const breaches = [
+			...callers.breaches,
+			...deployment.sites.flatMap(({worker}) => worker.breaches),
+			...judgeRuns(deployment, records)
+		]
+		if (recovered < minRecovered) {
+			breaches.push(`only ${recovered.toFixed(2)} answered after recovery`)
+		}
+		const answered = records.filter(r => r.end === CallEnd.Answered).length
+		const calls = records.length
+		return {seed, faults, calls, answered, recovered, breaches}
+	} finally {
+		await callers.stop()
+		await deployment.stop()
+	}
+}
+
+async function runFaults(
+	deployment: SoakDeployment,
+	random: () => number,
+	options: SoakOptions,
+	durationMs: number
+): Promise<string[]> {
+	const until = performance.now() + durationMs
+	const names: string[] = []
+	const running: Promise<void>[] = []
+	while (performance.now() < until) {
+		const fault = pickFault(deployment, random)
+		names.push(fault.name)
+		options.onProgress?.(fault.name)
+		const leftMs = Math.max(500, until - performance.now())
+		running.push(runFault(fault, Math.min(leftMs, random() * maxFaultMs)))
+		await sleep(random() * maxPauseMs)
+	}
+	await Promise.all(running)
+	for (const {process} of deployment.gateways) {
+		if (!process.isRunning) process.start()
+	}
+	for (const {agent} of deployment.sites) {
+		if (agent?.isRunning === false) agent.start()
+	}
+	return names
+}
+
+async function runFault(fault: Fault, forMs: number): Promise<void> {
+	await fault.start()
+	await sleep(forMs)
+	await fault.end()
+}
+
+/** What workers saw, against what callers were told. */
+function judgeRuns(
+	deployment: SoakDeployment,
+	records: readonly CallRecord[]
+): string[] {
+	const runs = new Map<string, number>()
+	const breaches: string[] = []
+	for (const {worker} of deployment.sites) {
+		for (const {requestId, isUnsafe} of worker.runs) {
+			const count = (runs.get(requestId) ?? 0) + 1
+			runs.set(requestId, count)
+			if (isUnsafe && count > 1) breaches.push(`${requestId}: booked twice`)
+		}
+	}
+	for (const {id, end, kind} of records) {
+		const hasRun = runs.has(id)
+		if (end === CallEnd.Refused && hasRun) {
+			breaches.push(`${id}: ${kind} refused as not run, but it ran`)
+		}
+		if (end === CallEnd.Answered && !hasRun) {
+			breaches.push(`${id}: ${kind} answered without a run`)
+		}
+	}
+	return breaches
+}
+
+function getShareAnswered(records: readonly CallRecord[]): number {
+	const answered = records.filter(({end}) => end === CallEnd.Answered)
+	return answered.length / Math.max(1, records.length)
+}
--- a/platform/__tests__/fakeStore.ts
+++ b/standins/fleet/fleetStore.ts
@@ -1,4 +1,4 @@
-/** A small store that speaks the platform's calls, with faults to switch on. */
+/** Stand-in of the store of the users' platform, with faults to switch on. */
 import {
 	createServer,
 	type IncomingMessage,
@@ -12,7 +12,7 @@
 	spec: unknown
 }
 
-export class FakeStore {
+export class FleetStore {
 	address = ""
 	/** Status to answer instead of doing anything; 0 for none. */
 	refuseWith = 0
@@ -35,14 +35,14 @@
 		})
 	}
 
-	static async start(): Promise<FakeStore> {
-		const store = new FakeStore()
+	static async start(ip = "127.0.0.1"): Promise<FleetStore> {
+		const store = new FleetStore()
 		const {server} = store
-		await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))
+		await new Promise<void>(resolve => server.listen(0, ip, resolve))
 		const address = server.address()
 		const port =
 			address !== null && typeof address === "object" ? address.port : 0
-		store.address = `127.0.0.1:${port}`
+		store.address = `${ip}:${port}`
 		return store
 	}
 
--- /dev/null
+++ b/standins/fleet/index.ts
@@ -0,0 +1,2 @@
+export * from "./fleetStore.js"
+export * from "./worker.js"
