--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -44,6 +44,8 @@
 const idleReportMs = 500
 /** While an adapter is on its way past its expected time. */
 const busyReportMs = 15
+/** While runs that were not granted keep adapters from being evicted. */
+const heldBackReportMs = 50
 const failedReportMs = 250
 /** Reports that must fail in a row before the engine counts as down. */
 const failuresUntilDown = 2
@@ -161,6 +163,7 @@
 	private getNextReportAt(): number {
 		const now = this.now()
 		const {places} = this.scheduler
+		if (this.scheduler.isHeldBack) return now + heldBackReportMs
 		if (!places.isChanging) return now + idleReportMs
 		const readyAt = Math.min(places.getNextReadyAt(), now + idleReportMs)
 		return Math.max(now + busyReportMs, readyAt)
@@ -219,6 +222,9 @@
 			this.scheduler.places.announce(model, adapter, minVersion, now)
 		}
 		this.carryOut(this.scheduler.ask(decodeAsk(owner, ask, now), now))
+		if (this.scheduler.isHeldBack) {
+			this.nextReportAt = Math.min(this.nextReportAt, now + heldBackReportMs)
+		}
 		this.poke()
 	}
 
--- a/src/gateway/__tests__/generation.test.ts
+++ b/src/gateway/__tests__/generation.test.ts
@@ -45,6 +45,7 @@
 			bornAt: 1,
 			sequence: this.orders.length,
 			isBusy: false,
+			running: 0,
 			models: [{name: "base", adapters: this.adapters}],
 			incoming: [],
 			memoryTokens: 100_000
--- a/src/policy/grants/__tests__/grantScheduler.test.ts
+++ b/src/policy/grants/__tests__/grantScheduler.test.ts
@@ -139,6 +139,16 @@
 		})
 	})
 
+	it("evicts nothing while the engine runs what it did not grant", () => {
+		const scheduler = createScheduler(["a1", "a2"])
+		// A predecessor's grants, or those of a gateway that fell silent.
+		scheduler.applyReport(createReport(["a1", "a2"], {running: 1}), 0)
+		scheduler.ask(createRequest("r1", 0, {adapter: "b"}), 0)
+		expect(scheduler.planOrder(1)).toBeUndefined()
+		scheduler.applyReport(createReport(["a1", "a2"], {running: 0}), 50)
+		expect(scheduler.planOrder(51)).toMatchObject({kind: OrderKind.Unload})
+	})
+
 	it("refuses at once while the engine doesn't answer its agent", () => {
 		const scheduler = createScheduler(["a1"])
 		scheduler.markDown()
--- a/src/policy/grants/__tests__/places.test.ts
+++ b/src/policy/grants/__tests__/places.test.ts
@@ -23,12 +23,12 @@
 	it("never evicts an adapter that a request uses", () => {
 		const places = createPlaces(["a1", "a2"])
 		places.pin("base", "a1", 0)
-		expect(places.planOrder([want("b")], 1)).toMatchObject({
+		expect(places.planOrder([want("b")], 1, true)).toMatchObject({
 			kind: OrderKind.Unload,
 			adapter: "a2"
 		})
 		places.pin("base", "a2", 1)
-		expect(places.planOrder([want("b")], 2)).toBeUndefined()
+		expect(places.planOrder([want("b")], 2, true)).toBeUndefined()
 	})
 
 	it("evicts the adapter that is used least, and not one that is waited for", () => {
@@ -37,22 +37,22 @@
 			places.pin("base", "a1", n)
 			places.unpin("base", "a1")
 		}
-		const order = places.planOrder([want("b")], 10)
+		const order = places.planOrder([want("b")], 10, true)
 		expect(order).toMatchObject({kind: OrderKind.Unload, adapter: "a2"})
 		const demands = [want("b"), want("a2")]
-		expect(places.planOrder(demands, 10)).toMatchObject({adapter: "a1"})
+		expect(places.planOrder(demands, 10, true)).toMatchObject({adapter: "a1"})
 	})
 
 	it("counts the place of an order without an answer until a report", () => {
 		const places = createPlaces(["a1"])
-		const order = places.planOrder([want("b")], 0)
+		const order = places.planOrder([want("b")], 0, true)
 		expect(order).toMatchObject({kind: OrderKind.Load, adapter: "b"})
 		if (order !== undefined) places.beginOrder(order)
 		places.endOrder(OrderOutcome.Lost, 1)
-		expect(places.planOrder([want("c")], 2)).toBeUndefined()
+		expect(places.planOrder([want("c")], 2, true)).toBeUndefined()
 		// It was not carried out: the next order takes its sequence.
 		places.apply(createReport(["a1"]), 3)
-		expect(places.planOrder([want("c")], 3)).toMatchObject({
+		expect(places.planOrder([want("c")], 3, true)).toMatchObject({
 			adapter: "c",
 			expectedSequence: 0
 		})
@@ -63,9 +63,9 @@
 		places.pin("base", "a1", 0)
 		expect(places.announce("base", "a1", 4, 100)).toBe(true)
 		expect(places.announce("base", "a1", 3, 100)).toBe(false)
-		expect(places.planOrder([], 200)).toBeUndefined()
+		expect(places.planOrder([], 200, true)).toBeUndefined()
 		expect(places.getReadyVersion("base", "a1", 200)).toBe(1)
-		const late = places.planOrder([], 2000)
+		const late = places.planOrder([], 2000, true)
 		expect(late).toMatchObject({kind: OrderKind.Load, version: 4})
 		expect(places.getReadyVersion("base", "a1", 2000)).toBeUndefined()
 	})
@@ -73,7 +73,7 @@
 	it("loads an adapter at the version that was announced", () => {
 		const places = createPlaces([])
 		places.announce("base", "b", 7, 0)
-		expect(places.planOrder([want("b")], 1)).toMatchObject({version: 7})
+		expect(places.planOrder([want("b")], 1, true)).toMatchObject({version: 7})
 	})
 
 	it("never has more adapters ordered than the engine has places", () => {
@@ -99,7 +99,7 @@
 					now += 300
 					places.apply(engine.report(), now)
 					places.pin("base", `a${pinned}`, now)
-					const order = places.planOrder([want(`a${adapter}`)], now)
+					const order = places.planOrder([want(`a${adapter}`)], now, true)
 					places.unpin("base", `a${pinned}`)
 					if (order === undefined) continue
 					places.beginOrder(order)
--- a/src/policy/grants/__tests__/requests.ts
+++ b/src/policy/grants/__tests__/requests.ts
@@ -39,6 +39,7 @@
 		bornAt: 1,
 		sequence: 0,
 		isBusy: false,
+		running: 0,
 		models: [
 			{
 				name: "base",
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -88,6 +88,8 @@
 	private bornAt = 0
 	/** False once the engine doesn't answer its agent. */
 	private isUp = false
+	/** Runs of the last report that were not granted, as before a restart. */
+	private unknownRuns = 0
 	private unreadAhead = 0
 	private memoryUsed = 0
 
@@ -107,6 +109,7 @@
 		if (isRestart) this.forgetEngine()
 		this.bornAt = report.bornAt
 		this.isUp = true
+		this.unknownRuns = Math.max(0, report.running - this.granted.size)
 		this.places.apply(report, now)
 		return isRestart
 	}
@@ -190,7 +193,12 @@
 	/** The next order for the engine, if one is needed and possible. */
 	planOrder(now: number): EngineOrder | undefined {
 		const demands: AdapterDemand[] = this.rank(now).map(({request}) => request)
-		return this.places.planOrder(demands, now)
+		return this.places.planOrder(demands, now, this.unknownRuns === 0)
+	}
+
+	/** Whether an eviction waits for a report without unknown runs. */
+	get isHeldBack(): boolean {
+		return this.unknownRuns > 0 && this.waiting.size > 0
 	}
 
 	endOrder(outcome: OrderOutcome, now: number): void {
--- a/src/policy/grants/places.ts
+++ b/src/policy/grants/places.ts
@@ -206,13 +206,14 @@
 	/** The next order to give, or undefined when none is needed or possible. */
 	planOrder(
 		demands: readonly AdapterDemand[],
-		now: number
+		now: number,
+		mayEvict: boolean
 	): EngineOrder | undefined {
 		if (!this.isKnown || this.isBusy || this.orderInFlight !== undefined) {
 			return undefined
 		}
 		const order = this.planBaseLoad(demands) ?? this.planReplacement(now)
-		return order ?? this.planAdapterLoad(demands, now)
+		return order ?? this.planAdapterLoad(demands, now, mayEvict)
 	}
 
 	beginOrder(order: EngineOrder): void {
@@ -335,7 +336,8 @@
 
 	private planAdapterLoad(
 		demands: readonly AdapterDemand[],
-		now: number
+		now: number,
+		mayEvict: boolean
 	): EngineOrder | undefined {
 		const slots = this.limits?.adapterSlots ?? 0
 		const wanted = new Set(demands.map(d => placeKey(d.model, d.adapter)))
@@ -348,7 +350,7 @@
 				const version = this.newest.get(key)?.version ?? 0
 				return this.createOrder(OrderKind.Load, model, adapter, version)
 			}
-			const victim = this.findVictim(wanted, now)
+			const victim = mayEvict ? this.findVictim(wanted, now) : undefined
 			if (victim === undefined) return undefined
 			return this.createOrder(OrderKind.Unload, victim.model, victim.adapter, 0)
 		}
--- a/src/policy/grants/types.ts
+++ b/src/policy/grants/types.ts
@@ -103,6 +103,8 @@
 	bornAt: number
 	sequence: number
 	isBusy: boolean
+	/** Requests that run, whoever sent them. */
+	running: number
 	models: readonly ResidentModel[]
 	/** Adapters on their way to the engine. */
 	incoming: readonly {model: string; adapter: string; version: number}[]
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -142,6 +142,7 @@
 			born: this.bornAt,
 			seq: this.sequence,
 			busy: false,
+			running: [...this.adapters.values()].reduce((n, a) => n + a.running, 0),
 			models,
 			incoming: [...this.incoming],
 			kv_total: 100_000
