Give each test bed an address of its own

Cause: beds took a free port and the one after it; outgoing connections of other tests held some (five tests failed once with EADDRINUSE, traced to the ports). Change: an address of the loopback range for each bed, with fixed ports.

--- a/src/gateway/__tests__/bed.ts
+++ b/src/gateway/__tests__/bed.ts
@@ -19,11 +19,12 @@
 import {GatewayTask} from "../gatewayTask.js"
 
 export const host = "orders.example"
+export const callerPort = 9200
+export const agentPort = 9100
 
 export interface BedOptions {
 	graceMs?: number
 	routes?: Partial<ForwardRoute>[]
-	agentPort?: number
 	hasEngine?: boolean
 }
 
@@ -44,7 +45,8 @@
 	private nextId = 1
 
 	private constructor(
-		readonly callerPort: number,
+		/** Of this bed alone, so that its ports are free. */
+		readonly ip: string,
 		readonly options: BedOptions
 	) {
 		const sink = new winston.transports.Stream({
@@ -59,10 +61,10 @@
 		this.task = new GatewayTask({
 			host: "gateway-1",
 			failureDomain: "a",
-			callerAddress: `127.0.0.1:${callerPort}`,
-			readyAddress: `127.0.0.1:${callerPort + 1}`,
+			callerAddress: `${ip}:${callerPort}`,
+			readyAddress: `${ip}:${callerPort + 1}`,
 			metricsAddress: "",
-			agentPort: options.agentPort ?? 1,
+			agentPort,
 			graceMs: options.graceMs ?? 8000,
 			repeatRatio: 0.2,
 			repeatExtra: 50,
@@ -74,7 +76,7 @@
 	}
 
 	static async start(options: BedOptions = {}): Promise<Bed> {
-		const bed = new Bed(await findPort(), options)
+		const bed = new Bed(createLoopbackIp(), options)
 		await bed.task.start()
 		bed.task.fleet.applyConfig(createConfig(options), "test")
 		return bed
@@ -87,14 +89,14 @@
 	): Promise<FleetEndpoint> {
 		const server = createHttpServer(handler)
 		this.servers.push(server)
-		await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))
+		await new Promise<void>(resolve => server.listen(0, this.ip, resolve))
 		const address = server.address()
 		const port =
 			address !== null && typeof address === "object" ? address.port : 0
 		const added: FleetEndpoint = {
 			id: `i-${this.servers.length}`,
 			pool: "desk",
-			address: `127.0.0.1:${port}`,
+			address: `${this.ip}:${port}`,
 			failureDomain: "a",
 			seats: 6,
 			state: EndpointState.Ready,
@@ -120,8 +122,8 @@
 		const {method = "POST", path = "/book/1", headers = {}} = options
 		return new Promise((resolve, reject) => {
 			const req = request({
-				host: "127.0.0.1",
-				port: this.callerPort,
+				host: this.ip,
+				port: callerPort,
 				method,
 				path,
 				agent: options.agent,
@@ -157,8 +159,8 @@
 	): Promise<void> {
 		return new Promise(resolve => {
 			const req = request({
-				host: "127.0.0.1",
-				port: this.callerPort,
+				host: this.ip,
+				port: callerPort,
 				method: "POST",
 				path: options.path,
 				headers: {Host: host, "X-Request-Id": "leaver", ...options.headers}
@@ -261,10 +263,11 @@
 	}
 }
 
-async function findPort(): Promise<number> {
-	const server = createHttpServer()
-	await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve))
-	const address = server.address()
-	await new Promise(resolve => server.close(resolve))
-	return address !== null && typeof address === "object" ? address.port : 0
+let beds = 0
+
+/** A loopback address of this process that no other bed has. */
+export function createLoopbackIp(): string {
+	beds += 1
+	const {pid} = process
+	return `127.${100 + ((pid >> 8) % 100)}.${pid % 256}.${beds}`
 }
--- a/src/gateway/__tests__/fleetState.test.ts
+++ b/src/gateway/__tests__/fleetState.test.ts
@@ -10,6 +10,7 @@
 import {FleetFollower} from "../fleetFollower.js"
 import {FleetPublisher} from "../fleetPublisher.js"
 import {FleetState} from "../fleetState.js"
+import {createLoopbackIp} from "./bed.js"
 
 function createLog(): DecisionLog {
 	const stream = new Writable({
@@ -50,6 +51,10 @@
 	}
 }
 
+function createAddresses(): string[] {
+	return [1, 2].map(() => `${createLoopbackIp()}:9202`)
+}
+
 describe("FleetState", () => {
 	it("moves forward only, whatever the source", () => {
 		const fleet = new FleetState(createLog())
@@ -96,7 +101,7 @@
 		for (const stop of stops.splice(0)) stop()
 	})
 
-	async function startSource(port: number): Promise<{
+	async function startSource(address: string): Promise<{
 		fleet: FleetState
 		health: {isFresh: boolean}
 		stop: () => void
@@ -104,7 +109,7 @@
 		const fleet = new FleetState(createLog())
 		const health = {isFresh: true}
 		const publisher = new FleetPublisher({
-			address: `127.0.0.1:${port}`,
+			address,
 			fleet,
 			isFresh: () => health.isFresh
 		})
@@ -116,14 +121,14 @@
 		return {fleet, health, stop}
 	}
 
-	function follow(ports: readonly number[]): {
+	function follow(addresses: readonly string[]): {
 		fleet: FleetState
 		follower: FleetFollower
 	} {
 		const fleet = new FleetState(createLog())
 		const follower = new FleetFollower({
 			gateway: "g",
-			sources: ports.map(port => `127.0.0.1:${port}`),
+			sources: addresses,
 			fleet,
 			log: createLog(),
 			now: () => performance.now()
@@ -139,11 +144,11 @@
 	}
 
 	it("starts from what they know, and hears of each change", async () => {
-		const ports = [41_301, 41_302]
-		const [first, second] = await Promise.all(ports.map(startSource))
+		const addresses = createAddresses()
+		const [first, second] = await Promise.all(addresses.map(startSource))
 		first?.fleet.applyConfig(createConfig(3), "store")
 		first?.fleet.applyEndpoint(createEndpoint("i-1", 2))
-		const {fleet, follower} = follow(ports)
+		const {fleet, follower} = follow(addresses)
 		await vi.waitFor(() => {
 			expect(fleet.config?.version).toBe(3)
 			expect(fleet.listReady("desk")).toHaveLength(1)
@@ -161,9 +166,9 @@
 	})
 
 	it("is not covered by one alone, nor by one that is cut off", async () => {
-		const ports = [41_303, 41_304]
-		const [first, second] = await Promise.all(ports.map(startSource))
-		const {follower} = follow(ports)
+		const addresses = createAddresses()
+		const [first, second] = await Promise.all(addresses.map(startSource))
+		const {follower} = follow(addresses)
 		await vi.waitFor(() => {
 			expect(follower.isCovered).toBe(true)
 		})
--- a/src/gateway/__tests__/forwarding.test.ts
+++ b/src/gateway/__tests__/forwarding.test.ts
@@ -1,7 +1,7 @@
 import {request} from "node:http"
 import {afterEach, beforeEach, describe, expect, it, vi} from "vitest"
 import {EndpointState, RouteKind} from "../../contract/fleet.js"
-import {answer, Bed, host, shed} from "./bed.js"
+import {answer, Bed, callerPort, host, shed} from "./bed.js"
 
 const safe = {pathPrefix: "/status/", kind: RouteKind.Safe}
 
@@ -143,8 +143,8 @@
 		})
 		expect(endpoint.id).toBe("i-1")
 		const req = request({
-			host: "127.0.0.1",
-			port: bed.callerPort,
+			host: bed.ip,
+			port: callerPort,
 			path,
 			headers: {Host: host, "X-Request-Id": "leaver"}
 		})
--- a/src/gateway/__tests__/generation.test.ts
+++ b/src/gateway/__tests__/generation.test.ts
@@ -8,7 +8,7 @@
 	OrderKind,
 	OrderOutcome
 } from "../../policy/grants/index.js"
-import {Bed, type BedOptions} from "./bed.js"
+import {agentPort, Bed, type BedOptions} from "./bed.js"
 
 const generation = {
 	pathPrefix: "/draft/",
@@ -80,16 +80,14 @@
 		BedOptions["routes"] extends (infer R)[] | undefined ? R : never
 	> = {}
 ): Promise<{bed: Bed; engine: FakeEngine; agent: AgentTask}> {
-	const agentPort = 20_000 + Math.floor(Math.random() * 20_000)
 	const engine = new FakeEngine()
 	bed = await Bed.start({
 		graceMs: 3000,
-		agentPort,
 		hasEngine: true,
 		routes: [{...generation, ...options}]
 	})
 	const agent = new AgentTask({
-		address: `127.0.0.1:${agentPort}`,
+		address: `${bed.ip}:${agentPort}`,
 		engine,
 		fences: new FixedFence(),
 		log: bed.log
