Give an order without an answer again, and know runs by their ids

Change: an order without an answer is given again with its sequence until the sequence has moved, and the adapter it may evict is not used; runs are told apart by the ids of the engine's report. A request sent without an agent names the newest version that was announced. Ruled out: a second owner of the engine (one fence in all orders).

--- a/bench/soak/__tests__/soak.test.ts
+++ b/bench/soak/__tests__/soak.test.ts
@@ -1,10 +1,29 @@
 import {describe, expect, it} from "vitest"
 import {runSoak} from "../soak.js"
 
-describe("a fault soak", () => {
+/** Seeds that failed once, with what they found. */
+const regressions = [
+	// An agent that started anew evicted adapters of runs it did not know.
+	{seed: 100, block: 79},
+	{seed: 103, block: 80},
+	{seed: 107, block: 81},
+	// An eviction without an answer was carried out after a new grant.
+	{seed: 300, block: 82}
+]
+
+describe.concurrent("a fault soak", () => {
 	it("keeps every promise through a short series of faults", async () => {
 		const report = await runSoak({seed: 1, durationMs: 10_000, block: 78})
 		expect(report.breaches).toEqual([])
 		expect(report.answered).toBeGreaterThan(50)
-	}, 90_000)
+	}, 120_000)
+
+	it.each(regressions)(
+		"keeps every promise with seed $seed, which failed once",
+		async ({seed, block}) => {
+			const report = await runSoak({seed, durationMs: 15_000, block})
+			expect(report.breaches).toEqual([])
+		},
+		120_000
+	)
 })
--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -296,6 +296,7 @@
 function decodeAsk(owner: string, ask: Ask, now: number): GrantRequest {
 	return {
 		key: `${owner}/${ask.key}`,
+		requestId: ask.requestId,
 		owner,
 		model: ask.model,
 		adapter: ask.adapter,
--- a/src/gateway/__tests__/generation.test.ts
+++ b/src/gateway/__tests__/generation.test.ts
@@ -46,6 +46,7 @@
 			sequence: this.orders.length,
 			isBusy: false,
 			running: 0,
+			runIds: undefined,
 			models: [{name: "base", adapters: this.adapters}],
 			incoming: [],
 			memoryTokens: 100_000
@@ -260,8 +261,10 @@
 	it("is served by what the engine held last when its agent is gone", async () => {
 		const {bed, engine, agent} = await startBed()
 		engine.adapters = [{adapter: "a1", version: 1}]
+		const expected: unknown[] = []
 		await bed.addEndpoint(
 			(req, res) => {
+				expected.push(req.headers["x-expect-version"])
 				beginStream(req, res)
 				res.end(formatEvent(1))
 			},
@@ -276,5 +279,8 @@
 			expect(bed.logLines.map(line => line.message)).toContain("agent.down")
 		})
 		expect((await bed.send({path, headers})).status).toBe(200)
+		bed.task.fleet.applyVersion({model: "base", adapter: "a1", version: 6})
+		await bed.send({path, headers})
+		expect(expected).toEqual(["1", undefined, "6"])
 	})
 })
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -93,7 +93,14 @@
 		if (endpoint === undefined) return
 		const link = this.ctx.links.get(best.id)
 		if (best.isLinked && link !== undefined) this.ask(endpoint, link, best)
-		else this.send(endpoint, undefined, "", endpoint.id, 0, best.expectedMs)
+		else this.sendUnasked(endpoint, best.expectedMs)
+	}
+
+	/** Sends to an engine whose agent is gone; it rejects what it doesn't hold. */
+	private sendUnasked(endpoint: FleetEndpoint, expectedMs: number): void {
+		const {model, adapter} = this.generation
+		const version = this.ctx.fleet.getVersion(model, adapter)
+		this.send(endpoint, undefined, "", endpoint.id, version, expectedMs)
 	}
 
 	/** Latest time at which the next event is of use. */
@@ -151,6 +158,7 @@
 		const ask = {
 			$typeName: "goldcrestloom.grants.v1.Ask" as const,
 			key,
+			requestId: exchange.head.id,
 			model: generation.model,
 			adapter: generation.adapter,
 			minVersion: ctx.fleet.getVersion(generation.model, generation.adapter),
--- a/src/policy/grants/__tests__/grantScheduler.test.ts
+++ b/src/policy/grants/__tests__/grantScheduler.test.ts
@@ -149,6 +149,19 @@
 		expect(scheduler.planOrder(51)).toMatchObject({kind: OrderKind.Unload})
 	})
 
+	it("tells runs it granted from others by their ids", () => {
+		const scheduler = createScheduler(["a1", "a2"])
+		scheduler.ask(createRequest("r1", 0), 0)
+		scheduler.ask(createRequest("r2", 0, {adapter: "b"}), 0)
+		// The granted request is on its way while another one runs.
+		const report = createReport(["a1", "a2"], {running: 1, runIds: ["old"]})
+		scheduler.applyReport(report, 5)
+		expect(scheduler.planOrder(5)).toBeUndefined()
+		const own = createReport(["a1", "a2"], {running: 1, runIds: ["r1"]})
+		scheduler.applyReport(own, 10)
+		expect(scheduler.planOrder(10)).toMatchObject({adapter: "a2"})
+	})
+
 	it("refuses at once while the engine doesn't answer its agent", () => {
 		const scheduler = createScheduler(["a1"])
 		scheduler.markDown()
--- a/src/policy/grants/__tests__/places.test.ts
+++ b/src/policy/grants/__tests__/places.test.ts
@@ -50,12 +50,29 @@
 		if (order !== undefined) places.beginOrder(order)
 		places.endOrder(OrderOutcome.Lost, 1)
 		expect(places.planOrder([want("c")], 2, true)).toBeUndefined()
-		// It was not carried out: the next order takes its sequence.
+		// It was not carried out yet: it is given again, with its sequence.
 		places.apply(createReport(["a1"]), 3)
-		expect(places.planOrder([want("c")], 3, true)).toMatchObject({
-			adapter: "c",
-			expectedSequence: 0
-		})
+		expect(places.planOrder([want("c")], 3, true)).toEqual(order)
+		// It was carried out after all: there is no place for another one.
+		const done = createReport(["a1", "b"], {sequence: 1})
+		places.pin("base", "a1", 4)
+		places.pin("base", "b", 4)
+		places.apply(done, 4)
+		expect(places.planOrder([want("c")], 4, true)).toBeUndefined()
+	})
+
+	it("does not use an adapter while its eviction may still be carried out", () => {
+		const places = createPlaces(["a1", "a2"])
+		const order = places.planOrder([want("b")], 0, true)
+		expect(order).toMatchObject({kind: OrderKind.Unload, adapter: "a1"})
+		if (order !== undefined) places.beginOrder(order)
+		places.endOrder(OrderOutcome.Lost, 1)
+		places.apply(createReport(["a1", "a2"]), 2)
+		expect(places.getReadyVersion("base", "a1", 2)).toBeUndefined()
+		// Given again: whichever comes first makes the other one invalid.
+		expect(places.planOrder([], 2, true)).toEqual(order)
+		places.apply(createReport(["a1", "a2"], {sequence: 1}), 3)
+		expect(places.getReadyVersion("base", "a1", 3)).toBe(1)
 	})
 
 	it("replaces an old version once nothing runs on it, or when it is time", () => {
--- a/src/policy/grants/__tests__/requests.ts
+++ b/src/policy/grants/__tests__/requests.ts
@@ -16,6 +16,7 @@
 ): GrantRequest {
 	return {
 		key,
+		requestId: key,
 		owner: "g1",
 		model: "base",
 		adapter: "a1",
@@ -40,6 +41,7 @@
 		sequence: 0,
 		isBusy: false,
 		running: 0,
+		runIds: undefined,
 		models: [
 			{
 				name: "base",
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -109,7 +109,7 @@
 		if (isRestart) this.forgetEngine()
 		this.bornAt = report.bornAt
 		this.isUp = true
-		this.unknownRuns = Math.max(0, report.running - this.granted.size)
+		this.unknownRuns = this.countUnknownRuns(report)
 		this.places.apply(report, now)
 		return isRestart
 	}
@@ -319,6 +319,16 @@
 		return readMs <= this.readAheadMs
 	}
 
+	/** Runs of a predecessor's grants, or of a gateway that fell silent. */
+	private countUnknownRuns({running, runIds}: EngineReport): number {
+		if (runIds === undefined) return Math.max(0, running - this.granted.size)
+		const granted = new Set<string>()
+		for (const {request} of this.granted.values()) {
+			granted.add(request.requestId)
+		}
+		return runIds.filter(id => !granted.has(id)).length
+	}
+
 	private release(key: string, now: number): void {
 		const granted = this.granted.get(key)
 		if (granted === undefined) return
--- a/src/policy/grants/places.ts
+++ b/src/policy/grants/places.ts
@@ -4,8 +4,9 @@
  *
  * Orders are planned one at a time, each for the engine's current sequence. An
  * order whose answer was lost can only be carried out while no other order was,
- * so planning again from a fresh report is always safe: whichever order comes
- * first makes the other one invalid.
+ * so it is given again until the sequence has moved: whichever of the two comes
+ * first makes the other one invalid. An adapter that such an order may still
+ * evict is not used meanwhile.
  */
 import {Popularity} from "../popularity.js"
 import {
@@ -53,6 +54,8 @@
 	private sequence = -1
 	private isBusy = false
 	private orderInFlight: EngineOrder | undefined
+	/** An order without an answer, until the sequence has moved past it. */
+	private unsettled: EngineOrder | undefined
 	private readonly models = new Set<string>()
 	private readonly places = new Map<string, Place>()
 	private readonly pins = new Map<string, number>()
@@ -80,6 +83,9 @@
 	/** Takes in a fresh report, which replaces what was believed. */
 	apply(report: EngineReport, now: number): void {
 		this.sequence = report.sequence
+		if (this.unsettled?.expectedSequence !== report.sequence) {
+			this.unsettled = undefined
+		}
 		this.isBusy = report.isBusy
 		this.models.clear()
 		const held = new Map<string, {version: number; isReady: boolean}>()
@@ -108,6 +114,7 @@
 		this.pins.clear()
 		this.recent.clear()
 		this.orderInFlight = undefined
+		this.unsettled = undefined
 	}
 
 	/** Takes in that `version` of the adapter is the newest; false if known. */
@@ -137,6 +144,10 @@
 		if (place === undefined || !place.isReady || place.isUnloading) {
 			return undefined
 		}
+		if (this.unsettled?.kind === OrderKind.Unload) {
+			const {model: ofModel, adapter: ofAdapter} = this.unsettled
+			if (placeKey(ofModel, ofAdapter) === key) return undefined
+		}
 		const newest = this.newest.get(key)
 		const isStale = newest !== undefined && place.version < newest.version
 		if (isStale && now > newest.at + versionGraceMs) return undefined
@@ -212,6 +223,7 @@
 		if (!this.isKnown || this.isBusy || this.orderInFlight !== undefined) {
 			return undefined
 		}
+		if (this.unsettled !== undefined) return this.unsettled
 		const order = this.planBaseLoad(demands) ?? this.planReplacement(now)
 		return order ?? this.planAdapterLoad(demands, now, mayEvict)
 	}
@@ -225,6 +237,7 @@
 		const order = this.orderInFlight
 		this.orderInFlight = undefined
 		if (order === undefined) return
+		this.unsettled = outcome === OrderOutcome.Lost ? order : undefined
 		if (outcome === OrderOutcome.Accepted) this.applyAccepted(order, now)
 		else if (
 			outcome === OrderOutcome.Holds &&
--- a/src/policy/grants/types.ts
+++ b/src/policy/grants/types.ts
@@ -9,6 +9,8 @@
 export interface GrantRequest {
 	/** Unique over all gateways. */
 	key: string
+	/** The caller's id, as the engine sees it. */
+	requestId: string
 	/** Gateway connection that asked; its grants end with it. */
 	owner: string
 	model: string
@@ -105,6 +107,8 @@
 	isBusy: boolean
 	/** Requests that run, whoever sent them. */
 	running: number
+	/** Their request ids, where the engine tells them. */
+	runIds: readonly string[] | undefined
 	models: readonly ResidentModel[]
 	/** Adapters on their way to the engine. */
 	incoming: readonly {model: string; adapter: string; version: number}[]
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -53,6 +53,7 @@
 	newest = new Map<string, number>()
 	private readonly adapters = new Map<string, Held>()
 	private readonly incoming = new Set<string>()
+	private readonly running = new Set<string>()
 	private server: Server | undefined
 	private hasModel: boolean
 	private sequence = 0
@@ -142,7 +143,8 @@
 			born: this.bornAt,
 			seq: this.sequence,
 			busy: false,
-			running: [...this.adapters.values()].reduce((n, a) => n + a.running, 0),
+			running: this.running.size,
+			runs: [...this.running].map(id => [id, 0, 0, 1]),
 			models,
 			incoming: [...this.incoming],
 			kv_total: 100_000
@@ -248,6 +250,7 @@
 		this.record(requestId, `${adapter}@${version}`, false)
 		res.writeHead(200, this.createHead(requestId))
 		held.running += 1
+		this.running.add(requestId)
 		let next = Number(req.headers["last-event-id"] ?? 0) + 1
 		const timer = setInterval(() => {
 			const isCut = this.options.random() < this.lossShare / eventCount
@@ -259,6 +262,7 @@
 		res.on("close", () => {
 			clearInterval(timer)
 			held.running -= 1
+			this.running.delete(requestId)
 		})
 	}
 
