Split the larger files of the platform programs by what they do

Behaviour as before, but that a rejected send now makes the agent read a report at once instead of at the next wake-up.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -1,8 +1,7 @@
 /**
  * The agent beside an engine: the only one that orders it, and the owner of the
  * engine's queue. Gateways ask it for grants and send requests straight to the
- * engine. One loop gives orders and reads reports, so that no order is planned
- * from a belief that another order is about to change.
+ * engine.
  */
 import type * as grpc from "@grpc/grpc-js"
 import type {
@@ -14,17 +13,14 @@
 import {startGrantServer} from "../link/fleetLink.js"
 import type {TlsKeys} from "../link/tls.js"
 import {
-	type EngineOrder,
 	GrantActionKind,
 	type GrantRequest,
 	GrantScheduler,
 	type GrantStep,
-	OrderKind,
-	OrderOutcome,
 	RefusalReason
 } from "../policy/grants/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
-import {messageOf, sleep} from "../utils/common.js"
+import {EngineLoop} from "./engineLoop.js"
 import type {EnginePort, FenceSource} from "./enginePort.js"
 import {GatewayLinks} from "./gatewayLinks.js"
 
@@ -40,16 +36,6 @@
 	random?: () => number
 }
 
-/** A report is free on the engine's own host, but takes processor time. */
-const idleReportMs = 500
-/** While an adapter is on its way past its expected time. */
-const busyReportMs = 15
-/** While runs that were not granted keep adapters from being evicted. */
-const heldBackReportMs = 50
-const failedReportMs = 250
-/** Reports that must fail in a row before the engine counts as down. */
-const failuresUntilDown = 2
-const fenceRetryMs = 500
 /** Waiting requests are looked at this often for their deadlines. */
 const tickMs = 50
 
@@ -58,12 +44,7 @@
 	private readonly links: GatewayLinks
 	private readonly now: () => number
 	private server: grpc.Server | undefined
-	private fence: number | undefined
-	private nextReportAt = 0
-	private failures = 0
-	private isUp = false
-	private isStopped = false
-	private wake: (() => void) | undefined
+	private readonly loop: EngineLoop
 	private timer: NodeJS.Timeout | undefined
 
 	constructor(private readonly options: AgentTaskOptions) {
@@ -79,6 +60,17 @@
 				this.carryOut(this.scheduler.dropOwner(owner, this.now()))
 			}
 		})
+		const {engine, fences, log} = options
+		this.loop = new EngineLoop({
+			engine,
+			fences,
+			log,
+			scheduler: this.scheduler,
+			now: this.now,
+			onSteps: steps => {
+				this.carryOut(steps)
+			}
+		})
 	}
 
 	async start(): Promise<void> {
@@ -88,109 +80,15 @@
 		this.timer = setInterval(() => {
 			this.tick()
 		}, tickMs)
-		void this.acquireFence()
-		void this.run()
+		this.loop.start()
 	}
 
 	/** Ends at once: gateways go on with what the engine holds. */
 	stop(): void {
-		this.isStopped = true
 		clearInterval(this.timer)
+		this.loop.stop()
 		this.links.close()
 		this.server?.forceShutdown()
-		this.poke()
-	}
-
-	private async acquireFence(): Promise<void> {
-		while (!this.isStopped && this.fence === undefined) {
-			try {
-				this.fence = await this.options.fences.acquire()
-				this.options.log.decide("fence.acquired", {fence: this.fence})
-				this.poke()
-			} catch (err) {
-				this.options.log.decide("fence.failed", {error: messageOf(err)})
-				await sleep(fenceRetryMs)
-			}
-		}
-	}
-
-	private async run(): Promise<void> {
-		while (!this.isStopped) {
-			if (this.now() >= this.nextReportAt) await this.readReport()
-			const order =
-				this.fence === undefined
-					? undefined
-					: this.scheduler.planOrder(this.now())
-			if (order !== undefined && this.fence !== undefined) {
-				await this.give(order, this.fence)
-				continue
-			}
-			await this.sleepUntil(this.nextReportAt)
-		}
-	}
-
-	private async readReport(): Promise<void> {
-		const {engine, log} = this.options
-		try {
-			const report = await engine.report()
-			this.failures = 0
-			if (!this.isUp) {
-				this.isUp = true
-				await engine.identify()
-				log.decide("engine.up", {engine: engine.engineId, born: report.bornAt})
-			}
-			if (this.scheduler.applyReport(report, this.now())) {
-				await engine.identify()
-				log.decide("engine.restarted", {
-					engine: engine.engineId,
-					born: report.bornAt,
-					sequence: report.sequence
-				})
-			}
-			this.nextReportAt = this.getNextReportAt()
-			this.carryOut(this.scheduler.schedule(this.now()))
-		} catch (err) {
-			this.failures += 1
-			this.nextReportAt = this.now() + failedReportMs
-			if (this.failures < failuresUntilDown || !this.isUp) return
-			this.isUp = false
-			log.decide("engine.down", {error: messageOf(err)})
-			this.scheduler.markDown()
-			this.carryOut(this.scheduler.schedule(this.now()))
-		}
-	}
-
-	private getNextReportAt(): number {
-		const now = this.now()
-		const {places} = this.scheduler
-		if (this.scheduler.isHeldBack) return now + heldBackReportMs
-		if (!places.isChanging) return now + idleReportMs
-		const readyAt = Math.min(places.getNextReadyAt(), now + idleReportMs)
-		return Math.max(now + busyReportMs, readyAt)
-	}
-
-	private async give(order: EngineOrder, fence: number): Promise<void> {
-		const {engine, log} = this.options
-		this.scheduler.places.beginOrder(order)
-		const outcome = await engine.order(order, fence)
-		this.scheduler.endOrder(outcome, this.now())
-		log.decide("order", {
-			order: order.kind,
-			model: order.model,
-			adapter: order.adapter,
-			version: order.version,
-			sequence: order.expectedSequence,
-			fence,
-			outcome
-		})
-		const isKnown =
-			outcome === OrderOutcome.Accepted ||
-			(outcome === OrderOutcome.Holds && order.kind === OrderKind.Unload)
-		this.nextReportAt = isKnown ? this.getNextReportAt() : 0
-		if (outcome !== OrderOutcome.Refused) return
-		// The engine has seen a higher fence: only a newer one is of use.
-		this.fence = undefined
-		void this.acquireFence()
 	}
 
 	private receive(owner: string, message: GatewayMessage): void {
@@ -203,16 +101,16 @@
 		} else if (body.case === "ended") {
 			this.carryOut(this.scheduler.end(`${owner}/${body.value}`, now))
 		} else if (body.case === "misplaced") {
-			this.nextReportAt = 0
 			this.carryOut(this.scheduler.end(`${owner}/${body.value}`, now))
+			this.loop.recheck()
 		} else if (body.case === "version") {
 			const {model, adapter, version} = body.value
 			if (!this.scheduler.places.announce(model, adapter, version, now)) return
 			this.options.log.decide("version.newer", {model, adapter, version})
-			this.poke()
+			this.loop.poke()
 		} else if (body.case === "hello" && body.value.limits !== undefined) {
 			this.scheduler.setLimits(decodeLimits(body.value.limits))
-			this.poke()
+			this.loop.poke()
 		}
 	}
 
@@ -222,10 +120,7 @@
 			this.scheduler.places.announce(model, adapter, minVersion, now)
 		}
 		this.carryOut(this.scheduler.ask(decodeAsk(owner, ask, now), now))
-		if (this.scheduler.isHeldBack) {
-			this.nextReportAt = Math.min(this.nextReportAt, now + heldBackReportMs)
-		}
-		this.poke()
+		this.loop.poke()
 	}
 
 	private carryOut(steps: readonly GrantStep[]): void {
@@ -274,23 +169,6 @@
 			recent: places.listRecent()
 		})
 	}
-
-	/** Lets the loop plan again now. */
-	private poke(): void {
-		this.wake?.()
-	}
-
-	private sleepUntil(at: number): Promise<void> {
-		return new Promise(resolve => {
-			const done = (): void => {
-				clearTimeout(timer)
-				this.wake = undefined
-				resolve()
-			}
-			const timer = setTimeout(done, Math.max(1, at - this.now()))
-			this.wake = done
-		})
-	}
 }
 
 function decodeAsk(owner: string, ask: Ask, now: number): GrantRequest {
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -8,9 +8,9 @@
 import {RefuseReason} from "../contract/gen/grants_pb.js"
 import type {EngineQuery, EngineRating} from "../policy/dispatch/index.js"
 import type {AgentLink, GrantRefused} from "./agentLink.js"
-import {CallEnd, EndpointCall} from "./endpointCall.js"
-import {EventSplitter} from "./eventSplitter.js"
+import {CallEnd} from "./endpointCall.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
+import {GenerationSend, type SendTarget} from "./generationSend.js"
 import type {AnswerHead, GenerationHead} from "./wire.js"
 
 /** Engines asked for a grant in turn before the caller is refused. */
@@ -22,28 +22,10 @@
 const startObjectives = 2.5
 /** The rest of the time to the deadline is left for the events themselves. */
 const maxStartShare = 0.6
-/** An engine that is this far over its expected time counts as silent. */
-const firstEventFactor = 3
-const firstEventFloorMs = 1200
-/** Silence in a running stream, in pauses that still count as on time. */
-const silentGaps = 3
-const silentFloorMs = 900
 const minRetryAfterMs = 150
 const httpOk = 200
 const firstServerFailure = 500
 
-interface Send {
-	endpoint: FleetEndpoint
-	link: AgentLink | undefined
-	key: string
-	sentAt: number
-	isStarted: boolean
-	splitter: EventSplitter
-	body: Buffer[]
-	call: EndpointCall | undefined
-	isStalled: boolean
-}
-
 export class GenerationTask {
 	private readonly refusedBy = new Set<string>()
 	private readonly failedAt = new Set<string>()
@@ -53,10 +35,9 @@
 	private mayHaveRun = false
 	private isOver = false
 	private waiting: {link: AgentLink; key: string} | undefined
-	private current: Send | undefined
+	private current: GenerationSend | undefined
 	private lastEventId: string | undefined
 	private readonly timer: NodeJS.Timeout
-	private silenceTimer: NodeJS.Timeout | undefined
 
 	constructor(
 		private readonly ctx: GatewayContext,
@@ -100,7 +81,14 @@
 	private sendUnasked(endpoint: FleetEndpoint, expectedMs: number): void {
 		const {model, adapter} = this.generation
 		const version = this.ctx.fleet.getVersion(model, adapter)
-		this.send(endpoint, undefined, "", endpoint.id, version, expectedMs)
+		this.send({
+			endpoint,
+			link: undefined,
+			key: "",
+			engineId: endpoint.id,
+			version,
+			expectedMs
+		})
 	}
 
 	/** Latest time at which the next event is of use. */
@@ -186,7 +174,7 @@
 				const {engineId, version, expectedMs} = grant
 				if (ctx.fleet.isReady(endpoint)) {
 					const id = engineId === "" ? endpoint.id : engineId
-					this.send(endpoint, link, key, id, version, expectedMs)
+					this.send({endpoint, link, key, engineId: id, version, expectedMs})
 					return
 				}
 				// The endpoint began to leave while the request was queued.
@@ -209,91 +197,31 @@
 		})
 	}
 
-	private send(
-		endpoint: FleetEndpoint,
-		link: AgentLink | undefined,
-		key: string,
-		engineId: string,
-		version: number,
-		expectedMs: number
-	): void {
+	private send(target: SendTarget): void {
 		const {ctx, request} = this
-		const {exchange, route, body} = request
+		const {exchange} = request
 		if (this.sends > 0 && !ctx.repeats.tryRepeat(request.pool)) {
-			link?.end(key)
+			target.link?.end(target.key)
 			this.fail("no repeats left")
 			return
 		}
 		this.sends += 1
-		ctx.engines.begin(endpoint.id)
-		const send: Send = {
-			endpoint,
-			link,
-			key,
-			sentAt: ctx.now(),
-			isStarted: false,
-			splitter: new EventSplitter(),
-			body: [],
-			call: undefined,
-			isStalled: false
-		}
-		this.current = send
-		send.call = new EndpointCall({
-			address: endpoint.address,
-			wire: ctx.wire,
-			head: exchange.head,
-			headers: ctx.wire.encodeRequest(exchange.head, {
-				endpointId: engineId,
-				leftMs: request.deadline - ctx.now(),
-				bodyBytes: body.length,
-				adapterVersion: version,
-				priority: route.priority,
-				resumeAfter: this.lastEventId
-			}),
-			body,
-			handlers: {
-				onHead: () => undefined,
-				onData: chunk => {
-					this.receive(send, chunk)
-				},
-				onEnd: (end, detail) => {
-					this.endSend(send, end, detail)
-				}
-			}
-		})
-		const factorMs = expectedMs * firstEventFactor
-		this.watchSilence(send, Math.max(firstEventFloorMs, factorMs))
-	}
-
-	private receive(send: Send, chunk: Buffer): void {
-		const answer = send.call?.head
-		if (answer === undefined || this.current !== send) return
-		if (answer.status !== httpOk) {
-			send.body.push(chunk)
-			return
-		}
-		const {exchange, route} = this.request
-		for (const event of send.splitter.push(chunk)) {
-			if (!send.isStarted) {
-				send.isStarted = true
-				send.link?.started(send.key)
+		ctx.engines.begin(target.endpoint.id)
+		this.current = new GenerationSend({
+			ctx,
+			request,
+			target,
+			resumeAfter: this.lastEventId,
+			mayGiveUp: () => this.canResume(1),
+			onEvent: (answer, event) => {
 				exchange.beginStream(answer)
+				if (event.id !== "") this.lastEventId = event.id
+				exchange.writeEvent(event.bytes)
+			},
+			onEnd: (send, end, detail) => {
+				this.endSend(send, end, detail)
 			}
-			if (event.id !== "") this.lastEventId = event.id
-			exchange.writeEvent(event.bytes)
-		}
-		const gapMs = route.eventGapMs * silentGaps
-		this.watchSilence(send, Math.max(silentFloorMs, gapMs))
-	}
-
-	/** Gives up on an engine that has gone silent, if another can go on. */
-	private watchSilence(send: Send, limitMs: number): void {
-		clearTimeout(this.silenceTimer)
-		if (!this.canResume(1)) return
-		this.silenceTimer = setTimeout(() => {
-			send.isStalled = true
-			send.call?.abort()
-		}, limitMs)
+		})
 	}
 
 	/** Whether the request may run once more beside `running` current runs. */
@@ -302,15 +230,14 @@
 		return route.isResumable && this.runs + running < route.maxAttempts
 	}
 
-	private endSend(send: Send, end: CallEnd, detail: string): void {
+	private endSend(send: GenerationSend, end: CallEnd, detail: string): void {
 		const {ctx, request} = this
 		const {exchange} = request
-		clearTimeout(this.silenceTimer)
-		const answer = send.call?.head
-		const id = send.endpoint.id
+		const {answer, target} = send
+		const {id} = target.endpoint
 		ctx.metrics.countSend(request.pool, end)
 		ctx.engines.end(id)
-		send.link?.end(send.key, answer?.isMisdirected ?? false)
+		target.link?.end(target.key, answer?.isMisdirected ?? false)
 		if (this.current === send) this.current = undefined
 		if (this.isOver || !exchange.isOpen) return
 		this.learn(id, end, answer)
@@ -341,12 +268,11 @@
 	}
 
 	/** Passes a whole answer on; false when another engine should try. */
-	private finish(send: Send, answer: AnswerHead): boolean {
+	private finish(send: GenerationSend, answer: AnswerHead): boolean {
 		const {exchange} = this.request
-		const inputs = {endpoint: send.endpoint.id, sends: this.sends}
+		const inputs = {endpoint: send.target.endpoint.id, sends: this.sends}
 		if (answer.status === httpOk) {
-			// An event that has not ended means that the answer was cut.
-			if (send.splitter.pendingBytes > 0) return false
+			if (send.hasPartialEvent) return false
 			if (!exchange.hasAnswer) return false
 			this.clear()
 			exchange.endStream(inputs)
@@ -355,7 +281,7 @@
 		const isFailure = answer.status >= firstServerFailure
 		if (exchange.hasAnswer || (isFailure && this.canResume(1))) return false
 		this.clear()
-		exchange.deliver(answer, Buffer.concat(send.body), inputs)
+		exchange.deliver(answer, send.body, inputs)
 		return true
 	}
 
@@ -405,7 +331,7 @@
 	}
 
 	private timeOut(): void {
-		if (this.current?.call?.wasSent === true) this.mayHaveRun = true
+		if (this.current?.wasSent === true) this.mayHaveRun = true
 		this.stop()
 		this.fail("deadline", true)
 	}
@@ -415,11 +341,10 @@
 		this.isOver = true
 		this.waiting?.link.end(this.waiting.key)
 		this.waiting = undefined
-		this.current?.call?.abort()
+		this.current?.abort()
 	}
 
 	private clear(): void {
 		clearTimeout(this.timer)
-		clearTimeout(this.silenceTimer)
 	}
 }
--- a/src/policy/grants/__tests__/places.test.ts
+++ b/src/policy/grants/__tests__/places.test.ts
@@ -1,5 +1,6 @@
 import fc from "fast-check"
 import {describe, expect, it} from "vitest"
+import type {AdapterDemand} from "../orderPlan.js"
 import {AdapterPlaces} from "../places.js"
 import {type EngineOrder, OrderKind, OrderOutcome} from "../types.js"
 import {createReport, limits} from "./requests.js"
@@ -11,12 +12,8 @@
 	return places
 }
 
-function want(adapter: string): {
-	model: string
-	adapter: string
-	objectiveAt: number
-} {
-	return {model: "base", adapter, objectiveAt: 0}
+function want(adapter: string): AdapterDemand {
+	return {model: "base", adapter}
 }
 
 describe("AdapterPlaces", () => {
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -12,7 +12,9 @@
  *   wait for a place is part of the estimate.
  * - What can't begin while it is of use is refused on arrival.
  */
-import {AdapterPlaces, type AdapterDemand, placeKey} from "./places.js"
+import {countTokens, GrantTable} from "./grantTable.js"
+import {type AdapterDemand, placeKey} from "./orderPlan.js"
+import {AdapterPlaces} from "./places.js"
 import {PromptCache} from "./promptCache.js"
 import {ReadingRate} from "./readingRate.js"
 import {
@@ -57,14 +59,6 @@
 	arrivedAt: number
 }
 
-interface Granted {
-	request: GrantRequest
-	grantedAt: number
-	unread: number
-	tokens: number
-	isStarted: boolean
-}
-
 export interface SchedulerView {
 	isUsable: boolean
 	waitMs: number
@@ -81,7 +75,7 @@
 	private readonly rate = new ReadingRate()
 	private readonly cache = new PromptCache(0)
 	private readonly waiting = new Map<string, Waiting>()
-	private readonly granted = new Map<string, Granted>()
+	private readonly granted = new GrantTable()
 	private readonly readAheadMs: number
 	private holdMs = initialHoldMs
 	private readonly random: () => number
@@ -90,8 +84,6 @@
 	private isUp = false
 	/** Runs of the last report that were not granted, as before a restart. */
 	private unknownRuns = 0
-	private unreadAhead = 0
-	private memoryUsed = 0
 
 	constructor(options: GrantSchedulerOptions) {
 		this.readAheadMs = options.readAheadMs ?? defaultReadAheadMs
@@ -109,7 +101,7 @@
 		if (isRestart) this.forgetEngine()
 		this.bornAt = report.bornAt
 		this.isUp = true
-		this.unknownRuns = this.countUnknownRuns(report)
+		this.unknownRuns = this.granted.countUnknownRuns(report)
 		this.places.apply(report, now)
 		return isRestart
 	}
@@ -138,10 +130,8 @@
 
 	/** The first event of a granted request arrived. */
 	start(key: string, now: number): GrantStep[] {
-		const granted = this.granted.get(key)
-		if (granted === undefined || granted.isStarted) return []
-		granted.isStarted = true
-		this.unreadAhead -= granted.unread
+		const granted = this.granted.start(key)
+		if (granted === undefined) return []
 		this.rate.addStart(granted.unread, now)
 		const {model, adapter, parts} = granted.request
 		this.cache.add(`${model}/${adapter}`, parts)
@@ -165,9 +155,7 @@
 		for (const [key, {request}] of this.waiting) {
 			if (request.owner === owner) this.waiting.delete(key)
 		}
-		for (const [key, {request}] of this.granted) {
-			if (request.owner === owner) this.release(key, now)
-		}
+		for (const key of this.granted.listOf(owner)) this.release(key, now)
 		return this.schedule(now)
 	}
 
@@ -216,7 +204,7 @@
 		}
 		return {
 			isUsable: this.isUp && this.places.hasAnyModel(),
-			waitMs: this.rate.getReadMs(this.unreadAhead + queued),
+			waitMs: this.rate.getReadMs(this.granted.unreadTokens + queued),
 			tokensPerSecond: this.rate.tokensPerMs * 1000,
 			freePlaces: this.places.countOpen() - this.listWantedPlaces().size,
 			placeStepMs: this.getPlaceStepMs(),
@@ -226,7 +214,7 @@
 
 	/** Expected time to the first event of a request that asks now. */
 	private estimate(request: GrantRequest, now: number): number {
-		let ahead = this.unreadAhead
+		let ahead = this.granted.unreadTokens
 		const rank = this.getRank(request, now)
 		for (const waiting of this.waiting.values()) {
 			if (this.getRank(waiting.request, now) > rank) continue
@@ -286,25 +274,16 @@
 		const version = this.places.getReadyVersion(model, adapter, now)
 		if (version === undefined) return undefined
 		const unread = this.getUnread(request)
-		const tokens = request.promptTokens + request.outputTokens
-		if (!this.hasRoom(unread, tokens)) return undefined
+		if (!this.hasRoom(unread, countTokens(request))) return undefined
 		this.waiting.delete(request.key)
-		this.granted.set(request.key, {
-			request,
-			grantedAt: now,
-			unread,
-			tokens,
-			isStarted: false
-		})
+		this.granted.add(request, unread, now)
 		this.rate.addGrant(now)
-		this.unreadAhead += unread
-		this.memoryUsed += tokens
 		this.places.pin(model, adapter, now)
 		return {
 			kind: GrantActionKind.Grant,
 			request,
 			version,
-			expectedMs: this.rate.getReadMs(this.unreadAhead)
+			expectedMs: this.rate.getReadMs(this.granted.unreadTokens)
 		}
 	}
 
@@ -313,31 +292,17 @@
 		if (limits === undefined) return false
 		if (this.granted.size >= limits.seats - reservedSeats) return false
 		const memory = limits.memoryTokens * memoryShare
-		if (this.granted.size > 0 && this.memoryUsed + tokens > memory) return false
-		if (this.unreadAhead === 0) return true
-		const readMs = this.rate.getReadMs(this.unreadAhead + unread)
+		const {size, memoryTokens, unreadTokens} = this.granted
+		if (size > 0 && memoryTokens + tokens > memory) return false
+		if (unreadTokens === 0) return true
+		const readMs = this.rate.getReadMs(unreadTokens + unread)
 		return readMs <= this.readAheadMs
 	}
 
-	/** Runs of a predecessor's grants, or of a gateway that fell silent. */
-	private countUnknownRuns({running, runIds}: EngineReport): number {
-		if (runIds === undefined) return Math.max(0, running - this.granted.size)
-		const granted = new Set<string>()
-		for (const {request} of this.granted.values()) {
-			granted.add(request.requestId)
-		}
-		return runIds.filter(id => !granted.has(id)).length
-	}
-
 	private release(key: string, now: number): void {
-		const granted = this.granted.get(key)
+		const granted = this.granted.remove(key)
 		if (granted === undefined) return
-		this.granted.delete(key)
-		if (!granted.isStarted) {
-			this.rate.dropGrant(now)
-			this.unreadAhead -= granted.unread
-		}
-		this.memoryUsed -= granted.tokens
+		if (!granted.isStarted) this.rate.dropGrant(now)
 		this.places.unpin(granted.request.model, granted.request.adapter)
 	}
 
@@ -378,8 +343,6 @@
 		this.rate.reset()
 		this.cache.clear()
 		this.granted.clear()
-		this.unreadAhead = 0
-		this.memoryUsed = 0
 	}
 }
 
--- a/src/policy/grants/index.ts
+++ b/src/policy/grants/index.ts
@@ -1,4 +1,6 @@
 export * from "./grantScheduler.js"
+export * from "./grantTable.js"
+export * from "./orderPlan.js"
 export * from "./places.js"
 export * from "./promptCache.js"
 export * from "./readingRate.js"
--- a/src/policy/grants/places.ts
+++ b/src/policy/grants/places.ts
@@ -9,6 +9,15 @@
  * evict is not used meanwhile.
  */
 import {Popularity} from "../popularity.js"
+import {
+	type AdapterDemand,
+	type NewestVersion,
+	type Place,
+	placeKey,
+	planOrder,
+	versionGraceMs
+} from "./orderPlan.js"
+import {RecentSet} from "./recentSet.js"
 import {
 	type EngineLimits,
 	type EngineOrder,
@@ -21,34 +30,11 @@
 const initialRecentLoadMs = 30
 /** Time an adapter takes from the weight store, until learned. */
 const initialStoreLoadMs = 260
-/** Limit of the platform's engines on adapters in transit. */
-const maxIncoming = 4
-/** Runs of the old version may start for this long after a newer is known. */
-const versionGraceMs = 1500
 /** Adapters assumed to be kept at hand by the engine besides those in place. */
 const recentCapacity = 30
 /** Popularity forgets a shift of demand within a few seconds. */
 const popularityHalfLifeMs = 8000
 
-interface Place {
-	model: string
-	adapter: string
-	version: number
-	isReady: boolean
-	/** Expected end of the load. */
-	readyAt: number
-	loadStartedAt: number
-	isFromStore: boolean
-	isUnloading: boolean
-}
-
-export interface AdapterDemand {
-	model: string
-	adapter: string
-	/** Most urgent requests come first. */
-	objectiveAt: number
-}
-
 export class AdapterPlaces {
 	limits: EngineLimits | undefined
 	private sequence = -1
@@ -59,9 +45,8 @@
 	private readonly models = new Set<string>()
 	private readonly places = new Map<string, Place>()
 	private readonly pins = new Map<string, number>()
-	/** Adapters at hand, least recently held first. */
-	private readonly recent = new Set<string>()
-	private readonly newest = new Map<string, {version: number; at: number}>()
+	private readonly recent = new RecentSet(recentCapacity)
+	private readonly newest = new Map<string, NewestVersion>()
 	private readonly popularity = new Popularity({
 		halfLifeMs: popularityHalfLifeMs
 	})
@@ -197,7 +182,7 @@
 	}
 
 	listRecent(): string[] {
-		return [...this.recent].filter(key => !this.places.has(key))
+		return this.recent.list().filter(key => !this.places.has(key))
 	}
 
 	/** Time of the next expected change at the engine. */
@@ -224,8 +209,19 @@
 			return undefined
 		}
 		if (this.unsettled !== undefined) return this.unsettled
-		const order = this.planBaseLoad(demands) ?? this.planReplacement(now)
-		return order ?? this.planAdapterLoad(demands, now, mayEvict)
+		return planOrder(
+			{
+				sequence: this.sequence,
+				limits: this.limits,
+				models: this.models,
+				places: this.places,
+				newest: this.newest,
+				isPinned: key => this.isPinned(key),
+				countUses: key => this.popularity.read(key, now)
+			},
+			demands,
+			{now, mayEvict}
+		)
 	}
 
 	beginOrder(order: EngineOrder): void {
@@ -296,14 +292,7 @@
 			isFromStore: known?.isFromStore ?? true,
 			isUnloading: known?.isUnloading ?? false
 		})
-		this.recent.delete(key)
 		this.recent.add(key)
-		if (this.recent.size > recentCapacity) {
-			for (const oldest of this.recent) {
-				this.recent.delete(oldest)
-				break
-			}
-		}
 	}
 
 	private learnLoad(place: Place, now: number): void {
@@ -314,104 +303,11 @@
 		} else this.recentLoadMs += weight * (elapsedMs - this.recentLoadMs)
 	}
 
-	private planBaseLoad(
-		demands: readonly AdapterDemand[]
-	): EngineOrder | undefined {
-		const limits = this.limits
-		if (limits === undefined) return undefined
-		const loadedMb = limits.models
-			.filter(model => this.models.has(model.name))
-			.reduce((sum, model) => sum + model.weightsMb, 0)
-		const wanted = demands.find(({model}) => !this.models.has(model))?.model
-		const name =
-			wanted ?? (this.hasAnyModel() ? undefined : limits.models[0]?.name)
-		const model = limits.models.find(each => each.name === name)
-		if (model === undefined) return undefined
-		const adaptersMb = limits.adapterSlots * model.adapterMb
-		if (loadedMb + model.weightsMb + adaptersMb > limits.weightsMb) {
-			return undefined
-		}
-		return this.createOrder(OrderKind.Load, model.name, "", 0)
-	}
-
-	private planReplacement(now: number): EngineOrder | undefined {
-		for (const [key, place] of this.places) {
-			const newest = this.newest.get(key)
-			if (newest === undefined || !place.isReady || place.isUnloading) continue
-			if (place.version >= newest.version) continue
-			const isDue = !this.isPinned(key) || now > newest.at + versionGraceMs
-			if (!isDue || this.countIncoming() >= maxIncoming) continue
-			const {model, adapter} = place
-			return this.createOrder(OrderKind.Load, model, adapter, newest.version)
-		}
-		return undefined
-	}
-
-	private planAdapterLoad(
-		demands: readonly AdapterDemand[],
-		now: number,
-		mayEvict: boolean
-	): EngineOrder | undefined {
-		const slots = this.limits?.adapterSlots ?? 0
-		const wanted = new Set(demands.map(d => placeKey(d.model, d.adapter)))
-		for (const {model, adapter} of demands) {
-			if (adapter === "" || !this.models.has(model)) continue
-			const key = placeKey(model, adapter)
-			if (this.places.has(key)) continue
-			if (this.countIncoming() >= maxIncoming) return undefined
-			if (this.places.size < slots) {
-				const version = this.newest.get(key)?.version ?? 0
-				return this.createOrder(OrderKind.Load, model, adapter, version)
-			}
-			const victim = mayEvict ? this.findVictim(wanted, now) : undefined
-			if (victim === undefined) return undefined
-			return this.createOrder(OrderKind.Unload, victim.model, victim.adapter, 0)
-		}
-		return undefined
-	}
-
-	private findVictim(
-		wanted: ReadonlySet<string>,
-		now: number
-	): Place | undefined {
-		// One that is leaving already frees its place soon.
-		if ([...this.places.values()].some(p => p.isUnloading)) return undefined
-		let victim: Place | undefined
-		let least = Number.POSITIVE_INFINITY
-		for (const [key, place] of this.places) {
-			if (!place.isReady || this.isPinned(key) || wanted.has(key)) continue
-			const uses = this.popularity.read(key, now)
-			if (uses >= least) continue
-			least = uses
-			victim = place
-		}
-		return victim
-	}
-
-	private createOrder(
-		kind: OrderKind,
-		model: string,
-		adapter: string,
-		version: number
-	): EngineOrder {
-		return {kind, model, adapter, version, expectedSequence: this.sequence}
-	}
-
-	private countIncoming(): number {
-		let count = 0
-		for (const place of this.places.values()) if (!place.isReady) count += 1
-		return count
-	}
-
 	private isPinned(key: string): boolean {
 		return this.pins.has(key)
 	}
 }
 
-export function placeKey(model: string, adapter: string): string {
-	return `${model}/${adapter}`
-}
-
 function splitKey(key: string): {model: string; adapter: string} {
 	const separator = key.lastIndexOf("/")
 	return {model: key.slice(0, separator), adapter: key.slice(separator + 1)}
