--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -105,7 +105,7 @@
 			this.loop.recheck()
 		} else if (body.case === "version") {
 			const {model, adapter, version} = body.value
-			if (!this.scheduler.places.announce(model, adapter, version, now)) return
+			if (!this.scheduler.slots.announce(model, adapter, version, now)) return
 			this.options.log.decide("version.newer", {model, adapter, version})
 			this.loop.poke()
 		} else if (body.case === "hello" && body.value.limits !== undefined) {
@@ -117,7 +117,7 @@
 	private ask(owner: string, ask: Ask, now: number): void {
 		if (ask.minVersion > 0) {
 			const {model, adapter, minVersion} = ask
-			this.scheduler.places.announce(model, adapter, minVersion, now)
+			this.scheduler.slots.announce(model, adapter, minVersion, now)
 		}
 		this.carryOut(this.scheduler.ask(decodeAsk(owner, ask, now), now))
 		this.loop.poke()
@@ -163,10 +163,10 @@
 		if (this.scheduler.waitingCount > 0) {
 			this.carryOut(this.scheduler.schedule(this.now()))
 		}
-		const {places} = this.scheduler
+		const {slots} = this.scheduler
 		this.links.spread(this.scheduler.getView(), {
-			resident: places.listResident(),
-			recent: places.listRecent()
+			resident: slots.listResident(),
+			recent: slots.listRecent()
 		})
 	}
 }
--- a/src/agent/engineLoop.ts
+++ b/src/agent/engineLoop.ts
@@ -132,16 +132,16 @@
 
 	private getNextReportAt(): number {
 		const now = this.options.now()
-		const {places} = this.options.scheduler
+		const {slots} = this.options.scheduler
 		if (this.options.scheduler.isHeldBack) return now + heldBackReportMs
-		if (!places.isChanging) return now + idleReportMs
-		const readyAt = Math.min(places.getNextReadyAt(), now + idleReportMs)
+		if (!slots.isChanging) return now + idleReportMs
+		const readyAt = Math.min(slots.getNextReadyAt(), now + idleReportMs)
 		return Math.max(now + busyReportMs, readyAt)
 	}
 
 	private async give(order: EngineOrder, fence: number): Promise<void> {
 		const {engine, log} = this.options
-		this.options.scheduler.places.beginOrder(order)
+		this.options.scheduler.slots.beginOrder(order)
 		const outcome = await engine.order(order, fence)
 		this.options.scheduler.endOrder(outcome, this.options.now())
 		log.decide("order", {
--- a/src/agent/gatewayLinks.ts
+++ b/src/agent/gatewayLinks.ts
@@ -85,7 +85,7 @@
 		const now = this.options.now()
 		const residencyText = JSON.stringify(residency)
 		const roundedMs = Math.round(view.waitMs / waitStepMs)
-		const viewText = `${view.isUsable}/${roundedMs}/${view.freePlaces}`
+		const viewText = `${view.isUsable}/${roundedMs}/${view.freeSlots}`
 		for (const [owner, link] of this.links) {
 			if (now - link.heardAt > silenceMs) {
 				this.drop(owner, "silent")
@@ -120,8 +120,8 @@
 				usable: view.isUsable,
 				waitMs: Math.round(view.waitMs),
 				tokensPerSecond: Math.round(view.tokensPerSecond),
-				freePlaces: view.freePlaces,
-				placeStepMs: Math.round(view.placeStepMs),
+				freeSlots: view.freeSlots,
+				slotStepMs: Math.round(view.slotStepMs),
 				gateways: this.links.size,
 				running: view.running,
 				hasResidency: residency !== undefined,
--- a/src/gateway/__tests__/fleetState.test.ts
+++ b/src/gateway/__tests__/fleetState.test.ts
@@ -10,7 +10,7 @@
 import {FleetFollower} from "../fleetFollower.js"
 import {FleetPublisher} from "../fleetPublisher.js"
 import {FleetState} from "../fleetState.js"
-import {createLoopbackIp} from "./bed.js"
+import {createLoopbackIp} from "./loopback.js"
 
 function createLog(): DecisionLog {
 	const stream = new Writable({
--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -106,8 +106,8 @@
 					isUsable: state.usable,
 					waitMs: state.waitMs,
 					tokensPerMs: Math.max(1, state.tokensPerSecond) / 1000,
-					freePlaces: state.freePlaces,
-					placeStepMs: state.placeStepMs
+					freeSlots: state.freeSlots,
+					slotStepMs: state.slotStepMs
 				})
 				if (!state.hasResidency) return
 				choice.applyResidency(id, state.resident, state.recent)
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -113,7 +113,7 @@
 	private get query(): EngineQuery {
 		const {model, adapter, promptTokens} = this.generation
 		return {
-			placeKey: `${model}/${adapter}`,
+			slotKey: `${model}/${adapter}`,
 			hasAdapter: adapter !== "",
 			promptTokens
 		}
--- a/src/policy/dispatch/__tests__/engineChoice.test.ts
+++ b/src/policy/dispatch/__tests__/engineChoice.test.ts
@@ -5,11 +5,11 @@
 	isUsable: true,
 	waitMs: 0,
 	tokensPerMs: 20,
-	freePlaces: 3,
-	placeStepMs: 200
+	freeSlots: 3,
+	slotStepMs: 200
 }
 const engines = ["e1", "e2", "e3"].map(id => ({id, isNear: true}))
-const query = {placeKey: "base/a1", hasAdapter: true, promptTokens: 2000}
+const query = {slotKey: "base/a1", hasAdapter: true, promptTokens: 2000}
 
 function createChoice(
 	views: Record<string, Partial<EngineView>> = {}
@@ -65,11 +65,11 @@
 		expect(best?.expectedMs).toBeLessThan(500)
 	})
 
-	it("expects the wait for a place when rare adapters come at once", () => {
+	it("expects the wait for a slot when rare adapters come at once", () => {
 		const choice = createChoice({
-			e1: {freePlaces: -2},
-			e2: {freePlaces: -2},
-			e3: {freePlaces: 1}
+			e1: {freeSlots: -2},
+			e2: {freeSlots: -2},
+			e3: {freeSlots: 1}
 		})
 		const [best, next] = choice.rate(query, engines, 0)
 		expect(best?.id).toBe("e3")
--- a/src/policy/dispatch/engineChoice.ts
+++ b/src/policy/dispatch/engineChoice.ts
@@ -16,7 +16,7 @@
 } from "../rendezvous.js"
 import {EndpointTrust} from "./endpointTrust.js"
 
-/** An adapter at hand beside the engine takes this long to place. */
+/** An adapter at hand beside the engine takes this long to load. */
 const recentLoadMs = 40
 const storeLoadMs = 270
 /** Makes a load from the weight store, which all engines share, a last resort. */
@@ -42,15 +42,15 @@
 	isUsable: boolean
 	waitMs: number
 	tokensPerMs: number
-	/** Places that can be had, less the adapters that wait for one. */
-	freePlaces: number
-	/** Expected time between places becoming free. */
-	placeStepMs: number
+	/** Slots that can be had, less the adapters that wait for one. */
+	freeSlots: number
+	/** Expected time between slots becoming free. */
+	slotStepMs: number
 }
 
 export interface EngineQuery {
 	/** `model/adapter`. */
-	placeKey: string
+	slotKey: string
 	promptTokens: number
 	/** Whether the request names an adapter at all. */
 	hasAdapter: boolean
@@ -59,7 +59,7 @@
 interface Ask {
 	at: number
 	tokens: number
-	needsPlace: boolean
+	needsSlot: boolean
 }
 
 interface Known {
@@ -113,10 +113,10 @@
 	}
 
 	addAsk(id: string, query: EngineQuery, now: number): void {
-		const {placeKey, hasAdapter, promptTokens: tokens} = query
+		const {slotKey, hasAdapter, promptTokens: tokens} = query
 		const known = this.get(id)
-		const needsPlace = hasAdapter && !known.residents.has(placeKey)
-		known.asks.push({at: now, tokens, needsPlace})
+		const needsSlot = hasAdapter && !known.residents.has(slotKey)
+		known.asks.push({at: now, tokens, needsSlot})
 	}
 
 	begin(id: string): void {
@@ -147,7 +147,7 @@
 		candidates: readonly EngineCandidate[],
 		now: number
 	): EngineRating[] {
-		const homes = this.rankHomes(query.placeKey, candidates)
+		const homes = this.rankHomes(query.slotKey, candidates)
 		const ratings: EngineRating[] = []
 		for (const {id, isNear} of candidates) {
 			const known = this.get(id)
@@ -170,7 +170,7 @@
 		now: number
 	): {expectedMs: number; biasMs: number} | undefined {
 		const {view} = known
-		const isResident = known.residents.has(query.placeKey)
+		const isResident = known.residents.has(query.slotKey)
 		if (view === undefined) {
 			if (query.hasAdapter && !isResident) return undefined
 			const expectedMs = unlinkedMs + known.outstanding * unlinkedOutstandingMs
@@ -182,13 +182,13 @@
 		const tokens = asked + query.promptTokens
 		const waitMs = view.waitMs + tokens / view.tokensPerMs
 		if (!query.hasAdapter || isResident) return {expectedMs: waitMs, biasMs: 0}
-		const askedPlaces = known.asks.filter(ask => ask.needsPlace).length
-		const missing = Math.max(0, askedPlaces + 1 - view.freePlaces)
-		const placeMs = missing * view.placeStepMs
-		const isRecent = known.recents.has(query.placeKey)
+		const askedSlots = known.asks.filter(ask => ask.needsSlot).length
+		const missing = Math.max(0, askedSlots + 1 - view.freeSlots)
+		const slotMs = missing * view.slotStepMs
+		const isRecent = known.recents.has(query.slotKey)
 		const loadMs = isRecent ? recentLoadMs : storeLoadMs
 		const biasMs = isRecent ? 0 : storeBiasMs
-		return {expectedMs: waitMs + placeMs + loadMs, biasMs}
+		return {expectedMs: waitMs + slotMs + loadMs, biasMs}
 	}
 
 	private rankHomes(
--- a/src/policy/grants/__tests__/places.test.ts
+++ b/src/policy/grants/__tests__/adapterSlots.test.ts
@@ -1,96 +1,96 @@
 import fc from "fast-check"
 import {describe, expect, it} from "vitest"
 import type {AdapterDemand} from "../orderPlan.js"
-import {AdapterPlaces} from "../places.js"
+import {AdapterSlots} from "../adapterSlots.js"
 import {type EngineOrder, OrderKind, OrderOutcome} from "../types.js"
 import {createReport, limits} from "./requests.js"
 
-function createPlaces(adapters: readonly string[]): AdapterPlaces {
-	const places = new AdapterPlaces()
-	places.limits = limits
-	places.apply(createReport(adapters), 0)
-	return places
+function createPlaces(adapters: readonly string[]): AdapterSlots {
+	const slots = new AdapterSlots()
+	slots.limits = limits
+	slots.apply(createReport(adapters), 0)
+	return slots
 }
 
 function want(adapter: string): AdapterDemand {
 	return {model: "base", adapter}
 }
 
-describe("AdapterPlaces", () => {
+describe("AdapterSlots", () => {
 	it("never evicts an adapter that a request uses", () => {
-		const places = createPlaces(["a1", "a2"])
-		places.pin("base", "a1", 0)
-		expect(places.planOrder([want("b")], 1, true)).toMatchObject({
+		const slots = createPlaces(["a1", "a2"])
+		slots.pin("base", "a1", 0)
+		expect(slots.planOrder([want("b")], 1, true)).toMatchObject({
 			kind: OrderKind.Unload,
 			adapter: "a2"
 		})
-		places.pin("base", "a2", 1)
-		expect(places.planOrder([want("b")], 2, true)).toBeUndefined()
+		slots.pin("base", "a2", 1)
+		expect(slots.planOrder([want("b")], 2, true)).toBeUndefined()
 	})
 
 	it("evicts the adapter that is used least, and not one that is waited for", () => {
-		const places = createPlaces(["a1", "a2"])
+		const slots = createPlaces(["a1", "a2"])
 		for (let n = 0; n < 3; n++) {
-			places.pin("base", "a1", n)
-			places.unpin("base", "a1")
+			slots.pin("base", "a1", n)
+			slots.unpin("base", "a1")
 		}
-		const order = places.planOrder([want("b")], 10, true)
+		const order = slots.planOrder([want("b")], 10, true)
 		expect(order).toMatchObject({kind: OrderKind.Unload, adapter: "a2"})
 		const demands = [want("b"), want("a2")]
-		expect(places.planOrder(demands, 10, true)).toMatchObject({adapter: "a1"})
+		expect(slots.planOrder(demands, 10, true)).toMatchObject({adapter: "a1"})
 	})
 
-	it("counts the place of an order without an answer until a report", () => {
-		const places = createPlaces(["a1"])
-		const order = places.planOrder([want("b")], 0, true)
+	it("counts the slot of an order without an answer until a report", () => {
+		const slots = createPlaces(["a1"])
+		const order = slots.planOrder([want("b")], 0, true)
 		expect(order).toMatchObject({kind: OrderKind.Load, adapter: "b"})
-		if (order !== undefined) places.beginOrder(order)
-		places.endOrder(OrderOutcome.Lost, 1)
-		expect(places.planOrder([want("c")], 2, true)).toBeUndefined()
+		if (order !== undefined) slots.beginOrder(order)
+		slots.endOrder(OrderOutcome.Lost, 1)
+		expect(slots.planOrder([want("c")], 2, true)).toBeUndefined()
 		// It was not carried out yet: it is given again, with its sequence.
-		places.apply(createReport(["a1"]), 3)
-		expect(places.planOrder([want("c")], 3, true)).toEqual(order)
-		// It was carried out after all: there is no place for another one.
+		slots.apply(createReport(["a1"]), 3)
+		expect(slots.planOrder([want("c")], 3, true)).toEqual(order)
+		// It was carried out after all: there is no slot for another one.
 		const done = createReport(["a1", "b"], {sequence: 1})
-		places.pin("base", "a1", 4)
-		places.pin("base", "b", 4)
-		places.apply(done, 4)
-		expect(places.planOrder([want("c")], 4, true)).toBeUndefined()
+		slots.pin("base", "a1", 4)
+		slots.pin("base", "b", 4)
+		slots.apply(done, 4)
+		expect(slots.planOrder([want("c")], 4, true)).toBeUndefined()
 	})
 
 	it("does not use an adapter while its eviction may still be carried out", () => {
-		const places = createPlaces(["a1", "a2"])
-		const order = places.planOrder([want("b")], 0, true)
+		const slots = createPlaces(["a1", "a2"])
+		const order = slots.planOrder([want("b")], 0, true)
 		expect(order).toMatchObject({kind: OrderKind.Unload, adapter: "a1"})
-		if (order !== undefined) places.beginOrder(order)
-		places.endOrder(OrderOutcome.Lost, 1)
-		places.apply(createReport(["a1", "a2"]), 2)
-		expect(places.getReadyVersion("base", "a1", 2)).toBeUndefined()
+		if (order !== undefined) slots.beginOrder(order)
+		slots.endOrder(OrderOutcome.Lost, 1)
+		slots.apply(createReport(["a1", "a2"]), 2)
+		expect(slots.getReadyVersion("base", "a1", 2)).toBeUndefined()
 		// Given again: whichever comes first makes the other one invalid.
-		expect(places.planOrder([], 2, true)).toEqual(order)
-		places.apply(createReport(["a1", "a2"], {sequence: 1}), 3)
-		expect(places.getReadyVersion("base", "a1", 3)).toBe(1)
+		expect(slots.planOrder([], 2, true)).toEqual(order)
+		slots.apply(createReport(["a1", "a2"], {sequence: 1}), 3)
+		expect(slots.getReadyVersion("base", "a1", 3)).toBe(1)
 	})
 
 	it("replaces an old version once nothing runs on it, or when it is time", () => {
-		const places = createPlaces(["a1"])
-		places.pin("base", "a1", 0)
-		expect(places.announce("base", "a1", 4, 100)).toBe(true)
-		expect(places.announce("base", "a1", 3, 100)).toBe(false)
-		expect(places.planOrder([], 200, true)).toBeUndefined()
-		expect(places.getReadyVersion("base", "a1", 200)).toBe(1)
-		const late = places.planOrder([], 2000, true)
+		const slots = createPlaces(["a1"])
+		slots.pin("base", "a1", 0)
+		expect(slots.announce("base", "a1", 4, 100)).toBe(true)
+		expect(slots.announce("base", "a1", 3, 100)).toBe(false)
+		expect(slots.planOrder([], 200, true)).toBeUndefined()
+		expect(slots.getReadyVersion("base", "a1", 200)).toBe(1)
+		const late = slots.planOrder([], 2000, true)
 		expect(late).toMatchObject({kind: OrderKind.Load, version: 4})
-		expect(places.getReadyVersion("base", "a1", 2000)).toBeUndefined()
+		expect(slots.getReadyVersion("base", "a1", 2000)).toBeUndefined()
 	})
 
 	it("loads an adapter at the version that was announced", () => {
-		const places = createPlaces([])
-		places.announce("base", "b", 7, 0)
-		expect(places.planOrder([want("b")], 1, true)).toMatchObject({version: 7})
+		const slots = createPlaces([])
+		slots.announce("base", "b", 7, 0)
+		expect(slots.planOrder([want("b")], 1, true)).toMatchObject({version: 7})
 	})
 
-	it("never has more adapters ordered than the engine has places", () => {
+	it("never has more adapters ordered than the engine has slots", () => {
 		const arbitraryOutcome = fc.constantFrom(
 			OrderOutcome.Accepted,
 			OrderOutcome.Holds,
@@ -107,17 +107,17 @@
 		fc.assert(
 			fc.property(fc.array(arbitraryStep, {maxLength: 60}), steps => {
 				const engine = new FakeEngine(limits.adapterSlots)
-				const places = createPlaces([])
+				const slots = createPlaces([])
 				let now = 0
 				for (const {adapter, outcome, isLate, pinned} of steps) {
 					now += 300
-					places.apply(engine.report(), now)
-					places.pin("base", `a${pinned}`, now)
-					const order = places.planOrder([want(`a${adapter}`)], now, true)
-					places.unpin("base", `a${pinned}`)
+					slots.apply(engine.report(), now)
+					slots.pin("base", `a${pinned}`, now)
+					const order = slots.planOrder([want(`a${adapter}`)], now, true)
+					slots.unpin("base", `a${pinned}`)
 					if (order === undefined) continue
-					places.beginOrder(order)
-					places.endOrder(engine.take(order, outcome, isLate), now)
+					slots.beginOrder(order)
+					slots.endOrder(engine.take(order, outcome, isLate), now)
 				}
 				return engine.most <= limits.adapterSlots
 			})
--- a/src/policy/grants/__tests__/grantScheduler.test.ts
+++ b/src/policy/grants/__tests__/grantScheduler.test.ts
@@ -85,16 +85,16 @@
 		expect(steps.every(step => step.retryAfterMs > 0)).toBe(true)
 	})
 
-	it("counts the wait for a place when rare adapters are asked for at once", () => {
+	it("counts the wait for a slot when rare adapters are asked for at once", () => {
 		const scheduler = createScheduler(["a1", "a2"])
 		scheduler.ask(createRequest("r1", 0), 0)
 		scheduler.ask(createRequest("r2", 0, {adapter: "a2"}), 0)
 		const steps = Array.from({length: 10}, (_, n) =>
 			scheduler.ask(createRequest(`x${n}`, 0, {adapter: `b${n}`}), 0)
 		).flat()
-		// Both places are held for 800 ms: one is free each 400 ms.
+		// Both slots are held for 800 ms: one is free each 400 ms.
 		expect(listKeys(steps, GrantActionKind.Refuse).length).toBeGreaterThan(4)
-		expect(scheduler.getView().freePlaces).toBeLessThan(0)
+		expect(scheduler.getView().freeSlots).toBeLessThan(0)
 	})
 
 	it("refuses a waiting request as soon as it can't be of use any more", () => {
@@ -176,7 +176,7 @@
 		scheduler.ask(createRequest("r2", 0, {adapter: "b"}), 0)
 		const order = scheduler.planOrder(0)
 		expect(order).toMatchObject({kind: OrderKind.Load, adapter: "b"})
-		if (order !== undefined) scheduler.places.beginOrder(order)
+		if (order !== undefined) scheduler.slots.beginOrder(order)
 		scheduler.endOrder(OrderOutcome.Accepted, 1)
 		expect(scheduler.planOrder(2)).toBeUndefined()
 		const report = createReport(["b"], {sequence: 1})
--- a/src/policy/grants/places.ts
+++ b/src/policy/grants/adapterSlots.ts
@@ -1,5 +1,5 @@
 /**
- * The adapter places of one engine: what it holds, what is on its way, and the
+ * The adapter slots of one engine: what it holds, what is on its way, and the
  * next order that is safe to give.
  *
  * Orders are planned one at a time, each for the engine's current sequence. An
@@ -12,8 +12,8 @@
 import {
 	type AdapterDemand,
 	type NewestVersion,
-	type Place,
-	placeKey,
+	type AdapterSlot,
+	slotKey,
 	planOrder,
 	versionGraceMs
 } from "./orderPlan.js"
@@ -30,12 +30,12 @@
 const initialRecentLoadMs = 30
 /** Time an adapter takes from the weight store, until learned. */
 const initialStoreLoadMs = 260
-/** Adapters assumed to be kept at hand by the engine besides those in place. */
+/** Adapters assumed to be kept at hand by the engine besides those in its slots. */
 const recentCapacity = 30
 /** Popularity forgets a shift of demand within a few seconds. */
 const popularityHalfLifeMs = 8000
 
-export class AdapterPlaces {
+export class AdapterSlots {
 	limits: EngineLimits | undefined
 	private sequence = -1
 	private isBusy = false
@@ -43,7 +43,7 @@
 	/** An order without an answer, until the sequence has moved past it. */
 	private unsettled: EngineOrder | undefined
 	private readonly models = new Set<string>()
-	private readonly places = new Map<string, Place>()
+	private readonly slots = new Map<string, AdapterSlot>()
 	private readonly pins = new Map<string, number>()
 	private readonly recent = new RecentSet(recentCapacity)
 	private readonly newest = new Map<string, NewestVersion>()
@@ -77,17 +77,17 @@
 		for (const {name, adapters} of report.models) {
 			this.models.add(name)
 			for (const {adapter, version} of adapters) {
-				held.set(placeKey(name, adapter), {version, isReady: true})
+				held.set(slotKey(name, adapter), {version, isReady: true})
 			}
 		}
 		for (const {model, adapter, version} of report.incoming) {
-			held.set(placeKey(model, adapter), {version, isReady: false})
+			held.set(slotKey(model, adapter), {version, isReady: false})
 		}
-		for (const key of this.places.keys()) {
-			if (!held.has(key)) this.places.delete(key)
+		for (const key of this.slots.keys()) {
+			if (!held.has(key)) this.slots.delete(key)
 		}
 		for (const [key, {version, isReady}] of held) {
-			this.applyPlace(key, version, isReady, now)
+			this.applySlot(key, version, isReady, now)
 		}
 	}
 
@@ -95,7 +95,7 @@
 	reset(): void {
 		this.sequence = -1
 		this.models.clear()
-		this.places.clear()
+		this.slots.clear()
 		this.pins.clear()
 		this.recent.clear()
 		this.orderInFlight = undefined
@@ -109,7 +109,7 @@
 		version: number,
 		now: number
 	): boolean {
-		const key = placeKey(model, adapter)
+		const key = slotKey(model, adapter)
 		const known = this.newest.get(key)
 		if (known !== undefined && known.version >= version) return false
 		this.newest.set(key, {version, at: now})
@@ -124,79 +124,79 @@
 	): number | undefined {
 		if (!this.models.has(model)) return undefined
 		if (adapter === "") return 0
-		const key = placeKey(model, adapter)
-		const place = this.places.get(key)
-		if (place === undefined || !place.isReady || place.isUnloading) {
+		const key = slotKey(model, adapter)
+		const slot = this.slots.get(key)
+		if (slot === undefined || !slot.isReady || slot.isUnloading) {
 			return undefined
 		}
 		if (this.unsettled?.kind === OrderKind.Unload) {
 			const {model: ofModel, adapter: ofAdapter} = this.unsettled
-			if (placeKey(ofModel, ofAdapter) === key) return undefined
+			if (slotKey(ofModel, ofAdapter) === key) return undefined
 		}
 		const newest = this.newest.get(key)
-		const isStale = newest !== undefined && place.version < newest.version
+		const isStale = newest !== undefined && slot.version < newest.version
 		if (isStale && now > newest.at + versionGraceMs) return undefined
-		return place.version
+		return slot.version
 	}
 
-	/** Expected time until the adapter can serve, with a free place. */
+	/** Expected time until the adapter can serve, with a free slot. */
 	getLoadMs(model: string, adapter: string, now: number): number {
 		if (this.getReadyVersion(model, adapter, now) !== undefined) return 0
-		const key = placeKey(model, adapter)
-		const place = this.places.get(key)
-		if (place !== undefined && !place.isReady) {
-			return Math.max(0, place.readyAt - now)
+		const key = slotKey(model, adapter)
+		const slot = this.slots.get(key)
+		if (slot !== undefined && !slot.isReady) {
+			return Math.max(0, slot.readyAt - now)
 		}
 		return this.recent.has(key) ? this.recentLoadMs : this.storeLoadMs
 	}
 
-	hasPlace(key: string): boolean {
-		return this.places.has(key)
+	hasSlot(key: string): boolean {
+		return this.slots.has(key)
 	}
 
-	/** Places that are free or whose adapter no request uses. */
+	/** Slots that are free or whose adapter no request uses. */
 	countOpen(): number {
-		const slots = this.limits?.adapterSlots ?? 0
+		const capacity = this.limits?.adapterSlots ?? 0
 		let used = 0
-		for (const [key, place] of this.places) {
-			if (!place.isReady || place.isUnloading || this.isPinned(key)) used += 1
+		for (const [key, slot] of this.slots) {
+			if (!slot.isReady || slot.isUnloading || this.isPinned(key)) used += 1
 		}
-		return Math.max(0, slots - used)
+		return Math.max(0, capacity - used)
 	}
 
 	pin(model: string, adapter: string, now: number): void {
-		const key = placeKey(model, adapter)
+		const key = slotKey(model, adapter)
 		this.pins.set(key, (this.pins.get(key) ?? 0) + 1)
 		this.popularity.add(key, now)
 	}
 
 	unpin(model: string, adapter: string): void {
-		const key = placeKey(model, adapter)
+		const key = slotKey(model, adapter)
 		const count = this.pins.get(key) ?? 0
 		if (count <= 1) this.pins.delete(key)
 		else this.pins.set(key, count - 1)
 	}
 
 	listResident(): string[] {
-		return [...this.places].filter(([, p]) => p.isReady).map(([key]) => key)
+		return [...this.slots].filter(([, p]) => p.isReady).map(([key]) => key)
 	}
 
 	listRecent(): string[] {
-		return this.recent.list().filter(key => !this.places.has(key))
+		return this.recent.list().filter(key => !this.slots.has(key))
 	}
 
 	/** Time of the next expected change at the engine. */
 	getNextReadyAt(): number {
 		let next = Number.POSITIVE_INFINITY
-		for (const place of this.places.values()) {
-			if (!place.isReady) next = Math.min(next, place.readyAt)
+		for (const slot of this.slots.values()) {
+			if (!slot.isReady) next = Math.min(next, slot.readyAt)
 		}
 		return next
 	}
 
 	get isChanging(): boolean {
 		if (this.isBusy || this.orderInFlight !== undefined) return true
-		return [...this.places.values()].some(p => !p.isReady || p.isUnloading)
+		return [...this.slots.values()].some(p => !p.isReady || p.isUnloading)
 	}
 
 	/** The next order to give, or undefined when none is needed or possible. */
@@ -214,7 +214,7 @@
 				sequence: this.sequence,
 				limits: this.limits,
 				models: this.models,
-				places: this.places,
+				slots: this.slots,
 				newest: this.newest,
 				isPinned: key => this.isPinned(key),
 				countUses: key => this.popularity.read(key, now)
@@ -240,7 +240,7 @@
 			order.kind === OrderKind.Unload
 		) {
 			this.sequence += 1
-			this.places.delete(placeKey(order.model, order.adapter))
+			this.slots.delete(slotKey(order.model, order.adapter))
 		} else this.sequence = -1
 	}
 
@@ -250,15 +250,15 @@
 			this.isBusy = true
 			return
 		}
-		const key = placeKey(order.model, order.adapter)
-		const place = this.places.get(key)
+		const key = slotKey(order.model, order.adapter)
+		const slot = this.slots.get(key)
 		if (order.kind === OrderKind.Unload) {
-			if (place !== undefined) place.isUnloading = true
+			if (slot !== undefined) slot.isUnloading = true
 			return
 		}
-		const isFromStore = !this.recent.has(key) || place !== undefined
+		const isFromStore = !this.recent.has(key) || slot !== undefined
 		const loadMs = isFromStore ? this.storeLoadMs : this.recentLoadMs
-		this.places.set(key, {
+		this.slots.set(key, {
 			model: order.model,
 			adapter: order.adapter,
 			version: order.version,
@@ -270,19 +270,19 @@
 		})
 	}
 
-	private applyPlace(
+	private applySlot(
 		key: string,
 		version: number,
 		isReady: boolean,
 		now: number
 	): void {
-		const known = this.places.get(key)
+		const known = this.slots.get(key)
 		if (known !== undefined && !known.isReady && isReady) {
 			this.learnLoad(known, now)
 		}
 		const {model, adapter} = splitKey(key)
 		const readyAt = known?.readyAt ?? now + this.storeLoadMs
-		this.places.set(key, {
+		this.slots.set(key, {
 			model,
 			adapter,
 			version,
@@ -295,10 +295,10 @@
 		this.recent.add(key)
 	}
 
-	private learnLoad(place: Place, now: number): void {
-		const elapsedMs = Math.max(1, now - place.loadStartedAt)
+	private learnLoad(slot: AdapterSlot, now: number): void {
+		const elapsedMs = Math.max(1, now - slot.loadStartedAt)
 		const weight = 0.25
-		if (place.isFromStore) {
+		if (slot.isFromStore) {
 			this.storeLoadMs += weight * (elapsedMs - this.storeLoadMs)
 		} else this.recentLoadMs += weight * (elapsedMs - this.recentLoadMs)
 	}
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -7,14 +7,14 @@
  *   crowd: many prompts at once).
  * - Requests that can still be on time come before those that are late already,
  *   then the earliest objective (a backlog: without this every answer is late).
- * - Adapter places are held by running requests, often longer than a prompt is
- *   read (rare models asked for at once: engines idle behind full places). The
- *   wait for a place is part of the estimate.
+ * - Adapter slots are held by running requests, often longer than a prompt is
+ *   read (rare models asked for at once: engines idle behind full slots). The
+ *   wait for a slot is part of the estimate.
  * - What can't begin while it is of use is refused on arrival.
  */
 import {countTokens, GrantTable} from "./grantTable.js"
-import {type AdapterDemand, placeKey} from "./orderPlan.js"
-import {AdapterPlaces} from "./places.js"
+import {type AdapterDemand, slotKey} from "./orderPlan.js"
+import {AdapterSlots} from "./adapterSlots.js"
 import {PromptCache} from "./promptCache.js"
 import {ReadingRate} from "./readingRate.js"
 import {
@@ -36,7 +36,7 @@
 }
 
 /** More than one prompt, so that the engine does not idle between grants; more
- * would hold adapter places for prompts that are not being read yet. */
+ * would hold adapter slots for prompts that are not being read yet. */
 const defaultReadAheadMs = 150
 /** Lead of each step of priority in the order of objectives. */
 const priorityLeadMs = 300
@@ -47,9 +47,9 @@
 /** Share of the memory that keeps prompt parts of ended requests. */
 const cacheShare = 0.6
 const minRetryAfterMs = 150
-/** Time a request holds its place, until learned. */
+/** Time a request holds its slot, until learned. */
 const initialHoldMs = 800
-/** Weight of the newest sample of the time a place is held. */
+/** Weight of the newest sample of the time a slot is held. */
 const holdSampleWeight = 0.1
 /** Expected wait while the base model is loaded, until a report says more. */
 const baseLoadMs = 1000
@@ -63,15 +63,15 @@
 	isUsable: boolean
 	waitMs: number
 	tokensPerSecond: number
-	/** Places that can be had, less the adapters that wait for one. */
-	freePlaces: number
-	/** Expected time between places becoming free. */
-	placeStepMs: number
+	/** Slots that can be had, less the adapters that wait for one. */
+	freeSlots: number
+	/** Expected time between slots becoming free. */
+	slotStepMs: number
 	running: number
 }
 
 export class GrantScheduler {
-	readonly places = new AdapterPlaces()
+	readonly slots = new AdapterSlots()
 	private readonly rate = new ReadingRate()
 	private readonly cache = new PromptCache(0)
 	private readonly waiting = new Map<string, Waiting>()
@@ -91,7 +91,7 @@
 	}
 
 	setLimits(limits: EngineLimits): void {
-		this.places.limits = limits
+		this.slots.limits = limits
 		this.cache.setCapacity(limits.memoryTokens * cacheShare)
 	}
 
@@ -102,7 +102,7 @@
 		this.bornAt = report.bornAt
 		this.isUp = true
 		this.unknownRuns = this.granted.countUnknownRuns(report)
-		this.places.apply(report, now)
+		this.slots.apply(report, now)
 		return isRestart
 	}
 
@@ -181,7 +181,7 @@
 	/** The next order for the engine, if one is needed and possible. */
 	planOrder(now: number): EngineOrder | undefined {
 		const demands: AdapterDemand[] = this.rank(now).map(({request}) => request)
-		return this.places.planOrder(demands, now, this.unknownRuns === 0)
+		return this.slots.planOrder(demands, now, this.unknownRuns === 0)
 	}
 
 	/** Whether an eviction waits for a report without unknown runs. */
@@ -190,7 +190,7 @@
 	}
 
 	endOrder(outcome: OrderOutcome, now: number): void {
-		this.places.endOrder(outcome, now)
+		this.slots.endOrder(outcome, now)
 	}
 
 	get waitingCount(): number {
@@ -203,11 +203,11 @@
 			queued += this.getUnread(request)
 		}
 		return {
-			isUsable: this.isUp && this.places.hasAnyModel(),
+			isUsable: this.isUp && this.slots.hasAnyModel(),
 			waitMs: this.rate.getReadMs(this.granted.unreadTokens + queued),
 			tokensPerSecond: this.rate.tokensPerMs * 1000,
-			freePlaces: this.places.countOpen() - this.listWantedPlaces().size,
-			placeStepMs: this.getPlaceStepMs(),
+			freeSlots: this.slots.countOpen() - this.listWantedSlots().size,
+			slotStepMs: this.getSlotStepMs(),
 			running: this.granted.size
 		}
 	}
@@ -222,34 +222,34 @@
 		}
 		const readMs = this.rate.getReadMs(ahead + this.getUnread(request))
 		const {model, adapter} = request
-		if (!this.places.hasModel(model)) return readMs + baseLoadMs
-		const loadMs = this.places.getLoadMs(model, adapter, now)
-		return readMs + loadMs + this.getPlaceWaitMs(model, adapter)
+		if (!this.slots.hasModel(model)) return readMs + baseLoadMs
+		const loadMs = this.slots.getLoadMs(model, adapter, now)
+		return readMs + loadMs + this.getSlotWaitMs(model, adapter)
 	}
 
-	/** Expected wait for a place, behind the adapters that want one already. */
-	private getPlaceWaitMs(model: string, adapter: string): number {
-		const key = placeKey(model, adapter)
-		if (adapter === "" || this.places.hasPlace(key)) return 0
-		const wanted = this.listWantedPlaces()
+	/** Expected wait for a slot, behind the adapters that want one already. */
+	private getSlotWaitMs(model: string, adapter: string): number {
+		const key = slotKey(model, adapter)
+		if (adapter === "" || this.slots.hasSlot(key)) return 0
+		const wanted = this.listWantedSlots()
 		wanted.delete(key)
-		const missing = wanted.size + 1 - this.places.countOpen()
-		return Math.max(0, missing) * this.getPlaceStepMs()
+		const missing = wanted.size + 1 - this.slots.countOpen()
+		return Math.max(0, missing) * this.getSlotStepMs()
 	}
 
-	/** Adapters of waiting requests that have no place. */
-	private listWantedPlaces(): Set<string> {
+	/** Adapters of waiting requests that have no slot. */
+	private listWantedSlots(): Set<string> {
 		const wanted = new Set<string>()
 		for (const {request} of this.waiting.values()) {
-			const key = placeKey(request.model, request.adapter)
-			if (request.adapter !== "" && !this.places.hasPlace(key)) wanted.add(key)
+			const key = slotKey(request.model, request.adapter)
+			if (request.adapter !== "" && !this.slots.hasSlot(key)) wanted.add(key)
 		}
 		return wanted
 	}
 
-	private getPlaceStepMs(): number {
-		const slots = this.places.limits?.adapterSlots ?? 1
-		return this.holdMs / Math.max(1, slots)
+	private getSlotStepMs(): number {
+		const capacity = this.slots.limits?.adapterSlots ?? 1
+		return this.holdMs / Math.max(1, capacity)
 	}
 
 	private rank(now: number): Waiting[] {
@@ -271,14 +271,14 @@
 
 	private tryGrant(request: GrantRequest, now: number): GrantStep | undefined {
 		const {model, adapter} = request
-		const version = this.places.getReadyVersion(model, adapter, now)
+		const version = this.slots.getReadyVersion(model, adapter, now)
 		if (version === undefined) return undefined
 		const unread = this.getUnread(request)
 		if (!this.hasRoom(unread, countTokens(request))) return undefined
 		this.waiting.delete(request.key)
 		this.granted.add(request, unread, now)
 		this.rate.addGrant(now)
-		this.places.pin(model, adapter, now)
+		this.slots.pin(model, adapter, now)
 		return {
 			kind: GrantActionKind.Grant,
 			request,
@@ -288,7 +288,7 @@
 	}
 
 	private hasRoom(unread: number, tokens: number): boolean {
-		const limits = this.places.limits
+		const limits = this.slots.limits
 		if (limits === undefined) return false
 		if (this.granted.size >= limits.seats - reservedSeats) return false
 		const memory = limits.memoryTokens * memoryShare
@@ -303,7 +303,7 @@
 		const granted = this.granted.remove(key)
 		if (granted === undefined) return
 		if (!granted.isStarted) this.rate.dropGrant(now)
-		this.places.unpin(granted.request.model, granted.request.adapter)
+		this.slots.unpin(granted.request.model, granted.request.adapter)
 	}
 
 	private refuse(
@@ -339,7 +339,7 @@
 	}
 
 	private forgetEngine(): void {
-		this.places.reset()
+		this.slots.reset()
 		this.rate.reset()
 		this.cache.clear()
 		this.granted.clear()
--- a/src/policy/grants/orderPlan.ts
+++ b/src/policy/grants/orderPlan.ts
@@ -10,7 +10,7 @@
 export const versionGraceMs = 1500
 
 /** An adapter slot of the engine, with what it holds or is about to hold. */
-export interface Place {
+export interface AdapterSlot {
 	model: string
 	adapter: string
 	version: number
@@ -40,7 +40,7 @@
 	limits: EngineLimits | undefined
 	/** Base models that the engine holds. */
 	models: ReadonlySet<string>
-	places: ReadonlyMap<string, Place>
+	slots: ReadonlyMap<string, AdapterSlot>
 	newest: ReadonlyMap<string, NewestVersion>
 	isPinned(key: string): boolean
 	/** Decayed count of recent uses. */
@@ -62,7 +62,7 @@
 	return order ?? planAdapterLoad(view, demands, mayEvict)
 }
 
-export function placeKey(model: string, adapter: string): string {
+export function slotKey(model: string, adapter: string): string {
 	return `${model}/${adapter}`
 }
 
@@ -91,13 +91,13 @@
 }
 
 function planReplacement(view: PlanView, now: number): EngineOrder | undefined {
-	for (const [key, place] of view.places) {
+	for (const [key, slot] of view.slots) {
 		const newest = view.newest.get(key)
-		if (newest === undefined || !place.isReady || place.isUnloading) continue
-		if (place.version >= newest.version) continue
+		if (newest === undefined || !slot.isReady || slot.isUnloading) continue
+		if (slot.version >= newest.version) continue
 		const isDue = !view.isPinned(key) || now > newest.at + versionGraceMs
 		if (!isDue || countIncoming(view) >= maxIncoming) continue
-		const {model, adapter} = place
+		const {model, adapter} = slot
 		const {version} = newest
 		const expectedSequence = view.sequence
 		return {kind: OrderKind.Load, model, adapter, version, expectedSequence}
@@ -110,14 +110,14 @@
 	demands: readonly AdapterDemand[],
 	mayEvict: boolean
 ): EngineOrder | undefined {
-	const slots = view.limits?.adapterSlots ?? 0
+	const capacity = view.limits?.adapterSlots ?? 0
 	const expectedSequence = view.sequence
 	for (const {model, adapter} of demands) {
 		if (adapter === "" || !view.models.has(model)) continue
-		const key = placeKey(model, adapter)
-		if (view.places.has(key)) continue
+		const key = slotKey(model, adapter)
+		if (view.slots.has(key)) continue
 		if (countIncoming(view) >= maxIncoming) return undefined
-		if (view.places.size < slots) {
+		if (view.slots.size < capacity) {
 			const version = view.newest.get(key)?.version ?? 0
 			return {kind: OrderKind.Load, model, adapter, version, expectedSequence}
 		}
@@ -138,24 +138,24 @@
 function findVictim(
 	view: PlanView,
 	demands: readonly AdapterDemand[]
-): Place | undefined {
-	// One that is leaving already frees its place soon.
-	if ([...view.places.values()].some(p => p.isUnloading)) return undefined
-	const wanted = new Set(demands.map(d => placeKey(d.model, d.adapter)))
-	let victim: Place | undefined
+): AdapterSlot | undefined {
+	// One that is leaving already frees its slot soon.
+	if ([...view.slots.values()].some(p => p.isUnloading)) return undefined
+	const wanted = new Set(demands.map(d => slotKey(d.model, d.adapter)))
+	let victim: AdapterSlot | undefined
 	let least = Number.POSITIVE_INFINITY
-	for (const [key, place] of view.places) {
-		if (!place.isReady || view.isPinned(key) || wanted.has(key)) continue
+	for (const [key, slot] of view.slots) {
+		if (!slot.isReady || view.isPinned(key) || wanted.has(key)) continue
 		const uses = view.countUses(key)
 		if (uses >= least) continue
 		least = uses
-		victim = place
+		victim = slot
 	}
 	return victim
 }
 
-function countIncoming({places}: PlanView): number {
+function countIncoming({slots}: PlanView): number {
 	let count = 0
-	for (const place of places.values()) if (!place.isReady) count += 1
+	for (const slot of slots.values()) if (!slot.isReady) count += 1
 	return count
 }
