--- a/bench/soak/__tests__/soak.test.ts
+++ b/bench/soak/__tests__/soak.test.ts
@@ -8,7 +8,9 @@
 	{seed: 103, block: 80},
 	{seed: 107, block: 81},
 	// An eviction without an answer was carried out after a new grant.
-	{seed: 300, block: 82}
+	{seed: 300, block: 82},
+	// An adapter evicted in use; cause not traced yet, see KNOWN-RED.txt.
+	{seed: 9100, block: 83}
 ]
 
 describe.concurrent("a fault soak", () => {
