Drop a handler, a field and a copy that nothing needs

The reread of the change found a handler of answers' heads without a user, an arrival time that was never read, and a copy of the engine's limits of the same shape. Behaviour as before. Checked with types, lint of the three folders and 47 tests (grants, calls, generations); the whole check was not run again.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -4,11 +4,7 @@
  * engine.
  */
 import type * as grpc from "@grpc/grpc-js"
-import type {
-	Ask,
-	EngineLimits as EngineLimitsMessage,
-	GatewayMessage
-} from "../contract/gen/grants_pb.js"
+import type {Ask, GatewayMessage} from "../contract/gen/grants_pb.js"
 import {RefuseReason} from "../contract/gen/grants_pb.js"
 import {startGrantServer} from "../link/fleetLink.js"
 import type {TlsKeys} from "../link/tls.js"
@@ -109,7 +105,7 @@
 			this.options.log.decide("version.newer", {model, adapter, version})
 			this.loop.poke()
 		} else if (body.case === "hello" && body.value.limits !== undefined) {
-			this.scheduler.setLimits(decodeLimits(body.value.limits))
+			this.scheduler.setLimits(body.value.limits)
 			this.loop.poke()
 		}
 	}
@@ -188,17 +184,6 @@
 	}
 }
 
-function decodeLimits(limits: EngineLimitsMessage): {
-	seats: number
-	adapterSlots: number
-	memoryTokens: number
-	weightsMb: number
-	models: {name: string; weightsMb: number; adapterMb: number}[]
-} {
-	const {seats, adapterSlots, memoryTokens, weightsMb, models} = limits
-	return {seats, adapterSlots, memoryTokens, weightsMb, models}
-}
-
 function encodeReason(reason: RefusalReason): RefuseReason {
 	if (reason === RefusalReason.Overloaded) return RefuseReason.OVERLOADED
 	if (reason === RefusalReason.Deadline) return RefuseReason.DEADLINE
--- a/src/gateway/endpointCall.ts
+++ b/src/gateway/endpointCall.ts
@@ -24,7 +24,6 @@
 }
 
 export interface CallHandlers {
-	onHead?(head: AnswerHead): void
 	onData(chunk: Buffer): void
 	/** Called once; `detail` says why for the log. */
 	onEnd(end: CallEnd, detail: string): void
@@ -117,7 +116,6 @@
 			this.finish(CallEnd.Broken, "not this endpoint's answer")
 			return
 		}
-		handlers.onHead?.(answer)
 		res.on("data", (chunk: Buffer) => {
 			if (!this.isEnded) handlers.onData(chunk)
 		})
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -56,7 +56,6 @@
 
 interface Waiting {
 	request: GrantRequest
-	arrivedAt: number
 }
 
 export interface SchedulerView {
@@ -124,7 +123,7 @@
 			const reason = RefusalReason.Overloaded
 			return [this.refuse(request, reason, expectedMs, now)]
 		}
-		this.waiting.set(request.key, {request, arrivedAt: now})
+		this.waiting.set(request.key, {request})
 		return this.schedule(now)
 	}
 
