Keep what a lost gateway was granted in use until a report settles it

Cause: three ways in which an adapter could be evicted under a run. An agent that dropped a silent gateway freed its grants at once, although a request could be on its way or run on. A gateway that had stood still acted on grants that it read after the agent had dropped it, and wrote requests on connections whose time limit had passed. An agent planned evictions from a report of up to 500 ms of age, so that runs it had not granted (gateways that lost their agent, an agent that was paused) were unknown to it.

Ruled out: orders without an answer; they are given again and their adapter is not used meanwhile.

Change: grants of a lost gateway stay pinned until a report taken 600 ms later does not list their run; a link that was not kept alive fails before its grants are used; a connection that is seen after its time limit carries nothing; an eviction needs a report of at most 10 ms of age.

The test that a lost gateway's slots are free at once is replaced by one that they are free once a report shows it, and that other adapters may go meanwhile.

--- a/src/agent/engineLoop.ts
+++ b/src/agent/engineLoop.ts
@@ -31,6 +31,9 @@
 /** While runs that were not granted keep adapters from being evicted. */
 const heldBackReportMs = 50
 const failedReportMs = 250
+/** An eviction needs a report of this age at most: gateways that lost their
+ * agent, or the agent itself when it was paused, may have sent since. */
+const evictionReportMs = 10
 /** Reports that must fail in a row before the engine counts as down. */
 const failuresUntilDown = 2
 const fenceRetryMs = 500
@@ -38,6 +41,8 @@
 export class EngineLoop {
 	private fence: number | undefined
 	private nextReportAt = 0
+	/** Time at which the last report that arrived was asked for. */
+	private reportedAt = Number.NEGATIVE_INFINITY
 	private failures = 0
 	private isUp = false
 	private isStopped = false
@@ -91,25 +96,37 @@
 				this.fence === undefined
 					? undefined
 					: this.options.scheduler.planOrder(this.options.now())
-			if (order !== undefined && this.fence !== undefined) {
+			if (order === undefined || this.fence === undefined) {
+				await this.sleepUntil(this.nextReportAt)
+				continue
+			}
+			if (this.isReportFreshFor(order)) {
 				await this.give(order, this.fence)
 				continue
 			}
-			await this.sleepUntil(this.nextReportAt)
+			await this.readReport()
+			if (this.failures > 0) await this.sleepUntil(this.nextReportAt)
 		}
 	}
 
+	private isReportFreshFor({kind}: EngineOrder): boolean {
+		if (kind !== OrderKind.Unload) return true
+		return this.options.now() - this.reportedAt <= evictionReportMs
+	}
+
 	private async readReport(): Promise<void> {
-		const {engine, log} = this.options
+		const {engine, log, now} = this.options
+		const askedAt = now()
 		try {
 			const report = await engine.report()
+			this.reportedAt = askedAt
 			this.failures = 0
 			if (!this.isUp) {
 				this.isUp = true
 				await engine.identify()
 				log.decide("engine.up", {engine: engine.engineId, born: report.bornAt})
 			}
-			if (this.options.scheduler.applyReport(report, this.options.now())) {
+			if (this.options.scheduler.applyReport(report, now())) {
 				await engine.identify()
 				log.decide("engine.restarted", {
 					engine: engine.engineId,
--- /dev/null
+++ b/src/gateway/__tests__/agentLink.test.ts
@@ -0,0 +1,121 @@
+import {create} from "@bufbuild/protobuf"
+import {afterEach, describe, expect, it} from "vitest"
+import {
+	type AgentMessage,
+	AgentMessageSchema,
+	AskSchema,
+	RefuseReason
+} from "../../contract/gen/grants_pb.js"
+import {type GrantCall, startGrantServer} from "../../link/fleetLink.js"
+import {AgentLink} from "../agentLink.js"
+import {createLoopbackIp} from "./loopback.js"
+
+const cleanups: (() => void)[] = []
+
+afterEach(() => {
+	for (const cleanup of cleanups.splice(0)) cleanup()
+})
+
+/** An agent that says what the test makes it say, and a link to it. */
+async function connect(now: () => number): Promise<{
+	link: AgentLink
+	downs: string[]
+	say: (body: AgentMessage["body"]) => void
+}> {
+	const address = `${createLoopbackIp()}:7000`
+	let onAccept: (call: GrantCall) => void = () => undefined
+	const accepted = new Promise<GrantCall>(resolve => {
+		onAccept = resolve
+	})
+	const server = await startGrantServer({address, onCall: onAccept})
+	const downs: string[] = []
+	let markUp: () => void = () => undefined
+	const up = new Promise<void>(resolve => {
+		markUp = resolve
+	})
+	const link = new AgentLink({
+		address,
+		gateway: "test",
+		now,
+		getLimits: () => undefined,
+		getEngineId: () => "i-1",
+		onState: () => undefined,
+		onUp: markUp,
+		onDown: reason => downs.push(reason)
+	})
+	cleanups.push(() => {
+		link.close()
+		server.forceShutdown()
+	})
+	const call = await accepted
+	call.on("error", () => undefined)
+	const say = (body: AgentMessage["body"]): void => {
+		call.write(create(AgentMessageSchema, {body}))
+	}
+	say({case: "refuse", value: createRefusal("none")})
+	await up
+	return {link, downs, say}
+}
+
+function createRefusal(
+	key: string
+): Extract<AgentMessage["body"], {case: "refuse"}>["value"] {
+	const $typeName = "goldcrestloom.grants.v1.Refuse"
+	return {
+		$typeName,
+		key,
+		reason: RefuseReason.UNAVAILABLE,
+		retryAfterMs: 0,
+		expectedMs: 0
+	}
+}
+
+function createGrant(
+	key: string
+): Extract<AgentMessage["body"], {case: "grant"}>["value"] {
+	const $typeName = "goldcrestloom.grants.v1.Grant"
+	return {$typeName, key, version: 1, engineId: "i-1", expectedMs: 0}
+}
+
+function ask(link: AgentLink, key: string): Promise<string> {
+	return new Promise(resolve => {
+		link.ask(create(AskSchema, {key}), {
+			onGrant: () => {
+				resolve("granted")
+			},
+			onRefuse: () => {
+				resolve("refused")
+			},
+			onLost: () => {
+				resolve("lost")
+			}
+		})
+	})
+}
+
+describe("AgentLink", () => {
+	it("hands a grant to the request that asked for it", async () => {
+		const {link, say} = await connect(() => 0)
+		const answer = ask(link, "r1")
+		say({case: "grant", value: createGrant("r1")})
+		expect(await answer).toBe("granted")
+	})
+
+	it("uses no grant that it reads after a pause of its own process", async () => {
+		let time = 0
+		const {link, downs, say} = await connect(() => time)
+		const answer = ask(link, "r1")
+		// The agent may have dropped this gateway and its grants meanwhile.
+		time = 1900
+		say({case: "grant", value: createGrant("r1")})
+		expect(await answer).toBe("lost")
+		expect(downs).toEqual(["this process was paused"])
+	})
+
+	it("asks nothing on a link that it did not keep alive", async () => {
+		let time = 0
+		const {link} = await connect(() => time)
+		time = 1900
+		expect(await ask(link, "r1")).toBe("lost")
+	})
+})
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -46,6 +46,9 @@
 }
 
 const heartbeatMs = 600
+/** A longer pause between heartbeats means that this process stood still. An
+ * agent drops a gateway, and all of its grants, after 2 s of silence. */
+const maxPauseMs = 1500
 /** An agent states something at least three times in this time. */
 const silenceMs = 2000
 const connectMs = 1000
@@ -71,6 +74,7 @@
 
 	/** Asks for a grant; exactly one handler is called, unless `end` came first. */
 	ask(ask: AskBody, handlers: AskHandlers): void {
+		this.checkPause()
 		if (!this.isUp) {
 			handlers.onLost()
 			return
@@ -115,6 +119,7 @@
 			if (now >= this.reopenAt) this.connect()
 			return
 		}
+		if (this.checkPause()) return
 		const limitMs = this.isUp ? silenceMs : connectMs
 		if (now - Math.max(this.heardAt, this.openedAt) > limitMs) {
 			this.fail("silent")
@@ -145,7 +150,16 @@
 		this.greet()
 	}
 
+	/** Fails the link after a pause, before anything is done by its grants. */
+	private checkPause(): boolean {
+		if (!this.isUp) return false
+		if (this.options.now() - this.sentAt <= maxPauseMs) return false
+		this.fail("this process was paused")
+		return true
+	}
+
 	private receive({body}: AgentMessage): void {
+		if (this.checkPause()) return
 		this.heardAt = this.options.now()
 		if (!this.isUp) {
 			this.isUp = true
--- a/src/gateway/endpointCall.ts
+++ b/src/gateway/endpointCall.ts
@@ -40,6 +40,8 @@
 	handlers: CallHandlers
 	/** Longest wait for a connection, milliseconds. */
 	connectMs?: number
+	/** Monotonic milliseconds. */
+	now?: () => number
 }
 
 /** Several round trips between failure domains; a dead host answers nothing. */
@@ -64,10 +66,18 @@
 			noDelay: true,
 			allowHalfOpen: true
 		})
+		const {connectMs = defaultConnectMs} = options
+		const now = options.now ?? (() => performance.now())
+		const connectBy = now() + connectMs
 		this.connectTimer = setTimeout(() => {
 			this.finish(CallEnd.NeverSent, "no connection in time")
-		}, options.connectMs ?? defaultConnectMs)
+		}, connectMs)
 		this.socket.once("connect", () => {
+			// A process that stood still sees the connection before the timer.
+			if (now() > connectBy) {
+				this.finish(CallEnd.NeverSent, "connected too late")
+				return
+			}
 			this.isConnected = true
 			clearTimeout(this.connectTimer)
 		})
--- a/src/policy/grants/__tests__/grantScheduler.test.ts
+++ b/src/policy/grants/__tests__/grantScheduler.test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from "vitest"
 import {GrantScheduler} from "../grantScheduler.js"
 import {
+	type EngineReport,
 	GrantActionKind,
 	type GrantStep,
 	OrderKind,
@@ -126,19 +127,48 @@
 		expect(scheduler.getView().running).toBe(0)
 	})
 
-	it("frees what a gateway held when it is gone", () => {
+	it("keeps what a lost gateway was granted until a report shows its end", () => {
 		const scheduler = createScheduler(["a1", "a2"])
 		scheduler.ask(createRequest("r1", 0), 0)
 		scheduler.ask(createRequest("r2", 0, {owner: "g2", adapter: "a2"}), 0)
 		scheduler.ask(createRequest("r3", 0, {adapter: "b"}), 0)
-		expect(scheduler.planOrder(1)).toBeUndefined()
 		scheduler.dropOwner("g2", 1)
-		expect(scheduler.planOrder(1)).toMatchObject({
+		const report = (runIds: string[]): EngineReport =>
+			createReport(["a1", "a2"], {running: runIds.length, runIds})
+		// The request may be on its way.
+		scheduler.applyReport(report(["r1"]), 2)
+		expect(scheduler.planOrder(2)).toBeUndefined()
+		// It runs.
+		scheduler.applyReport(report(["r1", "r2"]), 700)
+		expect(scheduler.planOrder(700)).toBeUndefined()
+		expect(scheduler.isHeldBack).toBe(true)
+		scheduler.applyReport(report(["r1"]), 750)
+		expect(scheduler.planOrder(750)).toMatchObject({
 			kind: OrderKind.Unload,
 			adapter: "a2"
 		})
 	})
 
+	it("evicts other adapters while the run of a lost gateway goes on", () => {
+		const scheduler = createScheduler(["a1", "a2"])
+		scheduler.ask(createRequest("r2", 0, {owner: "g2", adapter: "a2"}), 0)
+		scheduler.dropOwner("g2", 1)
+		scheduler.ask(createRequest("r3", 1, {adapter: "b"}), 1)
+		const runIds = ["r2"]
+		const report = createReport(["a1", "a2"], {running: 1, runIds})
+		scheduler.applyReport(report, 50)
+		expect(scheduler.planOrder(50)).toMatchObject({adapter: "a1"})
+	})
+
+	it("reads on for others when a gateway is lost before its prompt is read", () => {
+		const scheduler = createScheduler(["a1"])
+		scheduler.ask(createRequest("lost1", 0, {owner: "g2"}), 0)
+		scheduler.ask(createRequest("lost2", 0, {owner: "g2"}), 0)
+		expect(scheduler.ask(createRequest("r1", 0), 0)).toEqual([])
+		const steps = scheduler.dropOwner("g2", 1)
+		expect(listKeys(steps, GrantActionKind.Grant)).toEqual(["r1"])
+	})
+
 	it("evicts nothing while the engine runs what it did not grant", () => {
 		const scheduler = createScheduler(["a1", "a2"])
 		// A predecessor's grants, or those of a gateway that fell silent.
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -100,6 +100,9 @@
 		if (isRestart) this.forgetEngine()
 		this.bornAt = report.bornAt
 		this.isUp = true
+		for (const key of this.granted.listEndedOrphans(report, now)) {
+			this.release(key, now)
+		}
 		this.unknownRuns = this.granted.countUnknownRuns(report)
 		this.slots.apply(report, now)
 		return isRestart
@@ -149,12 +152,19 @@
 		return this.schedule(now)
 	}
 
-	/** A gateway is gone, and with it all it asked for. */
+	/**
+	 * A gateway is gone, and with it all that it waits for. What it was granted
+	 * may be on its way still or run on, so that its adapter stays in use until a
+	 * report shows otherwise (gateways that freeze or are cut off under load).
+	 */
 	dropOwner(owner: string, now: number): GrantStep[] {
 		for (const [key, {request}] of this.waiting) {
 			if (request.owner === owner) this.waiting.delete(key)
 		}
-		for (const key of this.granted.listOf(owner)) this.release(key, now)
+		for (const key of this.granted.listOf(owner)) {
+			if (this.granted.start(key) !== undefined) this.rate.dropGrant(now)
+			this.granted.orphan(key, now)
+		}
 		return this.schedule(now)
 	}
 
@@ -183,9 +193,10 @@
 		return this.slots.planOrder(demands, now, this.unknownRuns === 0)
 	}
 
-	/** Whether an eviction waits for a report without unknown runs. */
+	/** Whether an eviction waits for a report that shows runs to have ended. */
 	get isHeldBack(): boolean {
-		return this.unknownRuns > 0 && this.waiting.size > 0
+		if (this.waiting.size === 0) return false
+		return this.unknownRuns > 0 || this.granted.hasOrphans
 	}
 
 	endOrder(outcome: OrderOutcome, now: number): void {
--- a/src/policy/grants/grantTable.ts
+++ b/src/policy/grants/grantTable.ts
@@ -7,8 +7,14 @@
 	/** Prompt tokens that the engine had to read when it was granted. */
 	unread: number
 	isStarted: boolean
+	/** Set once the gateway that asked is gone; its run may go on. */
+	orphanedAt?: number
 }
 
+/** A gateway sends at once and gives up on a connection within 400 ms: after
+ * this time a report lists every request that still reached the engine. */
+const orphanGraceMs = 600
+
 export class GrantTable {
 	private readonly granted = new Map<string, Granted>()
 	private unread = 0
@@ -71,6 +77,36 @@
 			.map(({request}) => request.key)
 	}
 
+	/** Keeps what the run of a lost gateway uses until a report settles it. */
+	orphan(key: string, now: number): void {
+		const granted = this.granted.get(key)
+		if (granted !== undefined) granted.orphanedAt = now
+	}
+
+	/** Requests of lost gateways that the engine does not run any more. */
+	listEndedOrphans({runIds}: EngineReport, now: number): string[] {
+		const running = new Set(runIds)
+		const ended: string[] = []
+		for (const {request, orphanedAt} of this.granted.values()) {
+			if (orphanedAt === undefined) continue
+			const isSettled =
+				runIds !== undefined &&
+				now > orphanedAt + orphanGraceMs &&
+				!running.has(request.requestId)
+			if (isSettled || now > request.deadline + orphanGraceMs) {
+				ended.push(request.key)
+			}
+		}
+		return ended
+	}
+
+	get hasOrphans(): boolean {
+		for (const {orphanedAt} of this.granted.values()) {
+			if (orphanedAt !== undefined) return true
+		}
+		return false
+	}
+
 	clear(): void {
 		this.granted.clear()
 		this.unread = 0
