Grant nothing for an adapter whose eviction is in flight

Cause: an order to evict an adapter whose answer does not come is known as unsettled only after its time limit of 400 ms. Until then the adapter was still granted, so that the order, carried out late, met runs. An order that is given again is now held back too while the engine runs what was not granted.

Ruled out: a pause of the gateway (the runs began within milliseconds of their grants) and stale reports (0.7 ms of age).

The new test failed before the change.

--- a/src/policy/grants/__tests__/grantScheduler.test.ts
+++ b/src/policy/grants/__tests__/grantScheduler.test.ts
@@ -149,6 +149,27 @@
 		})
 	})
 
+	it("grants nothing for an adapter whose eviction has no answer yet", () => {
+		const scheduler = createScheduler(["a1", "a2"])
+		scheduler.ask(createRequest("r1", 0), 0)
+		scheduler.ask(createRequest("r2", 0, {adapter: "b"}), 0)
+		const order = scheduler.planOrder(1)
+		expect(order).toMatchObject({kind: OrderKind.Unload, adapter: "a2"})
+		if (order !== undefined) scheduler.slots.beginOrder(order)
+		const late = createRequest("r3", 2, {adapter: "a2"})
+		expect(scheduler.ask(late, 2)).toEqual([])
+		scheduler.endOrder(OrderOutcome.Lost, 400)
+		scheduler.applyReport(createReport(["a1", "a2"]), 401)
+		expect(scheduler.schedule(401)).toEqual([])
+		// The order is not given again while it would meet an unknown run.
+		const runIds = ["r1", "unasked"]
+		const report = createReport(["a1", "a2"], {running: 2, runIds})
+		scheduler.applyReport(report, 402)
+		expect(scheduler.planOrder(402)).toBeUndefined()
+		scheduler.applyReport(createReport(["a1", "a2"], {runIds: ["r1"]}), 450)
+		expect(scheduler.planOrder(450)).toEqual(order)
+	})
+
 	it("evicts other adapters while the run of a lost gateway goes on", () => {
 		const scheduler = createScheduler(["a1", "a2"])
 		scheduler.ask(createRequest("r2", 0, {owner: "g2", adapter: "a2"}), 0)
--- a/src/policy/grants/adapterSlots.ts
+++ b/src/policy/grants/adapterSlots.ts
@@ -129,10 +129,7 @@
 		if (slot === undefined || !slot.isReady || slot.isUnloading) {
 			return undefined
 		}
-		if (this.unsettled?.kind === OrderKind.Unload) {
-			const {model: ofModel, adapter: ofAdapter} = this.unsettled
-			if (slotKey(ofModel, ofAdapter) === key) return undefined
-		}
+		if (this.mayBeLeaving(key)) return undefined
 		const newest = this.newest.get(key)
 		const isStale = newest !== undefined && slot.version < newest.version
 		if (isStale && now > newest.at + versionGraceMs) return undefined
@@ -208,7 +205,10 @@
 		if (!this.isKnown || this.isBusy || this.orderInFlight !== undefined) {
 			return undefined
 		}
-		if (this.unsettled !== undefined) return this.unsettled
+		if (this.unsettled !== undefined) {
+			const isEviction = this.unsettled.kind === OrderKind.Unload
+			return isEviction && !mayEvict ? undefined : this.unsettled
+		}
 		return planOrder(
 			{
 				sequence: this.sequence,
@@ -303,6 +303,15 @@
 		} else this.recentLoadMs += weight * (elapsedMs - this.recentLoadMs)
 	}
 
+	/** Whether an eviction of the adapter is in flight or without an answer. */
+	private mayBeLeaving(key: string): boolean {
+		return [this.orderInFlight, this.unsettled].some(
+			order =>
+				order?.kind === OrderKind.Unload &&
+				slotKey(order.model, order.adapter) === key
+		)
+	}
+
 	private isPinned(key: string): boolean {
 		return this.pins.has(key)
 	}
