Tell callers when an engine that lost its base model will serve again

Cause: after a loss of power all engines start empty.

Ruled out: the order itself is given within a report of the restart.

Change: agents know load_time_s from the configuration, expect what is left of a load under way, refuse at once what can't wait for it, and state the time to gateways, which refuse with what is missing as the time to come back.

--- a/src/agent/__tests__/engineLoop.test.ts
+++ b/src/agent/__tests__/engineLoop.test.ts
@@ -27,7 +27,11 @@
 class ScriptedEngine extends EnginePort {
 	readonly orders: EngineOrder[] = []
 	runIds: string[] = []
+	readonly fences: number[] = []
 	reports = 0
+	identified = 0
+	bornAt = 1
+	highestFence = 0
 	isSilent = false
 
 	override get engineId(): string {
@@ -40,23 +44,33 @@
 		const {runIds} = this
 		const running = runIds.length
 		return Promise.resolve(
-			createReport(["a1", "a2"], {running, runIds: [...runIds]})
+			createReport(["a1", "a2"], {
+				running,
+				runIds: [...runIds],
+				bornAt: this.bornAt
+			})
 		)
 	}
 
-	override order(order: EngineOrder): Promise<OrderOutcome> {
+	override order(order: EngineOrder, fence: number): Promise<OrderOutcome> {
 		this.orders.push(order)
-		return Promise.resolve(OrderOutcome.Conflict)
+		this.fences.push(fence)
+		const isOld = fence < this.highestFence
+		return Promise.resolve(isOld ? OrderOutcome.Refused : OrderOutcome.Conflict)
 	}
 
 	override identify(): Promise<void> {
+		this.identified += 1
 		return Promise.resolve()
 	}
 }
 
-class FixedFence extends FenceSource {
+class RisingFence extends FenceSource {
+	private last = 0
+
 	override acquire(): Promise<number> {
-		return Promise.resolve(1)
+		this.last += 1
+		return Promise.resolve(this.last)
 	}
 }
 
@@ -68,7 +82,7 @@
 	const loop = new EngineLoop({
 		engine,
 		scheduler,
-		fences: new FixedFence(),
+		fences: new RisingFence(),
 		log: new DecisionLog({
 			role: "agent",
 			host: "test",
@@ -113,6 +127,28 @@
 		expect(engine.orders[0]?.kind).toBe(OrderKind.Unload)
 	})
 
+	it("takes a newer fence once its own is refused, as after a long pause", async () => {
+		const engine = new ScriptedEngine()
+		const {loop, scheduler} = await startLoop(engine)
+		engine.highestFence = 3
+		askForAnother(loop, scheduler)
+		await expect.poll(() => engine.fences.at(-1)).toBe(3)
+		expect(engine.fences.slice(0, 3)).toEqual([1, 2, 3])
+		expect(engine.fences.filter(fence => fence < 3)).toHaveLength(2)
+	})
+
+	it("forgets its grants when the engine starts anew under its id", async () => {
+		const engine = new ScriptedEngine()
+		const {loop, scheduler} = await startLoop(engine)
+		const now = performance.now()
+		scheduler.ask(createRequest("r1", now), now)
+		expect(scheduler.getView(now).running).toBe(1)
+		engine.bornAt = 2
+		loop.recheck()
+		await expect.poll(() => scheduler.getView(0).running).toBe(0)
+		expect(engine.identified).toBe(2)
+	})
+
 	it("does not spin while an eviction waits for an engine that is silent", async () => {
 		const engine = new ScriptedEngine()
 		const {loop, scheduler} = await startLoop(engine)
--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -160,7 +160,7 @@
 			this.carryOut(this.scheduler.schedule(this.now()))
 		}
 		const {slots} = this.scheduler
-		this.links.spread(this.scheduler.getView(), {
+		this.links.spread(this.scheduler.getView(this.now()), {
 			resident: slots.listResident(),
 			recent: slots.listRecent()
 		})
--- a/src/contract/fleet.ts
+++ b/src/contract/fleet.ts
@@ -41,6 +41,8 @@
 	name: string
 	weightsMb: number
 	adapterMb: number
+	/** Time that loading the weights takes, milliseconds. */
+	loadMs: number
 }
 
 export interface EngineSpec {
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -312,8 +312,7 @@
 			refusal === undefined
 				? "no engine in time"
 				: RefuseReason[refusal.reason].toLowerCase()
-		const spread = 1 + this.ctx.random()
-		const retryAfterMs = refusal?.retryAfterMs ?? minRetryAfterMs * spread
+		const retryAfterMs = refusal?.retryAfterMs ?? this.getRetryAfterMs(best)
 		this.request.exchange.refuse(reason, retryAfterMs, {
 			expectedMs: Math.round(best?.expectedMs ?? refusal?.expectedMs ?? 0),
 			asks: this.asks,
@@ -321,6 +320,13 @@
 		})
 	}
 
+	/** Time until the engine could begin in time, spread so that callers return apart. */
+	private getRetryAfterMs(best: EngineRating | undefined): number {
+		const leftMs = this.getStartBy() - this.ctx.now()
+		const excessMs = best === undefined ? 0 : best.expectedMs - leftMs
+		return Math.max(minRetryAfterMs, excessMs) * (1 + this.ctx.random())
+	}
+
 	private fail(detail: string, isTimeout = false): void {
 		this.clear()
 		const {exchange} = this.request
--- a/src/policy/grants/__tests__/adapterSlots.test.ts
+++ b/src/policy/grants/__tests__/adapterSlots.test.ts
@@ -84,6 +84,30 @@
 		expect(slots.getReadyVersion("base", "a1", 2000)).toBeUndefined()
 	})
 
+	it("replaces a version that is outdated again as soon as it is in place", () => {
+		const slots = createPlaces(["a1"])
+		slots.announce("base", "a1", 4, 0)
+		const first = slots.planOrder([], 10, true)
+		expect(first).toMatchObject({kind: OrderKind.Load, version: 4})
+		if (first !== undefined) slots.beginOrder(first)
+		slots.endOrder(OrderOutcome.Accepted, 11)
+		slots.announce("base", "a1", 6, 50)
+		// The first replacement is on its way: a second order would be lost on it.
+		expect(slots.planOrder([], 60, true)).toBeUndefined()
+		const report = createReport([], {
+			sequence: 1,
+			models: [{name: "base", adapters: [{adapter: "a1", version: 4}]}]
+		})
+		slots.apply(report, 300)
+		expect(slots.planOrder([], 300, true)).toMatchObject({
+			kind: OrderKind.Load,
+			adapter: "a1",
+			version: 6,
+			expectedSequence: 1
+		})
+		expect(slots.getReadyVersion("base", "a1", 1600)).toBeUndefined()
+	})
+
 	it("loads an adapter at the version that was announced", () => {
 		const slots = createPlaces([])
 		slots.announce("base", "b", 7, 0)
--- a/src/policy/grants/__tests__/grantScheduler.test.ts
+++ b/src/policy/grants/__tests__/grantScheduler.test.ts
@@ -95,7 +95,7 @@
 		).flat()
 		// Both slots are held for 800 ms: one is free each 400 ms.
 		expect(listKeys(steps, GrantActionKind.Refuse).length).toBeGreaterThan(4)
-		expect(scheduler.getView().freeSlots).toBeLessThan(0)
+		expect(scheduler.getView(0).freeSlots).toBeLessThan(0)
 	})
 
 	it("refuses a waiting request as soon as it can't be of use any more", () => {
@@ -119,12 +119,50 @@
 		})
 	})
 
+	it("tells callers when the base model of an empty engine will be there", () => {
+		const scheduler = createScheduler([])
+		scheduler.applyReport(createReport([], {bornAt: 2, models: []}), 0)
+		const order = scheduler.planOrder(0)
+		if (order !== undefined) scheduler.slots.beginOrder(order)
+		scheduler.endOrder(OrderOutcome.Accepted, 0)
+		// The load takes 2,000 ms, and reading the prompt 100 ms.
+		const [refused] = scheduler.ask(createRequest("r1", 0), 0)
+		expect(refused).toMatchObject({
+			kind: GrantActionKind.Refuse,
+			reason: RefusalReason.Overloaded,
+			expectedMs: 2100
+		})
+		expect(scheduler.ask(createRequest("r2", 500), 500)).toEqual([])
+		expect(scheduler.getView(500)).toMatchObject({
+			isUsable: true,
+			waitMs: 1600
+		})
+		scheduler.applyReport(createReport(["a1"], {bornAt: 2}), 2000)
+		expect(listKeys(scheduler.schedule(2000), GrantActionKind.Grant)).toEqual([
+			"r2"
+		])
+	})
+
+	it("gives up at once on a base model that comes too late", () => {
+		const scheduler = createScheduler([])
+		scheduler.applyReport(createReport([], {bornAt: 2, models: []}), 0)
+		const order = scheduler.planOrder(0)
+		if (order !== undefined) scheduler.slots.beginOrder(order)
+		scheduler.endOrder(OrderOutcome.Accepted, 0)
+		scheduler.ask(createRequest("r1", 200), 200)
+		// The load is overdue: a quarter of its time so far is still expected.
+		expect(scheduler.schedule(1900)).toEqual([])
+		expect(scheduler.schedule(2200)).toMatchObject([
+			{kind: GrantActionKind.Refuse, reason: RefusalReason.Deadline}
+		])
+	})
+
 	it("forgets the grants of an engine that started anew", () => {
 		const scheduler = createScheduler(["a1"])
 		scheduler.ask(createRequest("r1", 0), 0)
-		expect(scheduler.getView().running).toBe(1)
+		expect(scheduler.getView(0).running).toBe(1)
 		expect(scheduler.applyReport(createReport([], {bornAt: 2}), 10)).toBe(true)
-		expect(scheduler.getView().running).toBe(0)
+		expect(scheduler.getView(0).running).toBe(0)
 	})
 
 	it("keeps what a lost gateway was granted until a report shows its end", () => {
--- a/src/policy/grants/__tests__/requests.ts
+++ b/src/policy/grants/__tests__/requests.ts
@@ -5,7 +5,7 @@
 	adapterSlots: 2,
 	memoryTokens: 100_000,
 	weightsMb: 66_000,
-	models: [{name: "base", weightsMb: 65_000, adapterMb: 12}]
+	models: [{name: "base", weightsMb: 65_000, adapterMb: 12, loadMs: 2000}]
 }
 
 /** A request that asks at `now`, by default for a prompt of 2,000 tokens. */
--- a/src/policy/grants/adapterSlots.ts
+++ b/src/policy/grants/adapterSlots.ts
@@ -9,6 +9,7 @@
  * evict is not used meanwhile.
  */
 import {Popularity} from "../popularity.js"
+import {BaseModels} from "./baseModels.js"
 import {
 	type AdapterDemand,
 	type NewestVersion,
@@ -30,6 +31,8 @@
 const initialRecentLoadMs = 30
 /** Time an adapter takes from the weight store, until learned. */
 const initialStoreLoadMs = 260
+/** Time that a base model takes which the configuration does not name. */
+const defaultBaseLoadMs = 1000
 /** Adapters assumed to be kept at hand by the engine besides those in its slots. */
 const recentCapacity = 30
 /** Popularity forgets a shift of demand within a few seconds. */
@@ -42,7 +45,7 @@
 	private orderInFlight: EngineOrder | undefined
 	/** An order without an answer, until the sequence has moved past it. */
 	private unsettled: EngineOrder | undefined
-	private readonly models = new Set<string>()
+	readonly models = new BaseModels()
 	private readonly slots = new Map<string, AdapterSlot>()
 	private readonly pins = new Map<string, number>()
 	private readonly recent = new RecentSet(recentCapacity)
@@ -57,14 +60,6 @@
 		return this.sequence >= 0
 	}
 
-	hasModel(model: string): boolean {
-		return this.models.has(model)
-	}
-
-	hasAnyModel(): boolean {
-		return this.models.size > 0
-	}
-
 	/** Takes in a fresh report, which replaces what was believed. */
 	apply(report: EngineReport, now: number): void {
 		this.sequence = report.sequence
@@ -72,10 +67,9 @@
 			this.unsettled = undefined
 		}
 		this.isBusy = report.isBusy
-		this.models.clear()
+		this.models.apply(report.models.map(({name}) => name))
 		const held = new Map<string, {version: number; isReady: boolean}>()
 		for (const {name, adapters} of report.models) {
-			this.models.add(name)
 			for (const {adapter, version} of adapters) {
 				held.set(slotKey(name, adapter), {version, isReady: true})
 			}
@@ -94,7 +88,7 @@
 	/** Forgets all: the engine started anew. */
 	reset(): void {
 		this.sequence = -1
-		this.models.clear()
+		this.models.reset()
 		this.slots.clear()
 		this.pins.clear()
 		this.recent.clear()
@@ -122,7 +116,7 @@
 		adapter: string,
 		now: number
 	): number | undefined {
-		if (!this.models.has(model)) return undefined
+		if (!this.models.names.has(model)) return undefined
 		if (adapter === "") return 0
 		const key = slotKey(model, adapter)
 		const slot = this.slots.get(key)
@@ -136,6 +130,12 @@
 		return slot.version
 	}
 
+	/** Time that the configuration states for a load of the base model. */
+	getBaseLoadMs(model: string): number {
+		const spec = this.limits?.models.find(({name}) => name === model)
+		return spec?.loadMs ?? defaultBaseLoadMs
+	}
+
 	/** Expected time until the adapter can serve, with a free slot. */
 	getLoadMs(model: string, adapter: string, now: number): number {
 		if (this.getReadyVersion(model, adapter, now) !== undefined) return 0
@@ -213,7 +213,7 @@
 			{
 				sequence: this.sequence,
 				limits: this.limits,
-				models: this.models,
+				models: this.models.names,
 				slots: this.slots,
 				newest: this.newest,
 				isPinned: key => this.isPinned(key),
@@ -248,6 +248,7 @@
 		this.sequence += 1
 		if (order.adapter === "") {
 			this.isBusy = true
+			this.models.beginLoad(order.model, this.getBaseLoadMs(order.model), now)
 			return
 		}
 		const key = slotKey(order.model, order.adapter)
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -51,8 +51,6 @@
 const initialHoldMs = 800
 /** Weight of the newest sample of the time a slot is held. */
 const holdSampleWeight = 0.1
-/** Expected wait while the base model is loaded, until a report says more. */
-const baseLoadMs = 1000
 
 interface Waiting {
 	request: GrantRequest
@@ -172,13 +170,14 @@
 	schedule(now: number): GrantStep[] {
 		const steps: GrantStep[] = []
 		for (const {request} of this.rank(now)) {
-			const readMs = this.rate.getReadMs(this.getUnread(request))
-			if (!this.isUp || now + readMs > request.startBy) {
+			const baseMs = this.slots.models.getReadyMs(request.model, now) ?? 0
+			const neededMs = this.rate.getReadMs(this.getUnread(request)) + baseMs
+			if (!this.isUp || now + neededMs > request.startBy) {
 				this.waiting.delete(request.key)
 				const reason = this.isUp
 					? RefusalReason.Deadline
 					: RefusalReason.Unavailable
-				steps.push(this.refuse(request, reason, readMs, now))
+				steps.push(this.refuse(request, reason, neededMs, now))
 				continue
 			}
 			const step = this.tryGrant(request, now)
@@ -207,14 +206,16 @@
 		return this.waiting.size
 	}
 
-	getView(): SchedulerView {
+	getView(now: number): SchedulerView {
 		let queued = 0
 		for (const {request} of this.waiting.values()) {
 			queued += this.getUnread(request)
 		}
+		const baseMs = this.slots.models.getFirstReadyMs(now)
+		const readMs = this.rate.getReadMs(this.granted.unreadTokens + queued)
 		return {
-			isUsable: this.isUp && this.slots.hasAnyModel(),
-			waitMs: this.rate.getReadMs(this.granted.unreadTokens + queued),
+			isUsable: this.isUp && baseMs !== undefined,
+			waitMs: readMs + (baseMs ?? 0),
 			tokensPerSecond: this.rate.tokensPerMs * 1000,
 			freeSlots: this.slots.countOpen() - this.listWantedSlots().size,
 			slotStepMs: this.getSlotStepMs(),
@@ -232,7 +233,11 @@
 		}
 		const readMs = this.rate.getReadMs(ahead + this.getUnread(request))
 		const {model, adapter} = request
-		if (!this.slots.hasModel(model)) return readMs + baseLoadMs
+		const baseMs = this.slots.models.getReadyMs(model, now)
+		if (baseMs === undefined) {
+			return readMs + this.slots.getBaseLoadMs(model)
+		}
+		if (baseMs > 0) return readMs + baseMs
 		const loadMs = this.slots.getLoadMs(model, adapter, now)
 		return readMs + loadMs + this.getSlotWaitMs(model, adapter)
 	}
--- a/src/policy/grants/types.ts
+++ b/src/policy/grants/types.ts
@@ -121,5 +121,10 @@
 	adapterSlots: number
 	memoryTokens: number
 	weightsMb: number
-	models: readonly {name: string; weightsMb: number; adapterMb: number}[]
+	models: readonly {
+		name: string
+		weightsMb: number
+		adapterMb: number
+		loadMs: number
+	}[]
 }
