--- a/bench/soak/__tests__/soak.test.ts
+++ b/bench/soak/__tests__/soak.test.ts
@@ -9,7 +9,7 @@
 	{seed: 107, block: 81},
 	// An eviction without an answer was carried out after a new grant.
 	{seed: 300, block: 82},
-	// An adapter evicted in use; cause not traced yet, see KNOWN-RED.txt.
+	// An adapter was granted while its eviction was in flight.
 	{seed: 9100, block: 83}
 ]
 
