--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -22,6 +22,11 @@
 	0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2, 4, 8, 15
 ]
 
+/** Seconds; negative where the first event came sooner than expected. */
+const errorBuckets = [
+	-2, -1, -0.5, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.5, 1, 2
+]
+
 export class GatewayMetrics {
 	readonly registry = new Registry()
 	private readonly requests = new Counter({
@@ -37,6 +42,12 @@
 		buckets: latencyBuckets,
 		registers: [this.registry]
 	})
+	private readonly estimateError = new Histogram({
+		name: "goldcrestloom_estimate_error_seconds",
+		help: "Time to the first event less what it was expected to be",
+		buckets: errorBuckets,
+		registers: [this.registry]
+	})
 	private readonly sends = new Counter({
 		name: "goldcrestloom_sends_total",
 		help: "Requests sent to endpoints by how the call ended",
@@ -67,6 +78,10 @@
 		this.lost.inc({dependency})
 	}
 
+	observeEstimate(expectedMs: number, actualMs: number): void {
+		this.estimateError.observe((actualMs - expectedMs) / 1000)
+	}
+
 	observeFirstByte(kind: string, elapsedMs: number): void {
 		this.firstByte.observe({kind}, elapsedMs / 1000)
 	}
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -37,6 +37,9 @@
 	private waiting: {link: AgentLink; key: string} | undefined
 	private current: GenerationSend | undefined
 	private lastEventId: string | undefined
+	/** What the engine was chosen by, and what came of it. */
+	private estimate: {askedAt: number; ratedMs: number} | undefined
+	private startedMs: number | undefined
 	private readonly timer: NodeJS.Timeout
 
 	constructor(
@@ -142,6 +145,7 @@
 		const key = `${exchange.head.id}#${this.asks + this.sends}`
 		this.waiting = {link, key}
 		const now = ctx.now()
+		this.estimate = {askedAt: now, ratedMs: Math.round(rating.expectedMs)}
 		ctx.engines.addAsk(endpoint.id, this.query, now)
 		const ask = {
 			$typeName: "goldcrestloom.grants.v1.Ask" as const,
@@ -214,6 +218,7 @@
 			resumeAfter: this.lastEventId,
 			mayGiveUp: () => this.canResume(1),
 			onEvent: (answer, event) => {
+				if (!exchange.hasAnswer) this.observeStart()
 				exchange.beginStream(answer)
 				if (event.id !== "") this.lastEventId = event.id
 				exchange.writeEvent(event.bytes)
@@ -224,6 +229,14 @@
 		})
 	}
 
+	/** Holds the first event against the estimate that chose the engine. */
+	private observeStart(): void {
+		if (this.estimate === undefined) return
+		const {askedAt, ratedMs} = this.estimate
+		this.startedMs = Math.round(this.ctx.now() - askedAt)
+		this.ctx.metrics.observeEstimate(ratedMs, this.startedMs)
+	}
+
 	/** Whether the request may run once more beside `running` current runs. */
 	private canResume(running: number): boolean {
 		const {route} = this.request
@@ -270,7 +283,12 @@
 	/** Passes a whole answer on; false when another engine should try. */
 	private finish(send: GenerationSend, answer: AnswerHead): boolean {
 		const {exchange} = this.request
-		const inputs = {endpoint: send.target.endpoint.id, sends: this.sends}
+		const inputs = {
+			endpoint: send.target.endpoint.id,
+			sends: this.sends,
+			ratedMs: this.estimate?.ratedMs,
+			startedMs: this.startedMs
+		}
 		if (answer.status === httpOk) {
 			if (send.hasPartialEvent) return false
 			if (!exchange.hasAnswer) return false
