End the soak's stop fault with the process that was stopped

The fault awaited the exit of the process that runs when the fault ends; where another fault had started the process again, that one never exits.

Ruled out: a gateway that does not stop; all seven processes ran on, none was told to end.

--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -40,13 +40,17 @@
 	const start = (): void => {
 		if (!child.isRunning) child.start()
 	}
+	// Another fault may have started the process again before this one ends.
+	let stopped: Promise<unknown> = Promise.resolve()
 	return [
 		{name: `kill ${name}`, start: () => void child.kill(), end: start},
 		{
 			name: `stop ${name}`,
-			start: () => void child.terminate(),
+			start: () => {
+				stopped = child.terminate()
+			},
 			end: async () => {
-				await child.exited
+				await stopped
 				start()
 			}
 		},
