Tell gateways only of prompts that an engine can read as work ahead

Cause: agents told gateways the reading time of all waiting requests, those that wait for an adapter slot included. Requests for resident adapters overtake these.

Ruled out: the reading rate (a prompt's own time is right) and the gateways' own asks (0 in the median).

Tried and not kept: to admit by the same estimate, with reading and the wait for a slot side by side. The new test failed before the change.

--- a/src/policy/grants/__tests__/grantScheduler.test.ts
+++ b/src/policy/grants/__tests__/grantScheduler.test.ts
@@ -98,6 +98,20 @@
 		expect(scheduler.getView(0).freeSlots).toBeLessThan(0)
 	})
 
+	it("expects no wait behind requests that wait for a slot", () => {
+		const scheduler = createScheduler(["a1", "a2"])
+		scheduler.ask(createRequest("r1", 0), 0)
+		scheduler.ask(createRequest("r2", 0, {adapter: "a2"}), 0)
+		scheduler.start("r1", 100)
+		scheduler.start("r2", 200)
+		for (const n of [1, 2, 3]) {
+			const rare = createRequest(`x${n}`, 200, {adapter: `b${n}`})
+			scheduler.ask(rare, 200)
+		}
+		// Six prompts' worth of rare requests wait; the adapter a1 is idle.
+		expect(scheduler.getView(200).waitMs).toBe(0)
+	})
+
 	it("refuses a waiting request as soon as it can't be of use any more", () => {
 		const scheduler = createScheduler(["a1", "a2"])
 		scheduler.ask(createRequest("r1", 0), 0)
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -9,7 +9,8 @@
  *   then the earliest objective (a backlog: without this every answer is late).
  * - Adapter slots are held by running requests, often longer than a prompt is
  *   read (rare models asked for at once: engines idle behind full slots). The
- *   wait for a slot is part of the estimate.
+ *   wait for a slot is part of the estimate. Gateways are not told of those who
+ *   wait for one as work ahead: requests for resident adapters overtake them.
  * - What can't begin while it is of use is refused on arrival.
  */
 import {countTokens, GrantTable} from "./grantTable.js"
@@ -209,7 +210,7 @@
 	getView(now: number): SchedulerView {
 		let queued = 0
 		for (const {request} of this.waiting.values()) {
-			queued += this.getUnread(request)
+			if (this.isServable(request, now)) queued += this.getUnread(request)
 		}
 		const baseMs = this.slots.models.getFirstReadyMs(now)
 		const readMs = this.rate.getReadMs(this.granted.unreadTokens + queued)
@@ -242,6 +243,12 @@
 		return readMs + loadMs + this.getSlotWaitMs(model, adapter)
 	}
 
+	/** Whether the engine reads the prompt as soon as it gets to it. */
+	private isServable({model, adapter}: GrantRequest, now: number): boolean {
+		if (!this.slots.models.names.has(model)) return true
+		return this.slots.getReadyVersion(model, adapter, now) !== undefined
+	}
+
 	/** Expected wait for a slot, behind the adapters that want one already. */
 	private getSlotWaitMs(model: string, adapter: string): number {
 		const key = slotKey(model, adapter)
