--- a/src/agent/engineLoop.ts
+++ b/src/agent/engineLoop.ts
@@ -4,6 +4,7 @@
  */
 import {
 	type EngineOrder,
+	type EngineReport,
 	type GrantScheduler,
 	type GrantStep,
 	OrderKind,
@@ -43,6 +44,8 @@
 	private nextReportAt = 0
 	/** Time at which the last report that arrived was asked for. */
 	private reportedAt = Number.NEGATIVE_INFINITY
+	/** Names of the base models in the last report. */
+	private heldModels: string | undefined
 	private failures = 0
 	private isUp = false
 	private isStopped = false
@@ -134,6 +137,7 @@
 					sequence: report.sequence
 				})
 			}
+			this.logModels(report)
 			this.nextReportAt = this.getNextReportAt()
 			this.options.onSteps(this.options.scheduler.schedule(this.options.now()))
 		} catch (err) {
@@ -147,6 +151,15 @@
 		}
 	}
 
+	/** Tells that the engine holds other base models than before. */
+	private logModels({models}: EngineReport): void {
+		const names = models.map(({name}) => name).join(" ")
+		if (names === this.heldModels) return
+		this.heldModels = names
+		const {engine, log} = this.options
+		log.decide("models.held", {engine: engine.engineId, models: names})
+	}
+
 	private getNextReportAt(): number {
 		const now = this.options.now()
 		const {slots} = this.options.scheduler
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -5,19 +5,14 @@
  * - At most `readAheadMs` of prompt reading is given out, so that the order of
  *   work is decided here until shortly before a prompt is read (a lunch-hour
  *   crowd: many prompts at once).
- * - Requests that can still be on time come before those that are late already,
- *   then the earliest objective (a backlog: without this every answer is late).
- * - Adapter slots are held by running requests, often longer than a prompt is
- *   read (rare models asked for at once: engines idle behind full slots). The
- *   wait for a slot is part of the estimate. Gateways are not told of those who
- *   wait for one as work ahead: requests for resident adapters overtake them.
  * - What can't begin while it is of use is refused on arrival.
  */
 import {countTokens, GrantTable} from "./grantTable.js"
-import {type AdapterDemand, slotKey} from "./orderPlan.js"
+import type {AdapterDemand} from "./orderPlan.js"
 import {AdapterSlots} from "./adapterSlots.js"
 import {PromptCache} from "./promptCache.js"
 import {ReadingRate} from "./readingRate.js"
+import {StartEstimate} from "./startEstimate.js"
 import {
 	type EngineLimits,
 	type EngineOrder,
@@ -28,6 +23,7 @@
 	type OrderOutcome,
 	RefusalReason
 } from "./types.js"
+import {WaitingRequests} from "./waitingRequests.js"
 
 export interface GrantSchedulerOptions {
 	/** Reading time given out ahead, milliseconds. */
@@ -39,8 +35,6 @@
 /** More than one prompt, so that the engine does not idle between grants; more
  * would hold adapter slots for prompts that are not being read yet. */
 const defaultReadAheadMs = 150
-/** Lead of each step of priority in the order of objectives. */
-const priorityLeadMs = 300
 /** Seats left for requests that bypass grants, as in a loss of the agent. */
 const reservedSeats = 2
 /** Share of the engine's memory given out; the rest absorbs estimates. */
@@ -48,14 +42,6 @@
 /** Share of the memory that keeps prompt parts of ended requests. */
 const cacheShare = 0.6
 const minRetryAfterMs = 150
-/** Time a request holds its slot, until learned. */
-const initialHoldMs = 800
-/** Weight of the newest sample of the time a slot is held. */
-const holdSampleWeight = 0.1
-
-interface Waiting {
-	request: GrantRequest
-}
 
 export interface SchedulerView {
 	isUsable: boolean
@@ -72,10 +58,18 @@
 	readonly slots = new AdapterSlots()
 	private readonly rate = new ReadingRate()
 	private readonly cache = new PromptCache(0)
-	private readonly waiting = new Map<string, Waiting>()
+	private readonly waiting = new WaitingRequests(request =>
+		this.rate.getReadMs(this.getUnread(request))
+	)
 	private readonly granted = new GrantTable()
+	private readonly estimate = new StartEstimate({
+		slots: this.slots,
+		rate: this.rate,
+		granted: this.granted,
+		waiting: this.waiting,
+		getUnread: request => this.getUnread(request)
+	})
 	private readonly readAheadMs: number
-	private holdMs = initialHoldMs
 	private readonly random: () => number
 	private bornAt = 0
 	/** False once the engine doesn't answer its agent. */
@@ -120,12 +114,12 @@
 		if (!this.isUp) {
 			return [this.refuse(request, RefusalReason.Unavailable, 0, now)]
 		}
-		const expectedMs = this.estimate(request, now)
+		const expectedMs = this.estimate.getStartMs(request, now)
 		if (now + expectedMs > request.startBy) {
 			const reason = RefusalReason.Overloaded
 			return [this.refuse(request, reason, expectedMs, now)]
 		}
-		this.waiting.set(request.key, {request})
+		this.waiting.add(request)
 		return this.schedule(now)
 	}
 
@@ -144,8 +138,7 @@
 		this.waiting.delete(key)
 		const granted = this.granted.get(key)
 		if (granted?.isStarted === true) {
-			const heldMs = now - granted.grantedAt
-			this.holdMs += holdSampleWeight * (heldMs - this.holdMs)
+			this.estimate.addHold(now - granted.grantedAt)
 		}
 		this.release(key, now)
 		return this.schedule(now)
@@ -157,9 +150,7 @@
 	 * report shows otherwise (gateways that freeze or are cut off under load).
 	 */
 	dropOwner(owner: string, now: number): GrantStep[] {
-		for (const [key, {request}] of this.waiting) {
-			if (request.owner === owner) this.waiting.delete(key)
-		}
+		this.waiting.deleteOf(owner)
 		for (const key of this.granted.listOf(owner)) {
 			if (this.granted.start(key) !== undefined) this.rate.dropGrant(now)
 			this.granted.orphan(key, now)
@@ -170,7 +161,7 @@
 	/** Grants what can go now, and refuses what can't be served any more. */
 	schedule(now: number): GrantStep[] {
 		const steps: GrantStep[] = []
-		for (const {request} of this.rank(now)) {
+		for (const request of this.waiting.rank(now)) {
 			const baseMs = this.slots.models.getReadyMs(request.model, now) ?? 0
 			const neededMs = this.rate.getReadMs(this.getUnread(request)) + baseMs
 			if (!this.isUp || now + neededMs > request.startBy) {
@@ -189,7 +180,7 @@
 
 	/** The next order for the engine, if one is needed and possible. */
 	planOrder(now: number): EngineOrder | undefined {
-		const demands: AdapterDemand[] = this.rank(now).map(({request}) => request)
+		const demands: AdapterDemand[] = this.waiting.rank(now)
 		return this.slots.planOrder(demands, now, this.unknownRuns === 0)
 	}
 
@@ -208,89 +199,18 @@
 	}
 
 	getView(now: number): SchedulerView {
-		let queued = 0
-		for (const {request} of this.waiting.values()) {
-			if (this.isServable(request, now)) queued += this.getUnread(request)
-		}
-		const baseMs = this.slots.models.getFirstReadyMs(now)
-		const readMs = this.rate.getReadMs(this.granted.unreadTokens + queued)
+		const {slots, estimate} = this
+		const readyMs = slots.models.getFirstReadyMs(now)
 		return {
-			isUsable: this.isUp && baseMs !== undefined,
-			waitMs: readMs + (baseMs ?? 0),
+			isUsable: this.isUp && readyMs !== undefined,
+			waitMs: estimate.getWaitMs(now),
 			tokensPerSecond: this.rate.tokensPerMs * 1000,
-			freeSlots: this.slots.countOpen() - this.listWantedSlots().size,
-			slotStepMs: this.getSlotStepMs(),
+			freeSlots: estimate.countFreeSlots(),
+			slotStepMs: estimate.getSlotStepMs(),
 			running: this.granted.size
 		}
 	}
 
-	/** Expected time to the first event of a request that asks now. */
-	private estimate(request: GrantRequest, now: number): number {
-		let ahead = this.granted.unreadTokens
-		const rank = this.getRank(request, now)
-		for (const waiting of this.waiting.values()) {
-			if (this.getRank(waiting.request, now) > rank) continue
-			ahead += this.getUnread(waiting.request)
-		}
-		const readMs = this.rate.getReadMs(ahead + this.getUnread(request))
-		const {model, adapter} = request
-		const baseMs = this.slots.models.getReadyMs(model, now)
-		if (baseMs === undefined) {
-			return readMs + this.slots.getBaseLoadMs(model)
-		}
-		if (baseMs > 0) return readMs + baseMs
-		const loadMs = this.slots.getLoadMs(model, adapter, now)
-		return readMs + loadMs + this.getSlotWaitMs(model, adapter)
-	}
-
-	/** Whether the engine reads the prompt as soon as it gets to it. */
-	private isServable({model, adapter}: GrantRequest, now: number): boolean {
-		if (!this.slots.models.names.has(model)) return true
-		return this.slots.getReadyVersion(model, adapter, now) !== undefined
-	}
-
-	/** Expected wait for a slot, behind the adapters that want one already. */
-	private getSlotWaitMs(model: string, adapter: string): number {
-		const key = slotKey(model, adapter)
-		if (adapter === "" || this.slots.hasSlot(key)) return 0
-		const wanted = this.listWantedSlots()
-		wanted.delete(key)
-		const missing = wanted.size + 1 - this.slots.countOpen()
-		return Math.max(0, missing) * this.getSlotStepMs()
-	}
-
-	/** Adapters of waiting requests that have no slot. */
-	private listWantedSlots(): Set<string> {
-		const wanted = new Set<string>()
-		for (const {request} of this.waiting.values()) {
-			const key = slotKey(request.model, request.adapter)
-			if (request.adapter !== "" && !this.slots.hasSlot(key)) wanted.add(key)
-		}
-		return wanted
-	}
-
-	private getSlotStepMs(): number {
-		const capacity = this.slots.limits?.adapterSlots ?? 1
-		return this.holdMs / Math.max(1, capacity)
-	}
-
-	private rank(now: number): Waiting[] {
-		const ranked = [...this.waiting.values()].map(waiting => ({
-			waiting,
-			rank: this.getRank(waiting.request, now)
-		}))
-		ranked.sort((a, b) => a.rank - b.rank)
-		return ranked.map(({waiting}) => waiting)
-	}
-
-	private getRank(request: GrantRequest, now: number): number {
-		const readMs = this.rate.getReadMs(this.getUnread(request))
-		const isLate = now + readMs > request.objectiveAt
-		const rank = request.objectiveAt + request.priority * priorityLeadMs
-		// Behind every request that can be on time.
-		return isLate ? rank + lateRank : rank
-	}
-
 	private tryGrant(request: GrantRequest, now: number): GrantStep | undefined {
 		const {model, adapter} = request
 		const version = this.slots.getReadyVersion(model, adapter, now)
@@ -367,5 +287,3 @@
 		this.granted.clear()
 	}
 }
-
-const lateRank = 1e9
