--- a/src/gateway/__tests__/agentLink.test.ts
+++ b/src/gateway/__tests__/agentLink.test.ts
@@ -112,6 +112,15 @@
 		expect(downs).toEqual(["this process was paused"])
 	})
 
+	it("gives up on an agent that falls silent on an open connection", async () => {
+		let time = 0
+		const {link, downs} = await connect(() => time)
+		const answer = ask(link, "r1")
+		for (time = 500; time <= 2500; time += 500) link.tick()
+		expect(await answer).toBe("lost")
+		expect(downs).toEqual(["silent"])
+	})
+
 	it("asks nothing on a link that it did not keep alive", async () => {
 		let time = 0
 		const {link} = await connect(() => time)
