Name adapter slots by one function wherever they are compared

A gateway compares its key with those that an agent sends, so they must be one.

slotKey moves from the policy to the contract and replaces the copies. Not adapterKey of the configuration: its text is base:name, of the project's own interface. Ruled out: a change of behaviour; the keys are the same text.

--- a/src/contract/fleet.ts
+++ b/src/contract/fleet.ts
@@ -45,6 +45,11 @@
 	loadMs: number
 }
 
+/** Names an adapter of a base model wherever gateways and agents compare them. */
+export function slotKey(model: string, adapter: string): string {
+	return `${model}/${adapter}`
+}
+
 export interface EngineSpec {
 	seats: number
 	adapterSlots: number
--- a/src/gateway/fleetState.ts
+++ b/src/gateway/fleetState.ts
@@ -4,6 +4,7 @@
  * older configuration or version is ignored, whatever the source.
  */
 import {
+	slotKey,
 	type AnnouncedVersion,
 	type EndpointPool,
 	EndpointState,
@@ -157,7 +158,7 @@
 	}
 
 	applyVersion(version: AnnouncedVersion): void {
-		const key = `${version.model}/${version.adapter}`
+		const key = slotKey(version.model, version.adapter)
 		const known = this.versions.get(key)
 		if (known !== undefined && known.version >= version.version) return
 		this.versions.set(key, version)
@@ -167,7 +168,7 @@
 
 	/** Lowest version that may serve; 0 when none was announced. */
 	getVersion(model: string, adapter: string): number {
-		return this.versions.get(`${model}/${adapter}`)?.version ?? 0
+		return this.versions.get(slotKey(model, adapter))?.version ?? 0
 	}
 
 	/** Revision at which a registration was removed; 0 if it never was. */
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -4,7 +4,7 @@
  * permits it, a stream that breaks goes on at another engine after the last
  * whole event.
  */
-import type {FleetEndpoint} from "../contract/fleet.js"
+import {slotKey, type FleetEndpoint} from "../contract/fleet.js"
 import {RefuseReason} from "../contract/gen/grants_pb.js"
 import type {EngineQuery, EngineRating} from "../policy/dispatch/index.js"
 import type {AgentLink, GrantRefused} from "./agentLink.js"
@@ -116,7 +116,7 @@
 	private get query(): EngineQuery {
 		const {model, adapter, promptTokens} = this.generation
 		return {
-			slotKey: `${model}/${adapter}`,
+			slotKey: slotKey(model, adapter),
 			hasAdapter: adapter !== "",
 			promptTokens
 		}
--- a/src/policy/grants/adapterSlots.ts
+++ b/src/policy/grants/adapterSlots.ts
@@ -8,13 +8,13 @@
  * first makes the other one invalid. An adapter that such an order may still
  * evict is not used meanwhile.
  */
+import {slotKey} from "../../contract/fleet.js"
 import {Popularity} from "../popularity.js"
 import {BaseModels} from "./baseModels.js"
 import {
 	type AdapterDemand,
 	type NewestVersion,
 	type AdapterSlot,
-	slotKey,
 	planOrder,
 	versionGraceMs
 } from "./orderPlan.js"
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -7,6 +7,7 @@
  *   crowd: many prompts at once).
  * - What can't begin while it is of use is refused on arrival.
  */
+import {slotKey} from "../../contract/fleet.js"
 import {countTokens, GrantTable} from "./grantTable.js"
 import type {AdapterDemand} from "./orderPlan.js"
 import {AdapterSlots} from "./adapterSlots.js"
@@ -129,7 +130,7 @@
 		if (granted === undefined) return []
 		this.rate.addStart(granted.unread, now)
 		const {model, adapter, parts} = granted.request
-		this.cache.add(`${model}/${adapter}`, parts)
+		this.cache.add(slotKey(model, adapter), parts)
 		return this.schedule(now)
 	}
 
@@ -277,7 +278,7 @@
 	private getUnread(request: GrantRequest): number {
 		const {model, adapter, parts, promptTokens} = request
 		if (parts.length === 0) return promptTokens
-		return this.cache.getUnread(`${model}/${adapter}`, parts)
+		return this.cache.getUnread(slotKey(model, adapter), parts)
 	}
 
 	private forgetEngine(): void {
--- a/src/policy/grants/orderPlan.ts
+++ b/src/policy/grants/orderPlan.ts
@@ -2,6 +2,7 @@
  * Plans the next order for an engine from what is believed of it: the base model
  * first, then versions that are due, then adapters that requests wait for.
  */
+import {slotKey} from "../../contract/fleet.js"
 import {type EngineLimits, type EngineOrder, OrderKind} from "./types.js"
 
 /** Limit of the platform's engines on adapters in transit. */
@@ -62,10 +63,6 @@
 	return order ?? planAdapterLoad(view, demands, mayEvict)
 }
 
-export function slotKey(model: string, adapter: string): string {
-	return `${model}/${adapter}`
-}
-
 function planBaseLoad(
 	{limits, models, sequence}: PlanView,
 	demands: readonly AdapterDemand[]
--- a/src/policy/grants/startEstimate.ts
+++ b/src/policy/grants/startEstimate.ts
@@ -7,9 +7,9 @@
  *   wait for a slot is part of the estimate. Gateways are not told of those who
  *   wait for one as work ahead: requests for resident adapters overtake them.
  */
+import {slotKey} from "../../contract/fleet.js"
 import type {AdapterSlots} from "./adapterSlots.js"
 import type {GrantTable} from "./grantTable.js"
-import {slotKey} from "./orderPlan.js"
 import type {ReadingRate} from "./readingRate.js"
 import type {GrantRequest} from "./types.js"
 import type {WaitingRequests} from "./waitingRequests.js"
