Give the two request tasks one base for deadline and counts

Cause: GenerationTask and ServiceTask each held the deadline's timer, the counts of sends and runs, what a caller's leaving does and how a task stops; whether an answer is the endpoint's own failure was written three times.

RequestTask holds what is the same; isServerFailure of the wire replaces the three checks. Ruled out: a change of behaviour; order of timer, repeats and abort is kept.

--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -2,7 +2,12 @@
 import type {IncomingMessage, ServerResponse} from "node:http"
 import type {DecisionLog} from "../program/decisionLog.js"
 import {type GatewayMetrics, Outcome} from "./gatewayMetrics.js"
-import type {AnswerHead, RequestHead, Wire} from "./wire.js"
+import {
+	type AnswerHead,
+	isServerFailure,
+	type RequestHead,
+	type Wire
+} from "./wire.js"
 
 export interface CallerExchangeOptions {
 	req: IncomingMessage
@@ -53,8 +58,7 @@
 		if (this.isDone) return
 		this.writeHead(answer, body.length)
 		this.options.res.end(body)
-		const isFailure = answer.status >= 500
-		this.finish(isFailure ? Outcome.Failed : Outcome.Answered, {
+		this.finish(isServerFailure(answer) ? Outcome.Failed : Outcome.Answered, {
 			status: answer.status,
 			...inputs
 		})
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -11,7 +11,8 @@
 import {CallEnd} from "./endpointCall.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
 import {GenerationSend, type SendTarget} from "./generationSend.js"
-import type {AnswerHead, GenerationHead} from "./wire.js"
+import {RequestTask} from "./requestTask.js"
+import {type AnswerHead, type GenerationHead, isServerFailure} from "./wire.js"
 
 /** Engines asked for a grant in turn before the caller is refused. */
 const maxAsks = 2
@@ -24,46 +25,34 @@
 const maxStartShare = 0.6
 const minRetryAfterMs = 150
 const httpOk = 200
-const firstServerFailure = 500
 
-export class GenerationTask {
+export class GenerationTask extends RequestTask {
 	private readonly refusedBy = new Set<string>()
 	private readonly failedAt = new Set<string>()
 	private asks = 0
-	private sends = 0
-	private runs = 0
-	private mayHaveRun = false
-	private isOver = false
 	private waiting: {link: AgentLink; key: string} | undefined
 	private current: GenerationSend | undefined
 	private lastEventId: string | undefined
 	/** What the engine was chosen by, and what came of it. */
 	private estimate: {askedAt: number; ratedMs: number} | undefined
 	private startedMs: number | undefined
-	private readonly timer: NodeJS.Timeout
 
 	constructor(
-		private readonly ctx: GatewayContext,
-		private readonly request: RoutedRequest,
+		ctx: GatewayContext,
+		request: RoutedRequest,
 		private readonly generation: GenerationHead
 	) {
-		const leftMs = request.deadline - ctx.now()
-		this.timer = setTimeout(
-			() => {
-				this.timeOut()
-			},
-			Math.max(1, leftMs)
-		)
-		request.exchange.onLeave = () => {
-			this.stop()
-		}
+		super(ctx, request)
 	}
 
-	start(): void {
-		this.ctx.repeats.addRequest(this.request.pool)
+	protected override begin(): void {
 		this.askNext()
 	}
 
+	protected override leave(): void {
+		this.stop()
+	}
+
 	/** Asks the best engine that has not refused yet. */
 	private askNext(refusal?: GrantRefused): void {
 		if (this.isOver) return
@@ -296,7 +285,7 @@
 			exchange.endStream(inputs)
 			return true
 		}
-		const isFailure = answer.status >= firstServerFailure
+		const isFailure = isServerFailure(answer)
 		if (exchange.hasAnswer || (isFailure && this.canResume(1))) return false
 		this.clear()
 		exchange.deliver(answer, send.body, inputs)
@@ -354,21 +343,16 @@
 		else exchange.refuse(detail, minRetryAfterMs, inputs)
 	}
 
-	private timeOut(): void {
+	protected override timeOut(): void {
 		if (this.current?.wasSent === true) this.mayHaveRun = true
 		this.stop()
 		this.fail("deadline", true)
 	}
 
-	private stop(): void {
-		this.clear()
-		this.isOver = true
+	protected override stop(): void {
+		super.stop()
 		this.waiting?.link.end(this.waiting.key)
 		this.waiting = undefined
 		this.current?.abort()
 	}
-
-	private clear(): void {
-		clearTimeout(this.timer)
-	}
 }
--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -1,10 +1,9 @@
 /** Forwards one request to a plain service, and repeats it where that is safe. */
 import {type FleetEndpoint, RouteKind} from "../contract/fleet.js"
 import {CallEnd, EndpointCall} from "./endpointCall.js"
-import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
-import type {AnswerHead} from "./wire.js"
+import {RequestTask} from "./requestTask.js"
+import {type AnswerHead, isServerFailure} from "./wire.js"
 
-const firstServerFailure = 500
 /** Endpoints that shed are asked in turn at most this often for one request. */
 const maxSends = 3
 const minRetryAfterMs = 100
@@ -12,38 +11,20 @@
  * the objective has passed without an answer. */
 const hedgeObjectives = 2
 
-export class ServiceTask {
+export class ServiceTask extends RequestTask {
 	private readonly tried = new Set<string>()
-	private sends = 0
-	private runs = 0
-	private mayHaveRun = false
-	private isOver = false
 	private call: EndpointCall | undefined
-	private readonly timer: NodeJS.Timeout
 	private stallTimer: NodeJS.Timeout | undefined
 	/** A failure that an endpoint answered, kept while another one is tried. */
 	private failure: {answer: AnswerHead; body: Buffer} | undefined
 
-	constructor(
-		private readonly ctx: GatewayContext,
-		private readonly request: RoutedRequest
-	) {
-		const leftMs = request.deadline - ctx.now()
-		this.timer = setTimeout(
-			() => {
-				this.timeOut()
-			},
-			Math.max(1, leftMs)
-		)
-		request.exchange.onLeave = () => {
-			// A call with effects that has begun is better finished than cut.
-			if (request.route.kind === RouteKind.Safe) this.stop()
-		}
+	protected override begin(): void {
+		this.sendNext("no endpoint")
 	}
 
-	start(): void {
-		this.ctx.repeats.addRequest(this.request.pool)
-		this.sendNext("no endpoint")
+	protected override leave(): void {
+		// A call with effects that has begun is better finished than cut.
+		if (this.request.route.kind === RouteKind.Safe) this.stop()
 	}
 
 	private sendNext(reason: string): void {
@@ -139,7 +120,7 @@
 		if (end === CallEnd.Aborted && !this.request.exchange.isOpen) {
 			services.release(id)
 		} else if (end === CallEnd.Complete) {
-			const isFailure = (answer?.status ?? 0) >= firstServerFailure
+			const isFailure = answer !== undefined && isServerFailure(answer)
 			if (isFailure) services.fail(id, at, failedAnswerWeight)
 			else services.succeed(id, at - sentAt, at)
 		} else services.fail(id, at)
@@ -165,7 +146,7 @@
 		const isRepeatable =
 			route.kind === RouteKind.Safe && this.runs < route.maxAttempts
 		if (end === CallEnd.Complete && answer !== undefined) {
-			const isFailure = answer.status >= firstServerFailure
+			const isFailure = isServerFailure(answer)
 			if (!isFailure || !isRepeatable) {
 				this.clear()
 				exchange.deliver(answer, body, {endpoint: id, sends: this.sends})
@@ -198,7 +179,7 @@
 		}
 	}
 
-	private timeOut(): void {
+	protected override timeOut(): void {
 		const {exchange} = this.request
 		const wasSent = this.mayHaveRun || (this.call?.wasSent ?? false)
 		this.stop()
@@ -209,14 +190,13 @@
 		else exchange.refuse("deadline", minRetryAfterMs, inputs)
 	}
 
-	private stop(): void {
-		this.clear()
-		this.isOver = true
+	protected override stop(): void {
+		super.stop()
 		this.call?.abort()
 	}
 
-	private clear(): void {
-		clearTimeout(this.timer)
+	protected override clear(): void {
+		super.clear()
 		clearTimeout(this.stallTimer)
 	}
 }
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -60,6 +60,13 @@
 	headers: readonly string[]
 }
 
+const firstServerFailure = 500
+
+/** Whether the endpoint itself failed, as opposed to the request. */
+export function isServerFailure({status}: AnswerHead): boolean {
+	return status >= firstServerFailure
+}
+
 export interface EndpointLoad {
 	running: number
 	waiting: number
