Drop options and a field that nothing uses

EndpointTrust had three options that no caller sets; they are constants now. Answers bore whether the endpoint closes its connections, which nothing reads since each request has a connection of its own. The script of estimates picks percentiles in one place.

Types, lint and the tests of dispatch and gateway pass unchanged.

--- a/scripts/estimateError.mjs
+++ b/scripts/estimateError.mjs
@@ -24,15 +24,15 @@
 	errors.push(startedMs - ratedMs)
 }
 
-errors.sort((a, b) => a - b)
-const shown = percentiles.map(share => {
-	const value = errors[Math.floor(share * (errors.length - 1))]
-	return `p${share * 100} ${value ?? "none"} ms`
-})
-const absolute = errors.map(Math.abs).sort((a, b) => a - b)
-const middle = absolute[Math.floor(0.5 * (absolute.length - 1))]
-const high = absolute[Math.floor(0.95 * (absolute.length - 1))]
+const byError = errors.toSorted((a, b) => a - b)
+const bySize = errors.map(Math.abs).sort((a, b) => a - b)
+const [low, middle, high] = percentiles.map(share => pick(byError, share))
 console.log(
-	`${errors.length} first events; later than expected by ${shown.join(", ")}`
+	`${errors.length} first events; later than expected by p5 ${low}, p50 ${middle}, p95 ${high} ms`
 )
-console.log(`off by p50 ${middle ?? "none"} ms, p95 ${high ?? "none"} ms`)
+console.log(`off by p50 ${pick(bySize, 0.5)} ms, p95 ${pick(bySize, 0.95)} ms`)
+
+/** Value below which a share of the sorted values lies. */
+function pick(sorted, share) {
+	return sorted[Math.floor(share * (sorted.length - 1))] ?? "none"
+}
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -53,8 +53,6 @@
 	isNotRun: boolean
 	/** Whether another endpoint has the address. */
 	isMisdirected: boolean
-	/** Whether the endpoint closes its connections, as when it leaves. */
-	isClosing: boolean
 	load: EndpointLoad | undefined
 	/** Header names and values in turn, without those of one connection. */
 	headers: readonly string[]
--- a/src/policy/dispatch/endpointTrust.ts
+++ b/src/policy/dispatch/endpointTrust.ts
@@ -5,28 +5,17 @@
  * it back step by step; no endpoint is ever excluded for good.
  */
 
-export interface EndpointTrustOptions {
-	/** Wait that one failure is worth, milliseconds. */
-	failureMs?: number
-	halfLifeMs?: number
-	maxPenaltyMs?: number
-}
-
-/** More than the spread of waits between sound endpoints. */
-const defaultFailureMs = 400
+/** Wait that one failure is worth: more than waits at sound endpoints differ. */
+const failureMs = 400
 /** A few seconds: the time for which one failure predicts the next. */
-const defaultHalfLifeMs = 2000
-const defaultMaxPenaltyMs = 4000
+const halfLifeMs = 2000
+const maxPenaltyMs = 4000
 
 export class EndpointTrust {
 	private penaltyMs = 0
 	private at = 0
 
-	constructor(private readonly options: EndpointTrustOptions = {}) {}
-
 	addFailure(now: number, weight = 1): void {
-		const {failureMs = defaultFailureMs, maxPenaltyMs = defaultMaxPenaltyMs} =
-			this.options
 		const penaltyMs = this.getPenaltyMs(now) + failureMs * weight
 		this.penaltyMs = Math.min(maxPenaltyMs, penaltyMs)
 		this.at = now
@@ -39,7 +28,6 @@
 	}
 
 	getPenaltyMs(now: number): number {
-		const {halfLifeMs = defaultHalfLifeMs} = this.options
 		const ageMs = Math.max(0, now - this.at)
 		return this.penaltyMs * 2 ** (-ageMs / halfLifeMs)
 	}
