Order what the store says by era and revision

Cause: the store may return from a copy that is some seconds old. Its revisions then go back and are given out again, so that everything that compared revisions alone was wrong: endpoint updates, removals, watches, fences, and updates between gateways.

Configurations and adapter versions rise by their own version numbers as before. Updates between gateways carry the era; one of an earlier era counts as stale.

Also mended: a gateway ignored endpoint changes that a source published while its view was stale, and the source never sent them again (test: "gets a change that a source published while its view was stale"). A source now sends everything, removals included, when its view becomes fresh.

--- a/src/contract/fleet.ts
+++ b/src/contract/fleet.ts
@@ -102,7 +102,8 @@
 	state: EndpointState
 	/** Start time, Unix milliseconds; 0 when the registration has none. */
 	bornAt: number
-	/** Store revision of the registration; updates with a lower one are stale. */
+	/** Store era and revision of the registration; earlier ones are stale. */
+	era: number
 	revision: number
 	/** Adapters resident at the time of the registration, as `model/adapter`. */
 	residents: readonly string[]
--- a/src/gateway/__tests__/fleetState.test.ts
+++ b/src/gateway/__tests__/fleetState.test.ts
@@ -6,6 +6,7 @@
 	type FleetConfig,
 	type FleetEndpoint
 } from "../../contract/fleet.js"
+import {withholdMs} from "../../policy/registrations/index.js"
 import {DecisionLog} from "../../program/decisionLog.js"
 import {FleetFollower} from "../fleetFollower.js"
 import {FleetPublisher} from "../fleetPublisher.js"
@@ -36,7 +37,8 @@
 function createEndpoint(
 	id: string,
 	revision: number,
-	state = EndpointState.Ready
+	state = EndpointState.Ready,
+	era = 1
 ): FleetEndpoint {
 	return {
 		id,
@@ -46,6 +48,7 @@
 		seats: 6,
 		state,
 		bornAt: 1,
+		era,
 		revision,
 		residents: []
 	}
@@ -68,14 +71,62 @@
 
 	it("ignores older revisions of an endpoint, also after its removal", () => {
 		const fleet = new FleetState(createLog())
-		fleet.applyEndpoint(createEndpoint("i-1", 4, EndpointState.Draining))
-		fleet.applyEndpoint(createEndpoint("i-1", 3))
+		fleet.applyEndpoint(createEndpoint("i-1", 4, EndpointState.Draining), 0)
+		fleet.applyEndpoint(createEndpoint("i-1", 3), 0)
 		expect(fleet.listReady("desk")).toEqual([])
-		fleet.applyRemoval("i-1", 6, false, 0)
-		fleet.applyEndpoint(createEndpoint("i-1", 5))
+		fleet.applyRemoval("i-1", {era: 1, revision: 6}, false, 0)
+		fleet.applyEndpoint(createEndpoint("i-1", 5), 0)
 		expect(fleet.listEndpoints()).toEqual([])
-		fleet.applyEndpoint(createEndpoint("i-1", 7))
-		fleet.applyRemoval("i-1", 6, false, 0)
+		fleet.applyEndpoint(createEndpoint("i-1", 7), 0)
+		fleet.applyRemoval("i-1", {era: 1, revision: 6}, false, 0)
+		expect(fleet.listReady("desk")).toHaveLength(1)
+	})
+
+	it("drops a list of an earlier store era", () => {
+		const fleet = new FleetState(createLog())
+		const ready = createEndpoint("i-1", 4, EndpointState.Ready, 2)
+		fleet.replaceEndpoints([ready], {era: 2, revision: 4}, false, 0)
+		fleet.replaceEndpoints([], {era: 1, revision: 90}, false, 0)
+		expect(fleet.listReady("desk")).toHaveLength(1)
+	})
+
+	it("uses a removed endpoint of a copy once it stays registered", () => {
+		const fleet = new FleetState(createLog())
+		fleet.applyEndpoint(createEndpoint("i-1", 4), 0)
+		fleet.applyRemoval("i-1", {era: 1, revision: 9}, false, 0)
+		const copied = createEndpoint("i-1", 4, EndpointState.Ready, 2)
+		fleet.replaceEndpoints([copied], {era: 2, revision: 5}, false, 1000)
+		fleet.settleRegistrations(1000 + withholdMs - 1)
+		expect(fleet.listReady("desk")).toEqual([])
+		fleet.settleRegistrations(1000 + withholdMs)
+		expect(fleet.listReady("desk")).toHaveLength(1)
+	})
+
+	it("uses a new incarnation of a removed endpoint at once", () => {
+		const fleet = new FleetState(createLog())
+		fleet.applyEndpoint(createEndpoint("i-1", 4), 0)
+		fleet.applyRemoval("i-1", {era: 1, revision: 9}, false, 0)
+		const reborn = createEndpoint("i-1", 4, EndpointState.Ready, 2)
+		fleet.applyEndpoint({...reborn, bornAt: 2}, 0)
+		expect(fleet.listReady("desk")).toHaveLength(1)
+	})
+
+	it("gives no requests to an endpoint that stated that it is leaving", () => {
+		const fleet = new FleetState(createLog())
+		fleet.applyEndpoint(createEndpoint("i-1", 4), 0)
+		fleet.markLeaving("i-1", 1, "answer")
+		fleet.applyEndpoint(createEndpoint("i-1", 5), 0)
+		const list = [createEndpoint("i-1", 6)]
+		fleet.replaceEndpoints(list, {era: 1, revision: 6}, false, 0)
+		expect(fleet.listReady("desk")).toEqual([])
+		fleet.applyEndpoint({...createEndpoint("i-1", 7), bornAt: 2}, 0)
+		expect(fleet.listReady("desk")).toHaveLength(1)
+	})
+
+	it("ignores the leaving of another incarnation", () => {
+		const fleet = new FleetState(createLog())
+		fleet.applyEndpoint(createEndpoint("i-1", 4), 0)
+		expect(fleet.markLeaving("i-1", 3, "answer")).toBe(false)
 		expect(fleet.listReady("desk")).toHaveLength(1)
 	})
 
@@ -147,7 +198,7 @@
 		const addresses = createAddresses()
 		const [first, second] = await Promise.all(addresses.map(startSource))
 		first?.fleet.applyConfig(createConfig(3), "store")
-		first?.fleet.applyEndpoint(createEndpoint("i-1", 2))
+		first?.fleet.applyEndpoint(createEndpoint("i-1", 2), 0)
 		const {fleet, follower} = follow(addresses)
 		await vi.waitFor(() => {
 			expect(fleet.config?.version).toBe(3)
@@ -156,7 +207,7 @@
 		})
 		second?.fleet.applyConfig(createConfig(4), "store")
 		const drained = createEndpoint("i-1", 5, EndpointState.Draining)
-		second?.fleet.applyEndpoint(drained)
+		second?.fleet.applyEndpoint(drained, 0)
 		second?.fleet.applyVersion({model: "m", adapter: "a", version: 2})
 		await vi.waitFor(() => {
 			expect(fleet.config?.version).toBe(4)
@@ -165,6 +216,52 @@
 		})
 	})
 
+	it("gets a change that a source published while its view was stale", async () => {
+		const addresses = createAddresses()
+		const [first, second] = await Promise.all(addresses.map(startSource))
+		if (first === undefined || second === undefined)
+			throw new Error("no source")
+		const sources = [first, second]
+		for (const source of sources)
+			source.fleet.applyEndpoint(createEndpoint("i-1", 2), 0)
+		const {fleet} = follow(addresses)
+		await vi.waitFor(() => {
+			expect(fleet.listReady("desk")).toHaveLength(1)
+		})
+		for (const source of sources) {
+			source.health.isFresh = false
+			source.fleet.applyRemoval("i-1", {era: 1, revision: 5}, false, 0)
+		}
+		await new Promise(resolve => setTimeout(resolve, 700))
+		for (const source of sources) source.health.isFresh = true
+		await vi.waitFor(
+			() => {
+				expect(fleet.listEndpoints()).toEqual([])
+			},
+			{timeout: 3000}
+		)
+	})
+
+	it("ignores a source that is in an earlier store era", async () => {
+		const addresses = createAddresses()
+		const [first, second] = await Promise.all(addresses.map(startSource))
+		first?.fleet.replaceEndpoints(
+			[createEndpoint("i-1", 2, EndpointState.Ready, 2)],
+			{era: 2, revision: 2},
+			false,
+			0
+		)
+		second?.fleet.applyEndpoint(createEndpoint("i-1", 90), 0)
+		const {fleet, follower} = follow(addresses)
+		await vi.waitFor(() => {
+			expect(fleet.getEndpoint("i-1")?.era).toBe(2)
+		})
+		second?.fleet.applyRemoval("i-1", {era: 1, revision: 95}, false, 0)
+		await new Promise(resolve => setTimeout(resolve, 700))
+		expect(fleet.listReady("desk")).toHaveLength(1)
+		expect(follower.isCovered).toBe(false)
+	})
+
 	it("is not covered while one of its two sources is stale or stopped", async () => {
 		const addresses = createAddresses()
 		const [first, second] = await Promise.all(addresses.map(startSource))
--- a/src/gateway/fleetFollower.ts
+++ b/src/gateway/fleetFollower.ts
@@ -109,21 +109,25 @@
 
 	private applyUpdate(update: FleetUpdate, source: Source): void {
 		const {fleet, log, now} = this.options
-		if (source.isFresh !== update.isFresh) {
-			source.isFresh = update.isFresh
-			const event = update.isFresh ? "source.fresh" : "source.stale"
-			log.decide(event, {source: source.address})
+		// A source that has not noticed the store's return from a copy is stale.
+		const isFresh = update.isFresh && update.era >= fleet.era
+		if (source.isFresh !== isFresh) {
+			source.isFresh = isFresh
+			const event = isFresh ? "source.fresh" : "source.stale"
+			const {era} = update
+			log.decide(event, {source: source.address, era, known: fleet.era})
 		}
+		if (isFresh) fleet.noteEra(update.era, source.address)
 		this.applyConfig(update.config, source)
 		for (const version of update.versions) fleet.applyVersion(version)
 		// A source that lost the store may still list removed endpoints, so its list
 		// is used only while this gateway knows no endpoints.
-		if (!update.isFresh && fleet.listEndpoints().length > 0) return
+		if (!isFresh && fleet.listEndpoints().length > 0) return
 		for (const endpoint of update.endpoints) {
-			fleet.applyEndpoint(decodeEndpoint(endpoint))
+			fleet.applyEndpoint(decodeEndpoint(endpoint), now())
 		}
-		for (const {id, revision} of update.gone) {
-			fleet.applyRemoval(id, revision, false, now())
+		for (const {id, era, revision} of update.gone) {
+			fleet.applyRemoval(id, {era, revision}, false, now())
 		}
 	}
 
@@ -142,7 +146,7 @@
 
 function decodeEndpoint(notice: EndpointNotice): FleetEndpoint {
 	const {id, pool, address, failureDomain, seats, bornAt} = notice
-	const {isDraining, residents, revision} = notice
+	const {isDraining, residents, era, revision} = notice
 	const state = isDraining ? EndpointState.Draining : EndpointState.Ready
 	return {
 		id,
@@ -152,6 +156,7 @@
 		seats,
 		bornAt,
 		residents,
+		era,
 		revision,
 		state
 	}
--- a/src/gateway/fleetPublisher.ts
+++ b/src/gateway/fleetPublisher.ts
@@ -38,6 +38,8 @@
 	private server: grpc.Server | undefined
 	private timer: NodeJS.Timeout | undefined
 	private isPublishScheduled = false
+	/** Whether the view was fresh at the last heartbeat. */
+	private wasFresh = false
 
 	constructor(private readonly options: FleetPublisherOptions) {
 		options.fleet.addListener({
@@ -63,7 +65,7 @@
 			}
 		})
 		this.timer = setInterval(() => {
-			this.publish({})
+			this.beat()
 		}, heartbeatMs)
 	}
 
@@ -74,22 +76,38 @@
 	}
 
 	private addSubscriber(call: FollowCall): void {
-		const {fleet} = this.options
 		const remove = (): void => {
 			this.subscribers.delete(call)
 		}
 		call.on("cancelled", remove)
 		call.on("error", remove)
 		this.subscribers.add(call)
-		const {config} = fleet
-		const snapshot: Update = {
-			isFresh: this.options.isFresh(),
+		call.write(create(FleetUpdateSchema, this.createSnapshot()))
+	}
+
+	private createSnapshot(): Update {
+		const {fleet, isFresh} = this.options
+		const {config, era} = fleet
+		return {
+			isFresh: isFresh(),
+			era,
 			isWhole: true,
 			endpoints: fleet.listEndpoints().map(encodeEndpoint),
+			gone: fleet.listRemovals(),
 			versions: fleet.listVersions(),
 			...(config === undefined ? {} : {config: encodeJson(config)})
 		}
-		call.write(create(FleetUpdateSchema, snapshot))
+	}
+
+	/**
+	 * Publishes a heartbeat, or everything if the view became fresh: followers
+	 * ignore the endpoint changes that are published while it is not.
+	 */
+	private beat(): void {
+		const isFresh = this.options.isFresh()
+		const isRegained = isFresh && !this.wasFresh
+		this.wasFresh = isFresh
+		this.publish(isRegained ? this.createSnapshot() : {})
 	}
 
 	/** Publishes all endpoint changes of one event loop turn in one message. */
@@ -113,18 +131,25 @@
 			this.publishedFields.set(endpoint.id, fields)
 			changed.push(endpoint)
 		}
-		const gone = [...this.publishedFields.keys()]
-			.filter(id => !present.has(id))
-			.map(id => ({id, revision: this.options.fleet.getRemovalRevision(id)}))
-		for (const {id} of gone) this.publishedFields.delete(id)
-		if (changed.length === 0 && gone.length === 0) return
+		const goneIds = new Set(
+			[...this.publishedFields.keys()].filter(id => !present.has(id))
+		)
+		for (const id of goneIds) this.publishedFields.delete(id)
+		if (changed.length === 0 && goneIds.size === 0) return
+		const gone = this.options.fleet
+			.listRemovals()
+			.filter(({id}) => goneIds.has(id))
 		this.publish({endpoints: changed.map(encodeEndpoint), gone})
 	}
 
 	private publish(update: Update): void {
 		if (this.subscribers.size === 0) return
-		const isFresh = this.options.isFresh()
-		const message = create(FleetUpdateSchema, {...update, isFresh})
+		const {fleet, isFresh} = this.options
+		const message = create(FleetUpdateSchema, {
+			...update,
+			isFresh: isFresh(),
+			era: fleet.era
+		})
 		for (const call of this.subscribers) call.write(message)
 	}
 }
--- a/src/gateway/fleetState.ts
+++ b/src/gateway/fleetState.ts
@@ -1,8 +1,8 @@
 /**
  * A gateway's view of the fleet: the configuration in force, the registered
  * endpoints and the newest announced adapter versions. Updates arrive from the
- * store and from other gateways in any order; an update with an older version or
- * revision than the known one is ignored.
+ * store and from other gateways in any order; an update with an older version, or
+ * of an earlier store era or revision than the known one, is ignored.
  */
 import {
 	slotKey,
@@ -13,6 +13,14 @@
 	type FleetEndpoint,
 	type ForwardRoute
 } from "../contract/fleet.js"
+import {
+	compareRevisions,
+	Departures,
+	type Registration,
+	Standing,
+	type StoreRevision,
+	withholdMs
+} from "../policy/registrations/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
 
 export interface FleetListener {
@@ -32,8 +40,16 @@
 	private readonly routesByHost = new Map<string, ForwardRoute[]>()
 	private readonly pools = new Map<string, EndpointPool>()
 	private readonly endpoints = new Map<string, FleetEndpoint>()
-	/** Store revision at which each removed registration was removed, by id. */
-	private readonly removalRevisions = new Map<string, number>()
+	private readonly departures = new Departures()
+	/**
+	 * Registrations of removed endpoints that a copy of the store brought back, with
+	 * the time at which they are used if they are still listed.
+	 */
+	private readonly withheld = new Map<
+		string,
+		{endpoint: FleetEndpoint; admitAt: number}
+	>()
+	private knownEra = 0
 	private readonly versions = new Map<string, AnnouncedVersion>()
 	/**
 	 * Endpoints whose registration is missing after a store outage, with the time
@@ -50,6 +66,27 @@
 		this.listeners.push(listener)
 	}
 
+	/** Latest era of the store that any update belonged to. */
+	get era(): number {
+		return this.knownEra
+	}
+
+	/**
+	 * Records the store era of an update. Returns false if the update belongs to an
+	 * earlier era than the latest, so that it must be dropped.
+	 */
+	noteEra(era: number, source: string): boolean {
+		if (era < this.knownEra) {
+			this.log.decide("update.earlierEra", {source, era, known: this.knownEra})
+			return false
+		}
+		if (era > this.knownEra) {
+			this.log.decide("store.era", {source, era, previous: this.knownEra})
+			this.knownEra = era
+		}
+		return true
+	}
+
 	get config(): FleetConfig | undefined {
 		return this.configInForce
 	}
@@ -112,52 +149,83 @@
 
 	/**
 	 * Applies a complete list of endpoints. Endpoints that are not on it are removed,
-	 * after a store outage only once `reregistrationGraceMs` has passed.
+	 * after an outage or a new era of the store only once `reregistrationGraceMs` has
+	 * passed.
 	 */
 	replaceEndpoints(
 		list: readonly FleetEndpoint[],
-		revision: number,
+		at: StoreRevision,
 		isAfterOutage: boolean,
 		now: number
 	): void {
+		const isNewEra = at.era > this.knownEra
+		if (!this.noteEra(at.era, "list")) return
 		const ids = new Set(list.map(({id}) => id))
+		for (const id of this.withheld.keys()) {
+			if (!ids.has(id)) this.withheld.delete(id)
+		}
 		for (const id of this.endpoints.keys()) {
 			if (ids.has(id)) continue
-			if (isAfterOutage) this.startGracePeriod(id, now)
-			else this.removeEndpoint(id, revision, "missing from the store's list")
+			if (isAfterOutage || isNewEra) this.startGracePeriod(id, now)
+			else this.removeEndpoint(id, at, "missing from the store's list")
 		}
-		for (const endpoint of list) this.putEndpoint(endpoint)
+		for (const endpoint of list) this.putEndpoint(endpoint, now)
 		this.notifyEndpointsChanged()
 	}
 
 	/** Adds or updates one endpoint. */
-	applyEndpoint(endpoint: FleetEndpoint): void {
-		this.putEndpoint(endpoint)
+	applyEndpoint(endpoint: FleetEndpoint, now: number): void {
+		this.putEndpoint(endpoint, now)
 		this.notifyEndpointsChanged()
 	}
 
 	/** Removes an endpoint, after a store outage only once the grace has passed. */
 	applyRemoval(
 		id: string,
-		revision: number,
+		at: StoreRevision,
 		isAfterOutage: boolean,
 		now: number
 	): void {
+		this.withheld.delete(id)
 		if (isAfterOutage) this.startGracePeriod(id, now)
-		else this.removeEndpoint(id, revision, "registration removed")
+		else this.removeEndpoint(id, at, "registration removed")
 		this.notifyEndpointsChanged()
 	}
 
-	/** Removes endpoints that did not register again within the grace period. */
-	removeExpired(now: number): void {
+	/**
+	 * Removes endpoints that did not register again within the grace period, and
+	 * admits those that a copy of the store brought back and that are still listed.
+	 */
+	settleRegistrations(now: number): void {
 		for (const [id, removeAt] of this.pendingRemovals) {
 			if (now < removeAt) continue
-			const revision = this.endpoints.get(id)?.revision ?? 0
-			this.removeEndpoint(id, revision, "not registered again after an outage")
+			const at = this.endpoints.get(id) ?? {era: 0, revision: 0}
+			this.removeEndpoint(id, at, "not registered again after an outage")
+			this.notifyEndpointsChanged()
+		}
+		for (const [id, {endpoint, admitAt}] of this.withheld) {
+			if (now < admitAt) continue
+			this.departures.deleteRemoval(id)
+			this.putEndpoint(endpoint, now)
 			this.notifyEndpointsChanged()
 		}
 	}
 
+	/**
+	 * Stops new requests to an endpoint that stated in an answer that it is leaving.
+	 * Returns false if that was known, or if another incarnation is registered.
+	 */
+	markLeaving(id: string, bornAt: number, source: string): boolean {
+		const known = this.endpoints.get(id)
+		if (known?.bornAt !== bornAt) return false
+		this.departures.addStatement(id, bornAt)
+		if (known.state === EndpointState.Draining) return false
+		this.endpoints.set(id, {...known, state: EndpointState.Draining})
+		this.log.decide("endpoint.leaving", {endpoint: id, source})
+		this.notifyEndpointsChanged()
+		return true
+	}
+
 	/** Stops new requests to an endpoint at whose address another one answered. */
 	markReplaced(id: string): void {
 		if (this.replacedIds.has(id) || !this.endpoints.has(id)) return
@@ -180,40 +248,59 @@
 		return this.versions.get(slotKey(model, adapter))?.version ?? 0
 	}
 
-	/** Store revision at which a registration was removed; 0 if it was not. */
-	getRemovalRevision(id: string): number {
-		return this.removalRevisions.get(id) ?? 0
+	/** Registrations that were removed, each with the revision of its removal. */
+	listRemovals(): Registration[] {
+		return this.departures.listRemovals()
 	}
 
 	listVersions(): AnnouncedVersion[] {
 		return [...this.versions.values()]
 	}
 
-	private putEndpoint(endpoint: FleetEndpoint): void {
-		const {id, pool, state, address} = endpoint
+	private putEndpoint(endpoint: FleetEndpoint, now: number): void {
+		const {id, pool, address} = endpoint
 		const known = this.endpoints.get(id)
-		const knownRevision = known?.revision ?? this.removalRevisions.get(id) ?? 0
 		// Another source may already have delivered a later change.
-		if (endpoint.revision < knownRevision) return
+		if (known !== undefined && compareRevisions(endpoint, known) < 0) return
+		const standing = this.departures.judge(endpoint)
+		if (standing === Standing.Outdated) return
+		if (standing === Standing.Withheld) {
+			this.withhold(endpoint, now)
+			return
+		}
+		const isLeaving = standing === Standing.Leaving
+		const state = isLeaving ? EndpointState.Draining : endpoint.state
+		this.withheld.delete(id)
 		this.pendingRemovals.delete(id)
-		this.removalRevisions.delete(id)
+		this.departures.deleteRemoval(id)
+		if (state === EndpointState.Draining) this.departures.addDrain(endpoint)
 		const isRestart = known !== undefined && known.bornAt !== endpoint.bornAt
 		if (isRestart || known?.address !== address) this.replacedIds.delete(id)
-		this.endpoints.set(id, endpoint)
+		this.endpoints.set(id, {...endpoint, state})
 		if (known?.state === state && !isRestart) return
 		this.log.decide("endpoint.state", {endpoint: id, pool, state, address})
 	}
 
+	private withhold(endpoint: FleetEndpoint, now: number): void {
+		const {id} = endpoint
+		const admitAt = this.withheld.get(id)?.admitAt ?? now + withholdMs
+		if (!this.withheld.has(id))
+			this.log.decide("endpoint.withheld", {endpoint: id, era: endpoint.era})
+		this.withheld.set(id, {endpoint, admitAt})
+	}
+
 	private startGracePeriod(id: string, now: number): void {
 		if (this.pendingRemovals.has(id) || !this.endpoints.has(id)) return
 		this.pendingRemovals.set(id, now + reregistrationGraceMs)
 		this.log.decide("endpoint.lapsed", {endpoint: id})
 	}
 
-	private removeEndpoint(id: string, revision: number, reason: string): void {
+	private removeEndpoint(id: string, at: StoreRevision, reason: string): void {
 		const known = this.endpoints.get(id)
-		if (known !== undefined && known.revision > revision) return
-		this.removalRevisions.set(id, revision)
+		if (known !== undefined && compareRevisions(known, at) > 0) return
+		const {era, revision} = at
+		const bornAt = known?.bornAt ?? 0
+		this.departures.addRemoval({id, bornAt, era, revision})
 		this.pendingRemovals.delete(id)
 		this.replacedIds.delete(id)
 		if (!this.endpoints.delete(id)) return
--- /dev/null
+++ b/src/policy/registrations/index.ts
@@ -0,0 +1,2 @@
+export * from "./departures.js"
+export * from "./storeRevision.js"
--- a/standins/fleet/fleetStore.ts
+++ b/standins/fleet/fleetStore.ts
@@ -26,10 +26,16 @@
 	pageSize = 50
 	/** Number of calls received. */
 	calls = 0
+	/** Stated in every response; rises with each `returnToCopy`. */
+	era = 1
+	private copy: {revision: number; kinds: Map<string, Map<string, Item>>} = {
+		revision: 1,
+		kinds: new Map()
+	}
 	private revision = 1
 	/** Watches from an earlier revision get 410. */
 	private oldestWatchRevision = 0
-	private readonly kinds = new Map<string, Map<string, Item>>()
+	private kinds = new Map<string, Map<string, Item>>()
 	private readonly events: {kind: string; item: Item; deleted: boolean}[] = []
 	/** Callbacks that make each waiting watch look for events again. */
 	private readonly watchWakers = new Set<() => void>()
@@ -91,6 +97,29 @@
 		this.wakeWatches()
 	}
 
+	/** Saves the state to which `returnToCopy` returns. */
+	saveCopy(): void {
+		const kinds = [...this.kinds].map(
+			([kind, items]) => [kind, new Map(items)] as const
+		)
+		this.copy = {revision: this.revision, kinds: new Map(kinds)}
+	}
+
+	/**
+	 * Goes back to the saved copy: later changes are lost, and their revisions are
+	 * given out again. Waiting watches are cut.
+	 */
+	returnToCopy(): void {
+		const {revision, kinds} = this.copy
+		this.saveCopy()
+		this.revision = revision
+		this.kinds = kinds
+		this.events.length = 0
+		this.oldestWatchRevision = revision
+		this.era += 1
+		this.closeConnections()
+	}
+
 	private wakeWatches(): void {
 		for (const wake of [...this.watchWakers]) wake()
 	}
@@ -107,7 +136,7 @@
 		const [, , kind = "", name = ""] = url.pathname.split("/")
 		if (this.isHanging) return
 		if (this.failureStatus > 0) {
-			reply(res, this.failureStatus, {})
+			this.reply(res, this.failureStatus, {})
 			return
 		}
 		if (req.method !== "GET") {
@@ -122,14 +151,14 @@
 		}
 		if (name !== "") {
 			const item = this.getOrCreateItems(kind).get(decodeURIComponent(name))
-			reply(res, item === undefined ? 404 : 200, encode(item))
+			this.reply(res, item === undefined ? 404 : 200, encode(item))
 			return
 		}
 		const after = url.searchParams.get("after") ?? ""
 		const items = [...this.getOrCreateItems(kind).values()]
 			.sort((a, b) => (a.name < b.name ? -1 : 1))
 			.filter(item => item.name > after)
-		reply(res, 200, {
+		this.reply(res, 200, {
 			items: items.slice(0, this.pageSize).map(encode),
 			has_more: items.length > this.pageSize,
 			as_of: this.revision
@@ -143,8 +172,11 @@
 		waitMs: number
 	): void {
 		const tryAnswer = (): boolean => {
-			if (afterRevision < this.oldestWatchRevision) {
-				reply(res, 410, {})
+			const isKnown =
+				afterRevision >= this.oldestWatchRevision &&
+				afterRevision <= this.revision
+			if (!isKnown) {
+				this.reply(res, 410, {})
 				return true
 			}
 			const events = this.events.filter(
@@ -155,7 +187,7 @@
 				object: encode(item),
 				deleted
 			}))
-			reply(res, 200, {events: objects, as_of: this.revision})
+			this.reply(res, 200, {events: objects, as_of: this.revision})
 			return true
 		}
 		if (tryAnswer()) return
@@ -168,12 +200,20 @@
 		}
 		const timer = setTimeout(() => {
 			stopWaiting()
-			reply(res, 200, {events: [], as_of: this.revision})
+			this.reply(res, 200, {events: [], as_of: this.revision})
 		}, waitMs)
 		this.watchWakers.add(wake)
 		res.on("close", stopWaiting)
 	}
 
+	private reply(res: ServerResponse, status: number, body: unknown): void {
+		res.writeHead(status, {
+			"Content-Type": "application/json",
+			"Store-Era": String(this.era)
+		})
+		res.end(JSON.stringify(body))
+	}
+
 	private write(
 		req: IncomingMessage,
 		res: ServerResponse,
@@ -194,12 +234,12 @@
 					? known !== undefined
 					: known?.revision !== body.metadata.revision
 			if (isConflict) {
-				reply(res, 409, encode(known))
+				this.reply(res, 409, encode(known))
 				return
 			}
 			this.put(kind, name, body.spec)
 			if (this.isDroppingWriteAnswers) return
-			reply(res, 200, encode(this.getOrCreateItems(kind).get(name)))
+			this.reply(res, 200, encode(this.getOrCreateItems(kind).get(name)))
 		})
 	}
 }
@@ -210,8 +250,3 @@
 	const metadata = {name, revision, finalizers: [], deleting: false}
 	return {metadata, spec, status: null}
 }
-
-function reply(res: ServerResponse, status: number, body: unknown): void {
-	res.writeHead(status, {"Content-Type": "application/json"})
-	res.end(JSON.stringify(body))
-}
