Heed endpoints that say they leave or want a pause

Cause: an endpoint may say Server-Leaving in any answer, refusals and streams included; nothing that a caller sent later than the drain time may reach it from that gateway, whatever the store lists. One that turns work away with 503 may name a time during which it wants nothing. Both went unread.

A leaving incarnation counts as draining until another one registers; the gateway tells its agent and two others, which tell their gateways once, and the agent of a leaving engine refuses what waits. A paused endpoint gets no request until the stored deadline, then one probe, then twice as many with each success; grants that arrive meanwhile are returned. If all endpoints of a pool are paused, callers are refused at once with the time that is left plus spread.

The connect timeout of a gateway can be set, for tests whose endpoints share the process.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -4,12 +4,17 @@
  * gateways ask it for grants and send granted requests directly to the engine.
  */
 import type * as grpc from "@grpc/grpc-js"
-import type {Ask, GatewayMessage} from "../contract/gen/grants_pb.js"
+import type {
+	Ask,
+	GatewayMessage,
+	LeavingNotice
+} from "../contract/gen/grants_pb.js"
 import {RefuseReason} from "../contract/gen/grants_pb.js"
 import {startGrantServer} from "../link/fleetLink.js"
 import type {TlsKeys} from "../link/tls.js"
 import {
 	GrantDecisionKind,
+	LruSet,
 	type GrantRequest,
 	GrantScheduler,
 	type GrantDecision,
@@ -34,11 +39,15 @@
 
 /** Interval of checking the deadlines of queued requests and publishing state. */
 const tickIntervalMs = 50
+/** Several times the endpoints of a large fleet. */
+const maxKnownLeaving = 10_000
 
 export class AgentTask {
 	private readonly scheduler: GrantScheduler
 	private readonly links: GatewayLinks
 	private readonly now: () => number
+	/** Incarnations of endpoints that are leaving, already passed on. */
+	private readonly knownLeaving = new LruSet(maxKnownLeaving)
 	private server: grpc.Server | undefined
 	private readonly loop: EngineLoop
 	private timer: NodeJS.Timeout | undefined
@@ -113,12 +122,30 @@
 			if (!this.scheduler.slots.announce(model, adapter, version, now)) return
 			this.options.log.decide("version.newer", {model, adapter, version})
 			this.loop.requestPlan()
+		} else if (body.case === "leaving") {
+			this.handleLeaving(owner, body.value, now)
 		} else if (body.case === "hello" && body.value.limits !== undefined) {
 			this.scheduler.setLimits(body.value.limits)
 			this.loop.requestPlan()
 		}
 	}
 
+	/** Passes on that an endpoint is leaving, once for each incarnation. */
+	private handleLeaving(
+		owner: string,
+		notice: LeavingNotice,
+		now: number
+	): void {
+		const {endpointId, bornAt} = notice
+		const incarnation = `${endpointId}@${bornAt}`
+		if (this.knownLeaving.has(incarnation)) return
+		this.knownLeaving.add(incarnation)
+		this.links.sendToOthers(owner, {case: "leaving", value: notice})
+		if (endpointId !== this.options.engine.engineId) return
+		this.options.log.decide("engine.leaving", {engine: endpointId})
+		this.sendDecisions(this.scheduler.markLeaving(bornAt, now))
+	}
+
 	private handleAsk(owner: string, ask: Ask, now: number): void {
 		if (ask.minVersion > 0) {
 			const {model, adapter, minVersion} = ask
--- a/src/agent/gatewayLinks.ts
+++ b/src/agent/gatewayLinks.ts
@@ -88,6 +88,13 @@
 		link.call.write(create(AgentMessageSchema, {body}))
 	}
 
+	/** Sends a message to all gateways but one. */
+	sendToOthers(owner: string, body: AgentMessage["body"]): void {
+		for (const other of this.links.keys()) {
+			if (other !== owner) this.send(other, body)
+		}
+	}
+
 	/**
 	 * Sends the state to each gateway for which it changed or a heartbeat is due, and
 	 * disconnects gateways that timed out.
--- a/src/gateway/__tests__/agentLink.test.ts
+++ b/src/gateway/__tests__/agentLink.test.ts
@@ -40,6 +40,7 @@
 		getLimits: () => undefined,
 		getEngineId: () => "i-1",
 		onState: () => undefined,
+		onLeaving: () => undefined,
 		onUp: resolveUp,
 		onDown: reason => downs.push(reason)
 	})
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -49,6 +49,8 @@
 	getLimits: () => EngineLimits | undefined
 	getEngineId: () => string
 	onState(state: EngineState): void
+	/** Another gateway heard that an endpoint is leaving. */
+	onLeaving(endpointId: string, bornAt: number): void
 	onUp(): void
 	onDown(reason: string): void
 }
@@ -118,6 +120,12 @@
 		this.send({case: "version", value: {$typeName, model, adapter, version}})
 	}
 
+	/** Tells the agent that an endpoint, its engine or another one, is leaving. */
+	announceLeaving(endpointId: string, bornAt: number): void {
+		const $typeName = "goldcrestloom.grants.v1.LeavingNotice"
+		this.send({case: "leaving", value: {$typeName, endpointId, bornAt}})
+	}
+
 	/** Sends the agent the limits that the configuration sets for its engine. */
 	sendHello(): void {
 		this.send({
@@ -192,6 +200,8 @@
 			this.options.onUp()
 		}
 		if (body.case === "state") this.options.onState(body.value)
+		else if (body.case === "leaving")
+			this.options.onLeaving(body.value.endpointId, body.value.bornAt)
 		else if (body.case === "grant") {
 			const handlers = this.takePendingAsk(body.value.key)
 			// No handlers: the request was cancelled while the grant was in transit. The
--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -28,6 +28,9 @@
 	now: () => number
 }
 
+/** Agents that pass on that an endpoint is leaving, besides its own. */
+const maxLeavingRelays = 2
+
 export class AgentLinks {
 	private readonly links = new Map<string, AgentLink>()
 	/** Gateways connected to the agent whose state arrived last, this one included. */
@@ -59,6 +62,22 @@
 		return this.links.get(endpointId)
 	}
 
+	/**
+	 * Tells other gateways that an endpoint is leaving, through the agent of the
+	 * endpoint itself and a few others: one of them may be about to leave as well.
+	 */
+	announceLeaving(endpointId: string, bornAt: number): void {
+		const {engineChoice} = this.options
+		let relays = 0
+		for (const [id, link] of this.links) {
+			if (id !== endpointId) {
+				if (relays >= maxLeavingRelays || !engineChoice.isLinked(id)) continue
+				relays += 1
+			}
+			link.announceLeaving(endpointId, bornAt)
+		}
+	}
+
 	tick(): void {
 		for (const link of this.links.values()) link.tick()
 	}
@@ -125,6 +144,9 @@
 				if (!state.hasResidency) return
 				engineChoice.applyResidency(id, state.resident, state.recent)
 			},
+			onLeaving: (endpointId, bornAt) => {
+				fleet.markLeaving(endpointId, bornAt, `agent of ${id}`)
+			},
 			onUp: () => {
 				log.decide("agent.up", {endpoint: id})
 				for (const {model, adapter, version} of fleet.listVersions()) {
--- a/src/gateway/endpointCall.ts
+++ b/src/gateway/endpointCall.ts
@@ -30,6 +30,8 @@
 }
 
 export interface CallHandlers {
+	/** Called when the head of a response arrives, before the other handlers. */
+	onHead?(head: ResponseHead): void
 	onData(chunk: Buffer): void
 	/**
 	 * Called once; `detail` is the reason, for the log and for the response to the
@@ -48,7 +50,7 @@
 	body: Buffer
 	handlers: CallHandlers
 	/** Timeout for establishing the connection, milliseconds. */
-	connectTimeoutMs?: number
+	connectTimeoutMs?: number | undefined
 	/** Monotonic milliseconds. */
 	now?: () => number
 }
@@ -128,6 +130,7 @@
 		const {wire, head, handlers} = this.options
 		const receivedHead = wire.decodeResponse(res, head.id)
 		this.receivedHead = receivedHead
+		if (!this.isSettled) handlers.onHead?.(receivedHead)
 		res.on("error", err => {
 			this.fail(err)
 		})
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -1,6 +1,10 @@
 /** The dependencies that a gateway passes to each of its request tasks. */
 import type {ForwardRoute} from "../contract/fleet.js"
-import type {EngineChoice, ServiceChoice} from "../policy/dispatch/index.js"
+import type {
+	EndpointPauses,
+	EngineChoice,
+	ServiceChoice
+} from "../policy/dispatch/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
 import type {AgentLinks} from "./agentLinks.js"
 import type {FleetState} from "./fleetState.js"
@@ -15,10 +19,13 @@
 	links: AgentLinks
 	engines: EngineChoice
 	services: ServiceChoice
+	pauses: EndpointPauses
 	retryBudgets: RetryBudgets
 	log: DecisionLog
 	metrics: GatewayMetrics
 	failureDomain: string
+	/** Timeout for connecting to an endpoint; the default of the call if absent. */
+	connectTimeoutMs?: number | undefined
 	/** Monotonic milliseconds. */
 	now: () => number
 	random: () => number
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -22,6 +22,15 @@
 	Rejected = "rejected"
 }
 
+/** What an endpoint stated about itself in a response. */
+export enum EndpointSignal {
+	Leaving = "leaving",
+	/** It wants no requests for a time. */
+	Pause = "pause",
+	/** As `Pause`, but the time can't be decoded or is not positive. */
+	UnusablePause = "unusablePause"
+}
+
 /** Closest together around the latency objectives of calls and first events. */
 const latencyBucketsSeconds = [
 	0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2, 4, 8, 15
@@ -59,6 +68,12 @@
 		labelNames: ["pool", "end"],
 		registers: [this.registry]
 	})
+	private readonly signals = new Counter({
+		name: "goldcrestloom_endpoint_signals_total",
+		help: "Statements of endpoints about themselves in responses",
+		labelNames: ["signal"],
+		registers: [this.registry]
+	})
 	private readonly dependencyLosses = new Counter({
 		name: "goldcrestloom_dependency_losses_total",
 		help: "Losses of a dependency",
@@ -79,6 +94,10 @@
 		this.sends.inc({pool, end})
 	}
 
+	countSignal(signal: EndpointSignal): void {
+		this.signals.inc({signal})
+	}
+
 	countLoss(dependency: string): void {
 		this.dependencyLosses.inc({dependency})
 	}
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -4,7 +4,11 @@
  */
 import type {Server} from "node:http"
 import type {TlsKeys} from "../link/tls.js"
-import {EngineChoice, ServiceChoice} from "../policy/dispatch/index.js"
+import {
+	EndpointPauses,
+	EngineChoice,
+	ServiceChoice
+} from "../policy/dispatch/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
 import {startProbeServer} from "../program/probeServer.js"
 import {AgentLinks} from "./agentLinks.js"
@@ -50,6 +54,8 @@
 	/** Additional retries permitted in each window, over all gateways. */
 	repeatExtra: number
 	repeatWindowMs: number
+	/** Timeout for connecting to an endpoint, milliseconds. */
+	connectTimeoutMs?: number
 	wire: WireCodec
 	log: DecisionLog
 	tls?: TlsKeys | undefined
@@ -90,6 +96,7 @@
 			links,
 			engines,
 			services: new ServiceChoice(),
+			pauses: new EndpointPauses(),
 			retryBudgets: new RetryBudgets({
 				ratio: options.repeatRatio,
 				extra: options.repeatExtra,
@@ -99,13 +106,15 @@
 			log,
 			metrics: this.metrics,
 			failureDomain,
+			connectTimeoutMs: options.connectTimeoutMs,
 			now,
 			random: options.random ?? Math.random
 		}
 		this.fleet.addListener({
 			onEndpoints: () => {
-				const ids = this.fleet.listEndpoints().map(({id}) => id)
-				this.ctx.services.retain(new Set(ids))
+				const ids = new Set(this.fleet.listEndpoints().map(({id}) => id))
+				this.ctx.services.retain(ids)
+				this.ctx.pauses.retain(ids)
 			}
 		})
 		const {publishAddress = "", sources = []} = options
@@ -169,6 +178,6 @@
 		links.tick()
 		this.follower.tick()
 		retryBudgets.setGateways(links.gatewayCount)
-		this.fleet.removeExpired(now())
+		this.fleet.settleRegistrations(now())
 	}
 }
--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -6,6 +6,7 @@
 import type {FleetEndpoint} from "../contract/fleet.js"
 import type {AgentLink} from "./agentLink.js"
 import {type CallOutcome, EndpointCall} from "./endpointCall.js"
+import {applySignals} from "./endpointSignals.js"
 import {EventSplitter, type StreamEvent} from "./eventSplitter.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
 import type {ResponseHead} from "./wire.js"
@@ -75,6 +76,7 @@
 		this.call = new EndpointCall({
 			address: target.endpoint.address,
 			wire: ctx.wire,
+			connectTimeoutMs: ctx.connectTimeoutMs,
 			head: exchange.head,
 			headers: ctx.wire.encodeRequest(exchange.head, {
 				endpointId: target.engineId,
@@ -86,6 +88,9 @@
 			}),
 			body,
 			handlers: {
+				onHead: responseHead => {
+					applySignals(ctx, target.endpoint, responseHead, exchange.head.id)
+				},
 				onData: chunk => {
 					this.receive(chunk)
 				},
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -138,7 +138,10 @@
 		const ready = ctx.fleet.listReady(request.pool)
 		const candidates = ready
 			.filter(
-				({id}) => !this.refusingEngines.has(id) && !this.failedEngines.has(id)
+				({id}) =>
+					!this.refusingEngines.has(id) &&
+					!this.failedEngines.has(id) &&
+					ctx.pauses.isOpen(id, ctx.now())
 			)
 			.map(({id, failureDomain}) => ({
 				id,
@@ -189,13 +192,14 @@
 					rated: Math.round(rating.expectedMs)
 				})
 				const {engineId, version, expectedMs} = grant
-				if (ctx.fleet.isReady(endpoint)) {
+				const isOpen = ctx.pauses.isOpen(endpoint.id, ctx.now())
+				if (isOpen && ctx.fleet.isReady(endpoint)) {
 					const id = engineId === "" ? endpoint.id : engineId
 					this.send({endpoint, link, key, engineId: id, version, expectedMs})
 					return
 				}
-				// The endpoint began to drain, or was removed or replaced, while the
-				// request was queued.
+				// The endpoint began to drain, wants no requests for now, or was removed or
+				// replaced, while the request was queued.
 				link.notifyEnded(key)
 				this.refusingEngines.add(endpoint.id)
 				this.asks -= 1
@@ -225,6 +229,7 @@
 		}
 		this.sends += 1
 		ctx.engines.begin(target.endpoint.id)
+		const endProbe = ctx.pauses.begin(target.endpoint.id)
 		this.currentSend = new GenerationSend({
 			ctx,
 			request,
@@ -238,6 +243,7 @@
 				exchange.writeEvent(event.bytes)
 			},
 			onEnd: (send, outcome, detail) => {
+				endProbe(outcome === CallOutcome.Complete)
 				this.handleSendEnd(send, outcome, detail)
 			}
 		})
@@ -361,7 +367,9 @@
 			refusal === undefined
 				? "no engine in time"
 				: RefuseReason[refusal.reason].toLowerCase()
-		const retryAfterMs = refusal?.retryAfterMs ?? this.getRetryAfterMs(best)
+		const pauseLeftMs = this.getPauseLeftMs() ?? 0
+		const retryAfterMs =
+			pauseLeftMs + (refusal?.retryAfterMs ?? this.getRetryAfterMs(best))
 		this.request.exchange.refuse(reason, retryAfterMs, {
 			expectedMs: Math.round(best?.expectedMs ?? refusal?.expectedMs ?? 0),
 			asks: this.asks,
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -42,6 +42,19 @@
 	/** Called when the caller disconnects before its response is complete. */
 	protected abstract handleDisconnect(): void
 
+	/**
+	 * Time until the first endpoint of the pool wants requests again, if all of its
+	 * ready endpoints want none now; undefined otherwise.
+	 */
+	protected getPauseLeftMs(): number | undefined {
+		const {fleet, pauses, now} = this.ctx
+		const at = now()
+		const ids = fleet.listReady(this.request.pool).map(({id}) => id)
+		if (ids.length === 0 || ids.some(id => pauses.isOpen(id, at)))
+			return undefined
+		return pauses.getEarliestReturn(ids, at) - at
+	}
+
 	/** Prevents further sends; subclasses also abort the send in progress. */
 	protected cancel(): void {
 		this.clearTimers()
--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -4,6 +4,7 @@
  */
 import {type FleetEndpoint, RouteKind} from "../contract/fleet.js"
 import {CallOutcome, EndpointCall} from "./endpointCall.js"
+import {applySignals} from "./endpointSignals.js"
 import {RequestTask} from "./requestTask.js"
 import {type ResponseHead, isServerError} from "./wire.js"
 
@@ -50,13 +51,15 @@
 	private pickEndpoint(): FleetEndpoint | undefined {
 		const {ctx, request} = this
 		if (this.sends >= maxSends) return undefined
-		const ready = ctx.fleet.listReady(request.pool)
-		const candidates = ready.map(({id, seats, failureDomain}) => ({
-			id,
-			seats,
-			isNear: failureDomain === ctx.failureDomain
-		}))
 		const now = ctx.now()
+		const candidates = ctx.fleet
+			.listReady(request.pool)
+			.filter(({id}) => ctx.pauses.isOpen(id, now))
+			.map(({id, seats, failureDomain}) => ({
+				id,
+				seats,
+				isNear: failureDomain === ctx.failureDomain
+			}))
 		const id = ctx.services.choose(candidates, this.tried, now, ctx.random)
 		return id === undefined ? undefined : ctx.fleet.getEndpoint(id)
 	}
@@ -68,11 +71,13 @@
 		this.tried.add(id)
 		this.sends += 1
 		ctx.services.begin(id)
+		const endProbe = ctx.pauses.begin(id)
 		const sentAt = ctx.now()
 		const chunks: Buffer[] = []
 		const call: EndpointCall = new EndpointCall({
 			address: endpoint.address,
 			wire: ctx.wire,
+			connectTimeoutMs: ctx.connectTimeoutMs,
 			head: exchange.head,
 			headers: ctx.wire.encodeRequest(exchange.head, {
 				endpointId: id,
@@ -81,6 +86,9 @@
 			}),
 			body,
 			handlers: {
+				onHead: responseHead => {
+					applySignals(ctx, endpoint, responseHead, exchange.head.id)
+				},
 				onData: chunk => {
 					chunks.push(chunk)
 				},
@@ -89,6 +97,7 @@
 					clearTimeout(this.stallTimer)
 					ctx.metrics.countSend(request.pool, outcome)
 					const responseHead = call.responseHead
+					endProbe(outcome === CallOutcome.Complete)
 					this.recordResult(id, outcome, responseHead, sentAt)
 					this.handleCallEnd(
 						id,
@@ -201,8 +210,9 @@
 			)
 		} else if (this.mayHaveRun) exchange.respondUnknown(reason, logFields)
 		else {
-			const spread = 1 + this.ctx.random()
-			const retryAfterMs = Math.max(minRetryAfterMs, route.objectiveMs) * spread
+			const spreadMs =
+				Math.max(minRetryAfterMs, route.objectiveMs) * (1 + this.ctx.random())
+			const retryAfterMs = (this.getPauseLeftMs() ?? 0) + spreadMs
 			exchange.refuse(reason, retryAfterMs, logFields)
 		}
 	}
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -62,6 +62,13 @@
 	 */
 	isMisdirected: boolean
 	load: EndpointLoad | undefined
+	/** Whether the endpoint states that it is leaving. */
+	isLeaving: boolean
+	/**
+	 * With a rejection, for how long the endpoint wants no requests, milliseconds;
+	 * NaN if it states a time that can't be decoded.
+	 */
+	pauseMs: number | undefined
 	/** Alternating header names and values, without hop-by-hop headers. */
 	headers: readonly string[]
 }
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -87,6 +87,8 @@
 	private engineStartedAt = 0
 	/** False until the first report, and while the engine does not answer. */
 	private isEngineUp = false
+	/** Whether the engine stated that it is leaving; until it restarts. */
+	private isLeaving = false
 	/** Runs of the last report without a grant here, as after an agent restart. */
 	private untrackedRuns = 0
 
@@ -128,6 +130,18 @@
 		this.isEngineUp = false
 	}
 
+	/**
+	 * Records that the engine stated that it is leaving. Queued and new requests are
+	 * refused, and granted ones go on, until it restarts. `bornAt` is that of the
+	 * incarnation that stated it; 0 when unknown.
+	 */
+	markLeaving(bornAt: number, now: number): GrantDecision[] {
+		const isOther = bornAt !== 0 && bornAt !== this.engineStartedAt
+		if (isOther && this.engineStartedAt !== 0) return []
+		this.isLeaving = true
+		return this.schedule(now)
+	}
+
 	/**
 	 * Queues a request, or refuses it if the engine is down or the expected first
 	 * event is too late. A key that is queued or granted already is ignored.
@@ -136,7 +150,7 @@
 		if (this.waiting.has(request.key) || this.grants.has(request.key)) {
 			return []
 		}
-		if (!this.isEngineUp) {
+		if (!this.isAvailable) {
 			return [this.refuse(request, GrantRefusalReason.Unavailable, 0, now)]
 		}
 		const expectedMs = this.estimate.getFirstEventMs(request, now)
@@ -197,9 +211,9 @@
 			const baseMs = this.slots.models.getReadyMs(request.model, now) ?? 0
 			const neededMs =
 				this.prefillRate.getPrefillMs(this.countPrefillTokens(request)) + baseMs
-			if (!this.isEngineUp || now + neededMs > request.startBy) {
+			if (!this.isAvailable || now + neededMs > request.startBy) {
 				this.waiting.delete(request.key)
-				const reason = this.isEngineUp
+				const reason = this.isAvailable
 					? GrantRefusalReason.Deadline
 					: GrantRefusalReason.Unavailable
 				decisions.push(this.refuse(request, reason, neededMs, now))
@@ -230,6 +244,11 @@
 		this.slots.endOrder(outcome, now)
 	}
 
+	/** Whether the engine answers and takes new requests. */
+	private get isAvailable(): boolean {
+		return this.isEngineUp && !this.isLeaving
+	}
+
 	get waitingCount(): number {
 		return this.waiting.size
 	}
@@ -238,7 +257,7 @@
 		const {slots, estimate} = this
 		const readyMs = slots.models.getFirstReadyMs(now)
 		return {
-			isUsable: this.isEngineUp && readyMs !== undefined,
+			isUsable: this.isAvailable && readyMs !== undefined,
 			waitMs: estimate.getWaitMs(now),
 			tokensPerSecond: this.prefillRate.tokensPerMs * 1000,
 			freeSlots: estimate.countUnclaimedSlots(),
@@ -328,6 +347,7 @@
 	}
 
 	private resetEngineState(): void {
+		this.isLeaving = false
 		this.slots.reset()
 		this.prefillRate.reset()
 		this.prefixCache.clear()
