Pace the control messages of gateways and agents by their links

Cause: an agent sent each changed state to every gateway up to each 80 ms, with whole lists of up to 35 adapters whenever one changed, and both ends of each stream sent a heartbeat each 600 ms, used or not: 5,712 streams on the large site. Agents woke each 50 ms and gateways each 100 ms.

Change: intervals follow the number of links (grantLinkPace, the mechanism that entries use), told in the hello; links that no request uses have a slow heartbeat, links in use the old one. An agent that says nothing for 1.1 s after an ask counts as lost (2 s before). States carry changes of the residency; each grant and refusal carries the state. Agents wake when something happened or is due. EngineChoice looks at each candidate once, without sorting. Old gateways and agents are still understood.

Changed test: a pause of an idle link is allowed for 2.5 of the heartbeats that the agent knows (10 s); the old check of 1.9 s stays for agents that do not know them and for links in use.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -37,8 +37,13 @@
 	random?: () => number
 }
 
-/** Interval of checking the deadlines of queued requests and publishing state. */
-const tickIntervalMs = 50
+/**
+ * Interval of checking the deadlines of queued requests, and longest delay of the
+ * state after a change.
+ */
+const activeTickMs = 50
+/** Interval of checking heartbeats while nothing changes. */
+const idleTickMs = 300
 /** Several times the endpoints of a large fleet. */
 const maxKnownLeaving = 10_000
 
@@ -51,6 +56,8 @@
 	private server: grpc.Server | undefined
 	private readonly loop: EngineLoop
 	private timer: NodeJS.Timeout | undefined
+	private isStopped = false
+	private tickAt = Number.POSITIVE_INFINITY
 
 	constructor(private readonly options: AgentTaskOptions) {
 		this.now = options.now ?? (() => performance.now())
@@ -59,6 +66,7 @@
 			now: this.now,
 			onMessage: (owner, message) => {
 				this.receive(owner, message)
+				if (message.body.case !== "heartbeat") this.scheduleTick(activeTickMs)
 			},
 			onDisconnect: (owner, reason) => {
 				options.log.decide("gateway.lost", {owner, reason})
@@ -74,6 +82,7 @@
 			now: this.now,
 			onDecisions: decisions => {
 				this.sendDecisions(decisions)
+				this.scheduleTick(activeTickMs)
 			}
 		})
 	}
@@ -82,9 +91,7 @@
 		const {address, tls} = this.options
 		const onCall = this.links.accept
 		this.server = await startGrantServer({address, tls, onCall})
-		this.timer = setInterval(() => {
-			this.tick()
-		}, tickIntervalMs)
+		this.scheduleTick(idleTickMs)
 		this.loop.start()
 	}
 
@@ -93,7 +100,8 @@
 	 * for the adapters that the engine holds.
 	 */
 	stop(): void {
-		clearInterval(this.timer)
+		this.isStopped = true
+		clearTimeout(this.timer)
 		this.loop.stop()
 		this.links.close()
 		this.server?.forceShutdown()
@@ -124,7 +132,9 @@
 			this.loop.requestPlan()
 		} else if (body.case === "leaving") {
 			this.handleLeaving(owner, body.value, now)
-		} else if (body.case === "hello" && body.value.limits !== undefined) {
+		} else if (body.case === "hello") {
+			this.links.setPace(owner, body.value)
+			if (body.value.limits === undefined) return
 			this.scheduler.setLimits(body.value.limits)
 			this.loop.requestPlan()
 		}
@@ -157,6 +167,8 @@
 
 	/** Sends the scheduler's grants and refusals to the gateways that asked. */
 	private sendDecisions(decisions: readonly GrantDecision[]): void {
+		if (decisions.length === 0) return
+		const state = this.links.createState(this.scheduler.getView(this.now()))
 		for (const decision of decisions) {
 			const {request, expectedMs} = decision
 			const key = request.key.slice(request.owner.length + 1)
@@ -168,7 +180,8 @@
 						key,
 						version: decision.version,
 						engineId: this.options.engine.engineId,
-						expectedMs: Math.round(expectedMs)
+						expectedMs: Math.round(expectedMs),
+						state
 					}
 				})
 				continue
@@ -186,21 +199,40 @@
 					key,
 					reason: encodeReason(decision.reason),
 					retryAfterMs: Math.round(decision.retryAfterMs),
-					expectedMs: Math.round(expectedMs)
+					expectedMs: Math.round(expectedMs),
+					state
 				}
 			})
 		}
 	}
 
+	/** Ticks after the delay, unless an earlier tick is scheduled. */
+	private scheduleTick(delayMs: number): void {
+		const at = this.now() + delayMs
+		if (this.isStopped || at >= this.tickAt) return
+		this.tickAt = at
+		clearTimeout(this.timer)
+		this.timer = setTimeout(() => {
+			this.tickAt = Number.POSITIVE_INFINITY
+			this.tick()
+		}, delayMs)
+	}
+
 	private tick(): void {
 		if (this.scheduler.waitingCount > 0) {
 			this.sendDecisions(this.scheduler.schedule(this.now()))
 		}
 		const {slots} = this.scheduler
-		this.links.publishState(this.scheduler.getView(this.now()), {
-			resident: slots.listResident(),
-			recent: slots.listRecent()
-		})
+		const hasUnsent = this.links.publishState(
+			this.scheduler.getView(this.now()),
+			{
+				resident: slots.listResident(),
+				recent: slots.listRecent(),
+				restarts: slots.restarts
+			}
+		)
+		const isActive = hasUnsent || this.scheduler.waitingCount > 0
+		this.scheduleTick(isActive ? activeTickMs : idleTickMs)
 	}
 }
 
--- a/src/agent/gatewayLinks.ts
+++ b/src/agent/gatewayLinks.ts
@@ -6,9 +6,16 @@
 import {
 	type AgentMessage,
 	AgentMessageSchema,
+	type EngineState,
+	EngineStateSchema,
 	type GatewayMessage
 } from "../contract/gen/grants_pb.js"
 import type {GrantCall} from "../link/fleetLink.js"
+import {
+	activeHeartbeatMs,
+	chooseLinkIntervals,
+	grantLinkPace
+} from "../policy/index.js"
 import type {GrantSchedulerView} from "../policy/grants/index.js"
 
 export interface GatewayLinksOptions {
@@ -22,23 +29,41 @@
 
 /** Adapters in the engine's slots, and those it can load quickly. */
 export interface Residency {
-	resident: string[]
-	recent: string[]
+	resident: readonly string[]
+	recent: readonly string[]
+	/** Engine restarts so far: each invalidates `recent`. */
+	restarts: number
+}
+
+/** What a gateway states about its end of the link. */
+export interface GatewayPace {
+	/** Shortest interval at which it wants states. */
+	stateIntervalMs: number
+	/** Longest time between two of its messages while it has no request here. */
+	heartbeatMs: number
+	/** Whether it takes changes of the residency in place of whole lists. */
+	takesChanges: boolean
 }
 
 interface Link {
 	call: GrantCall
+	pace: GatewayPace
+	/** Keys of its requests that are queued or granted. */
+	readonly requests: Set<string>
 	lastReceivedAt: number
 	lastSentAt: number
 	lastSentView: string
-	lastSentResidency: string
+	/** Undefined until the first state. */
+	lastSentResidency: Residency | undefined
 }
 
-/** Receive timeout. A gateway sends at least two messages in this time. */
-const receiveTimeoutMs = 2000
-/** Shortest interval between states; the longest is the heartbeat. */
-const minStateIntervalMs = 80
-const heartbeatMs = 600
+const defaultPace: GatewayPace = {
+	stateIntervalMs: 0,
+	heartbeatMs: activeHeartbeatMs,
+	takesChanges: false
+}
+/** A gateway sends at least three messages in its receive timeout. */
+const heartbeatsPerTimeout = 10 / 3
 /**
  * Waits are compared in steps of this size; a smaller difference changes no
  * decision.
@@ -48,6 +73,7 @@
 export class GatewayLinks {
 	private readonly links = new Map<string, Link>()
 	private nextOwner = 1
+	private lastResidency: Residency | undefined
 
 	constructor(private readonly options: GatewayLinksOptions) {}
 
@@ -60,15 +86,18 @@
 		const now = this.options.now()
 		this.links.set(owner, {
 			call,
+			pace: defaultPace,
+			requests: new Set(),
 			lastReceivedAt: now,
 			lastSentAt: Number.NEGATIVE_INFINITY,
 			lastSentView: "",
-			lastSentResidency: ""
+			lastSentResidency: undefined
 		})
 		call.on("data", (message: GatewayMessage) => {
 			const link = this.links.get(owner)
 			if (link === undefined) return
 			link.lastReceivedAt = this.options.now()
+			trackRequest(link, message)
 			this.options.onMessage(owner, message)
 		})
 		call.on("error", () => {
@@ -85,9 +114,19 @@
 	send(owner: string, body: AgentMessage["body"]): void {
 		const link = this.links.get(owner)
 		if (link === undefined) return
+		if (body.case === "refuse") link.requests.delete(body.value.key)
 		link.call.write(create(AgentMessageSchema, {body}))
 	}
 
+	setPace(owner: string, pace: GatewayPace): void {
+		const link = this.links.get(owner)
+		if (link === undefined) return
+		link.pace = {
+			...pace,
+			heartbeatMs: Math.max(activeHeartbeatMs, pace.heartbeatMs)
+		}
+	}
+
 	/** Sends a message to all gateways but one. */
 	sendToOthers(owner: string, body: AgentMessage["body"]): void {
 		for (const other of this.links.keys()) {
@@ -97,27 +136,54 @@
 
 	/**
 	 * Sends the state to each gateway for which it changed or a heartbeat is due, and
-	 * disconnects gateways that timed out.
+	 * disconnects gateways that timed out. Returns whether a change is yet to be sent.
 	 */
-	publishState(view: GrantSchedulerView, residency: Residency): void {
+	publishState(view: GrantSchedulerView, residency: Residency): boolean {
 		const now = this.options.now()
-		const residencyText = JSON.stringify(residency)
-		const roundedMs = Math.round(view.waitMs / waitRoundingMs)
-		const viewText = `${view.isUsable}/${roundedMs}/${view.freeSlots}`
+		let hasUnsent = false
+		const own = chooseLinkIntervals(this.links.size, 0, grantLinkPace)
+		const current = this.keepIfEqual(residency)
+		const viewText = formatView(view)
 		for (const [owner, link] of this.links) {
-			if (now - link.lastReceivedAt > receiveTimeoutMs) {
+			const {pace, requests} = link
+			const isActive = requests.size > 0
+			const expectedMs = isActive ? activeHeartbeatMs : pace.heartbeatMs
+			if (now - link.lastReceivedAt > expectedMs * heartbeatsPerTimeout) {
 				this.disconnect(owner, "silent")
 				continue
 			}
-			const hasResidency = link.lastSentResidency !== residencyText
-			const isChanged = hasResidency || link.lastSentView !== viewText
-			const dueMs = isChanged ? minStateIntervalMs : heartbeatMs
-			if (now - link.lastSentAt < dueMs) continue
+			const isChanged =
+				link.lastSentResidency !== current || link.lastSentView !== viewText
+			const heartbeatMs = isActive ? activeHeartbeatMs : own.heartbeatMs
+			const dueMs = isChanged
+				? Math.max(own.minReportMs, pace.stateIntervalMs)
+				: heartbeatMs
+			if (now - link.lastSentAt < dueMs) {
+				hasUnsent ||= isChanged
+				continue
+			}
+			const state = this.createState(view)
+			addResidency(state, link, current)
 			link.lastSentAt = now
 			link.lastSentView = viewText
-			link.lastSentResidency = residencyText
-			this.sendState(owner, view, hasResidency ? residency : undefined)
+			link.lastSentResidency = current
+			this.send(owner, {case: "state", value: state})
 		}
+		return hasUnsent
+	}
+
+	/** The state without residency, to be sent with the response to an ask. */
+	createState(view: GrantSchedulerView): EngineState {
+		return create(EngineStateSchema, {
+			usable: view.isUsable,
+			waitMs: Math.round(view.waitMs),
+			tokensPerSecond: Math.round(view.tokensPerSecond),
+			freeSlots: view.freeSlots,
+			slotStepMs: Math.round(view.slotStepMs),
+			gateways: this.links.size,
+			running: view.running,
+			pacesHeartbeats: true
+		})
 	}
 
 	/** Ends all streams. */
@@ -126,27 +192,16 @@
 		this.links.clear()
 	}
 
-	private sendState(
-		owner: string,
-		view: GrantSchedulerView,
-		residency: Residency | undefined
-	): void {
-		this.send(owner, {
-			case: "state",
-			value: {
-				$typeName: "goldcrestloom.grants.v1.EngineState",
-				usable: view.isUsable,
-				waitMs: Math.round(view.waitMs),
-				tokensPerSecond: Math.round(view.tokensPerSecond),
-				freeSlots: view.freeSlots,
-				slotStepMs: Math.round(view.slotStepMs),
-				gateways: this.links.size,
-				running: view.running,
-				hasResidency: residency !== undefined,
-				resident: residency?.resident ?? [],
-				recent: residency?.recent ?? []
-			}
-		})
+	/** Returns the last residency if it equals the given one, which replaces it else. */
+	private keepIfEqual(residency: Residency): Residency {
+		const known = this.lastResidency
+		const isEqual =
+			known?.restarts === residency.restarts &&
+			known.resident.length === residency.resident.length &&
+			known.resident.every((key, index) => key === residency.resident[index])
+		if (known !== undefined && isEqual) return known
+		this.lastResidency = residency
+		return residency
 	}
 
 	private disconnect(owner: string, reason: string): void {
@@ -157,3 +212,30 @@
 		this.options.onDisconnect(owner, reason)
 	}
 }
+
+function formatView({isUsable, waitMs, freeSlots}: GrantSchedulerView): string {
+	return `${isUsable}/${Math.round(waitMs / waitRoundingMs)}/${freeSlots}`
+}
+
+/** Adds the whole residency, or what changed since the state sent last. */
+function addResidency(
+	state: EngineState,
+	{pace, lastSentResidency: last}: Link,
+	{resident, recent, restarts}: Residency
+): void {
+	if (!pace.takesChanges || last?.restarts !== restarts) {
+		state.hasResidency = true
+		state.resident = [...resident]
+		state.recent = [...recent]
+		return
+	}
+	state.loaded = resident.filter(key => !last.resident.includes(key))
+	state.evicted = last.resident.filter(key => !resident.includes(key))
+}
+
+/** Records which requests of the gateway are queued or granted. */
+function trackRequest({requests}: Link, {body}: GatewayMessage): void {
+	if (body.case === "ask") requests.add(body.value.key)
+	else if (body.case === "ended" || body.case === "misplaced")
+		requests.delete(body.value)
+}
--- a/src/gateway/__tests__/agentLink.test.ts
+++ b/src/gateway/__tests__/agentLink.test.ts
@@ -1,12 +1,14 @@
 import {create} from "@bufbuild/protobuf"
-import {afterEach, describe, expect, it} from "vitest"
+import {afterEach, describe, expect, it, vi} from "vitest"
 import {
 	type AgentMessage,
 	AgentMessageSchema,
 	AskSchema,
+	EngineStateSchema,
 	RefuseReason
 } from "../../contract/gen/grants_pb.js"
 import {type GrantCall, startGrantServer} from "../../link/fleetLink.js"
+import {chooseLinkIntervals, grantLinkPace} from "../../policy/index.js"
 import {AgentLink} from "../agentLink.js"
 import {createLoopbackIp} from "./loopback.js"
 
@@ -16,12 +18,16 @@
 	for (const cleanup of cleanups.splice(0)) cleanup()
 })
 
-/** Starts an agent that sends the test's messages, and a link to it. */
-async function connect(now: () => number): Promise<{
+interface Connection {
 	link: AgentLink
 	downs: string[]
+	/** Number of states that arrived. */
+	readonly states: number
 	sendToGateway: (body: AgentMessage["body"]) => void
-}> {
+}
+
+/** Starts an agent that sends the test's messages, and a link to it. */
+async function connect(now: () => number): Promise<Connection> {
 	const address = `${createLoopbackIp()}:7000`
 	let onAccept: (call: GrantCall) => void = () => undefined
 	const accepted = new Promise<GrantCall>(resolve => {
@@ -29,6 +35,7 @@
 	})
 	const server = await startGrantServer({address, onCall: onAccept})
 	const downs: string[] = []
+	let states = 0
 	let resolveUp: () => void = () => undefined
 	const linkUp = new Promise<void>(resolve => {
 		resolveUp = resolve
@@ -37,9 +44,10 @@
 		address,
 		gateway: "test",
 		now,
+		getIntervals: () => chooseLinkIntervals(1, 0, grantLinkPace),
 		getLimits: () => undefined,
 		getEngineId: () => "i-1",
-		onState: () => undefined,
+		onState: () => (states += 1),
 		onLeaving: () => undefined,
 		onUp: resolveUp,
 		onDown: reason => downs.push(reason)
@@ -55,7 +63,14 @@
 	}
 	sendToGateway({case: "refuse", value: createRefusal("none")})
 	await linkUp
-	return {link, downs, sendToGateway}
+	return {
+		link,
+		downs,
+		get states() {
+			return states
+		},
+		sendToGateway
+	}
 }
 
 function createRefusal(
@@ -129,4 +144,46 @@
 		time = 1900
 		expect(await ask(link, "r1")).toBe("lost")
 	})
+
+	describe("without requests, to an agent that goes by its pace", () => {
+		async function connectPaced(now: () => number): Promise<Connection> {
+			const connection = await connect(now)
+			const value = create(EngineStateSchema, {pacesHeartbeats: true})
+			connection.sendToGateway({case: "state", value})
+			await vi.waitFor(() => {
+				expect(connection.states).toBe(1)
+			})
+			return connection
+		}
+
+		it("allows a pause of less than 2.5 of its heartbeats", async () => {
+			let time = 0
+			const {link, downs} = await connectPaced(() => time)
+			time = 9900
+			void ask(link, "r1")
+			expect(downs).toEqual([])
+		})
+
+		it("fails after a longer pause", async () => {
+			let time = 0
+			const {link, downs} = await connectPaced(() => time)
+			time = 10_100
+			expect(await ask(link, "r1")).toBe("lost")
+			expect(downs).toEqual(["this process was paused"])
+		})
+
+		it("fails soon after an ask to an agent that says nothing", async () => {
+			let time = 0
+			const {link, downs} = await connectPaced(() => time)
+			time = 1800
+			link.tick()
+			const answer = ask(link, "r1")
+			time += 1000
+			link.tick()
+			expect(downs).toEqual([])
+			time += 200
+			link.tick()
+			expect(await answer).toBe("lost")
+		})
+	})
 })
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -14,6 +14,12 @@
 } from "../contract/gen/grants_pb.js"
 import {type OpenGrantStream, openGrantStream} from "../link/fleetLink.js"
 import type {TlsKeys} from "../link/tls.js"
+import {
+	activeHeartbeatMs,
+	chooseLinkIntervals,
+	grantLinkPace,
+	type LinkIntervals
+} from "../policy/index.js"
 
 /** The agent's permission to send one request to its engine. */
 export interface AgentGrant {
@@ -46,6 +52,8 @@
 	tls?: TlsKeys | undefined
 	/** Monotonic milliseconds. */
 	now: () => number
+	/** Intervals for the number of links that this gateway has. */
+	getIntervals: () => LinkIntervals
 	getLimits: () => EngineLimits | undefined
 	getEngineId: () => string
 	onState(state: EngineState): void
@@ -55,15 +63,19 @@
 	onDown(reason: string): void
 }
 
-const heartbeatMs = 600
 /**
- * A longer gap since the last send means that this process was paused. The agent
- * may then have cancelled this gateway's grants: it drops a gateway from which
- * it receives nothing for 2 s.
+ * A gap since the last send of more heartbeats than this means that this process
+ * was paused. The agent may then have cancelled this gateway's grants: it drops a
+ * gateway from which it receives nothing for 3.3 heartbeats.
+ */
+const maxSendGapHeartbeats = 2.5
+/** An agent sends at least three messages in the receive timeout. */
+const heartbeatsPerTimeout = 10 / 3
+/**
+ * An agent that has sent nothing for this long after an ask counts as lost: it sends
+ * a state within 650 ms if it can't respond.
  */
-const maxSendGapMs = 1500
-/** Receive timeout. An agent sends at least three messages in this time. */
-const receiveTimeoutMs = 2000
+const askSilenceMs = 1100
 /** Timeout for the agent's first message on a new stream. */
 const firstMessageTimeoutMs = 1000
 const reconnectDelayMs = 500
@@ -71,11 +83,21 @@
 export class AgentLink {
 	private openStream: OpenGrantStream | undefined
 	private readonly pendingAsks = new Map<string, AskHandlers>()
+	/** Keys of requests that are queued or granted at the agent. */
+	private readonly requests = new Set<string>()
+	/** Time since which a request uses the link. */
+	private activeSince = 0
 	private isUp = false
 	private lastReceivedAt = 0
 	private lastSentAt = 0
 	private openedAt = 0
 	private reconnectAt = 0
+	/** Longest time between two messages on an idle link, as told to the agent. */
+	private idleHeartbeatMs = grantLinkPace.minHeartbeatMs
+	/** Whether the agent goes by `idleHeartbeatMs`; older agents don't. */
+	private isAgentPacing = false
+	/** Gateways that the agent has, as it stated last. */
+	private gatewayCount = 1
 	private isClosed = false
 
 	constructor(private readonly options: AgentLinkOptions) {
@@ -96,6 +118,8 @@
 			handlers.onLost()
 			return
 		}
+		if (this.requests.size === 0) this.activeSince = this.options.now()
+		this.requests.add(ask.key)
 		this.pendingAsks.set(ask.key, handlers)
 		this.send({case: "ask", value: ask})
 	}
@@ -111,6 +135,7 @@
 	 */
 	notifyEnded(key: string, isMisplaced = false): void {
 		this.pendingAsks.delete(key)
+		this.requests.delete(key)
 		this.send({case: isMisplaced ? "misplaced" : "ended", value: key})
 	}
 
@@ -128,12 +153,17 @@
 
 	/** Sends the agent the limits that the configuration sets for its engine. */
 	sendHello(): void {
+		const {heartbeatMs, minReportMs} = this.options.getIntervals()
+		this.idleHeartbeatMs = heartbeatMs
 		this.send({
 			case: "hello",
 			value: {
 				$typeName: "goldcrestloom.grants.v1.Hello",
 				gateway: this.options.gateway,
 				engineId: this.options.getEngineId(),
+				stateIntervalMs: minReportMs,
+				heartbeatMs,
+				takesChanges: true,
 				...toLimitsField(this.options.getLimits())
 			}
 		})
@@ -151,12 +181,11 @@
 			return
 		}
 		if (this.failAfterPause()) return
-		const limitMs = this.isUp ? receiveTimeoutMs : firstMessageTimeoutMs
-		if (now - Math.max(this.lastReceivedAt, this.openedAt) > limitMs) {
+		if (now > this.getReceiveDeadline()) {
 			this.fail("silent")
 			return
 		}
-		if (now - this.lastSentAt < heartbeatMs) return
+		if (now - this.lastSentAt < this.heartbeatMs) return
 		this.send({case: "heartbeat", value: true})
 	}
 
@@ -187,11 +216,43 @@
 	 */
 	private failAfterPause(): boolean {
 		if (!this.isUp) return false
-		if (this.options.now() - this.lastSentAt <= maxSendGapMs) return false
+		const maxGapMs = this.heartbeatMs * maxSendGapHeartbeats
+		if (this.options.now() - this.lastSentAt <= maxGapMs) return false
 		this.fail("this process was paused")
 		return true
 	}
 
+	private get heartbeatMs(): number {
+		const isIdle = this.requests.size === 0 && this.isAgentPacing
+		return isIdle ? this.idleHeartbeatMs : activeHeartbeatMs
+	}
+
+	/** Time at which the link fails unless the agent sends something. */
+	private getReceiveDeadline(): number {
+		const {lastReceivedAt, openedAt, activeSince, requests} = this
+		if (!this.isUp) return openedAt + firstMessageTimeoutMs
+		if (requests.size > 0) {
+			const silenceMs =
+				this.pendingAsks.size > 0
+					? askSilenceMs
+					: activeHeartbeatMs * heartbeatsPerTimeout
+			return Math.max(lastReceivedAt, activeSince) + silenceMs
+		}
+		const {heartbeatMs} = chooseLinkIntervals(
+			this.gatewayCount,
+			0,
+			grantLinkPace
+		)
+		return lastReceivedAt + heartbeatMs * heartbeatsPerTimeout
+	}
+
+	private applyState(state: EngineState | undefined): void {
+		if (state === undefined) return
+		this.gatewayCount = state.gateways
+		this.isAgentPacing = state.pacesHeartbeats
+		this.options.onState(state)
+	}
+
 	private receive({body}: AgentMessage): void {
 		if (this.failAfterPause()) return
 		this.lastReceivedAt = this.options.now()
@@ -199,15 +260,18 @@
 			this.isUp = true
 			this.options.onUp()
 		}
-		if (body.case === "state") this.options.onState(body.value)
+		if (body.case === "state") this.applyState(body.value)
 		else if (body.case === "leaving")
 			this.options.onLeaving(body.value.endpointId, body.value.bornAt)
 		else if (body.case === "grant") {
+			this.applyState(body.value.state)
 			const handlers = this.takePendingAsk(body.value.key)
 			// No handlers: the request was cancelled while the grant was in transit. The
 			// `ended` message makes the agent release the grant.
 			handlers?.onGrant(body.value)
 		} else if (body.case === "refuse") {
+			this.applyState(body.value.state)
+			this.requests.delete(body.value.key)
 			this.takePendingAsk(body.value.key)?.onRefuse(body.value)
 		}
 	}
@@ -230,6 +294,7 @@
 		this.reconnectAt = this.options.now() + reconnectDelayMs
 		const lostAsks = [...this.pendingAsks.values()]
 		this.pendingAsks.clear()
+		this.requests.clear()
 		if (this.isUp) {
 			this.isUp = false
 			this.options.onDown(reason)
--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -11,6 +11,7 @@
 } from "../contract/gen/grants_pb.js"
 import type {TlsKeys} from "../link/tls.js"
 import type {EngineChoice} from "../policy/dispatch/index.js"
+import {chooseLinkIntervals, grantLinkPace} from "../policy/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
 import {AgentLink} from "./agentLink.js"
 import type {FleetState} from "./fleetState.js"
@@ -28,6 +29,8 @@
 	now: () => number
 }
 
+/** Factor by which the pace must differ from the one told to agents. */
+const paceHysteresis = 1.2
 /** Agents that pass on that an endpoint is leaving, besides its own. */
 const maxLeavingRelays = 2
 
@@ -35,6 +38,7 @@
 	private readonly links = new Map<string, AgentLink>()
 	/** Gateways connected to the agent whose state arrived last, this one included. */
 	private reportedGateways = 1
+	private intervals = chooseLinkIntervals(0, 0, grantLinkPace)
 
 	constructor(private readonly options: AgentLinksOptions) {
 		options.fleet.addListener({
@@ -112,6 +116,17 @@
 			}
 		}
 		engineChoice.retain(new Set(engines.keys()))
+		this.updateIntervals()
+	}
+
+	/** Tells the agents a new pace when the number of engines has changed much. */
+	private updateIntervals(): void {
+		const next = chooseLinkIntervals(this.links.size, 0, grantLinkPace)
+		const change = next.minReportMs / this.intervals.minReportMs
+		if (change > 1 / paceHysteresis && change < paceHysteresis) return
+		this.intervals = next
+		this.options.engineChoice.setStateInterval(next.minReportMs)
+		for (const link of this.links.values()) link.sendHello()
 	}
 
 	private getAgentAddress(
@@ -131,6 +146,7 @@
 			tls,
 			now,
 			getEngineId: () => id,
+			getIntervals: () => this.intervals,
 			getLimits: () => this.getLimits(pool),
 			onState: state => {
 				this.reportedGateways = Math.max(1, state.gateways)
@@ -141,8 +157,9 @@
 					freeSlots: state.freeSlots,
 					slotStepMs: state.slotStepMs
 				})
-				if (!state.hasResidency) return
-				engineChoice.applyResidency(id, state.resident, state.recent)
+				if (state.hasResidency)
+					engineChoice.applyResidency(id, state.resident, state.recent)
+				else engineChoice.applyResidencyChange(id, state.loaded, state.evicted)
 			},
 			onLeaving: (endpointId, bornAt) => {
 				fleet.markLeaving(endpointId, bornAt, `agent of ${id}`)
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -63,7 +63,7 @@
 	random?: () => number
 }
 
-const maintenanceIntervalMs = 100
+const maintenanceIntervalMs = 250
 
 export class GatewayTask {
 	readonly fleet: FleetState
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -147,7 +147,7 @@
 				id,
 				isNear: failureDomain === ctx.failureDomain
 			}))
-		return ctx.engines.rank(this.query, candidates, ctx.now())[0]
+		return ctx.engines.choose(this.query, candidates, ctx.now())
 	}
 
 	private askAgent(
--- a/src/policy/__tests__/linkIntervals.test.ts
+++ b/src/policy/__tests__/linkIntervals.test.ts
@@ -1,5 +1,5 @@
 import {expect, test} from "vitest"
-import {chooseLinkIntervals} from "../linkIntervals.js"
+import {chooseLinkIntervals, grantLinkPace} from "../linkIntervals.js"
 
 const targetLinks = 320
 const targetHosts = 360
@@ -34,3 +34,30 @@
 		)
 	}
 })
+
+// Sizes of the messages between gateways and agents with their HTTP/2 frames.
+const stateBytes = 60
+const heartbeatBytes = 25
+const messageMicros = 100
+
+test.each([
+	{gateways: 4, engines: 9},
+	{gateways: 68, engines: 84},
+	{gateways: 360, engines: 1600}
+])(
+	"bounds the control messages of $gateways gateways and $engines engines",
+	({gateways, engines}) => {
+		const gateway = chooseLinkIntervals(engines, 0, grantLinkPace)
+		const agent = chooseLinkIntervals(gateways, 0, grantLinkPace)
+		// An agent sends states at the slower of the two paces.
+		const stateMs = Math.max(gateway.minReportMs, agent.minReportMs)
+		const perLink = {states: 1000 / stateMs, beats: 1000 / gateway.heartbeatMs}
+		for (const links of [gateways, engines]) {
+			const states = links * perLink.states
+			const beats = links * perLink.beats
+			const bytes = states * stateBytes + beats * heartbeatBytes
+			expect(bytes).toBeLessThan(limitBytesPerSecond)
+			expect((states + beats) * messageMicros).toBeLessThan(0.022 * 1e6)
+		}
+	}
+)
--- a/src/policy/dispatch/__tests__/engineChoice.test.ts
+++ b/src/policy/dispatch/__tests__/engineChoice.test.ts
@@ -1,5 +1,9 @@
 import {describe, expect, it} from "vitest"
-import {EngineChoice, type EngineView} from "../engineChoice.js"
+import {
+	EngineChoice,
+	type EngineRating,
+	type EngineView
+} from "../engineChoice.js"
 
 const idle: EngineView = {
 	isUsable: true,
@@ -19,8 +23,20 @@
 	return choice
 }
 
+/** Engines in the order of choice: each is chosen among those that are left. */
+function listRatings(choice: EngineChoice, now = 0): EngineRating[] {
+	const ratings: EngineRating[] = []
+	let left = engines
+	for (;;) {
+		const best = choice.choose(query, left, now)
+		if (best === undefined) return ratings
+		ratings.push(best)
+		left = left.filter(({id}) => id !== best.id)
+	}
+}
+
 function listIds(choice: EngineChoice, now = 0): string[] {
-	return choice.rank(query, engines, now).map(({id}) => id)
+	return listRatings(choice, now).map(({id}) => id)
 }
 
 describe("EngineChoice", () => {
@@ -60,7 +76,7 @@
 		choice.applyResidency("e2", ["base/a1"], [])
 		// The agent sends no state while its state is unchanged.
 		for (let now = 0; now < 600; now += 50) choice.addAsk("e2", query, now)
-		const [best] = choice.rank(query, engines, 600)
+		const [best] = listRatings(choice, 600)
 		expect(best?.id).toBe("e2")
 		expect(best?.expectedMs).toBeLessThan(500)
 	})
@@ -71,7 +87,7 @@
 			e2: {freeSlots: -2},
 			e3: {freeSlots: 1}
 		})
-		const [best, next] = choice.rank(query, engines, 0)
+		const [best, next] = listRatings(choice)
 		expect(best?.id).toBe("e3")
 		expect((next?.expectedMs ?? 0) - (best?.expectedMs ?? 0)).toBe(600)
 	})
@@ -88,8 +104,29 @@
 		const choice = createChoice()
 		choice.applyResidency("e2", ["base/a1"], [])
 		for (const {id} of engines) choice.dropView(id)
-		expect(choice.rank(query, engines, 0)).toMatchObject([
-			{id: "e2", isLinked: false}
-		])
+		expect(listRatings(choice)).toMatchObject([{id: "e2", isLinked: false}])
+	})
+})
+
+describe("a residency that changes", () => {
+	it("is followed without whole lists", () => {
+		const choice = createChoice()
+		choice.applyResidency("e3", ["base/a0"], [])
+		choice.applyResidencyChange("e3", ["base/a1"], ["base/a0"])
+		expect(listIds(choice)[0]).toBe("e3")
+		choice.applyResidencyChange("e3", [], ["base/a1"])
+		// Its host has the adapter in its cache now.
+		expect(listRatings(choice)[0]).toMatchObject({id: "e3", expectedMs: 140})
+	})
+
+	it("chooses alike among many engines whatever their order", () => {
+		const many = Array.from({length: 200}, (_, n) => ({
+			id: `e${n}`,
+			isNear: true
+		}))
+		const choice = new EngineChoice()
+		for (const {id} of many) choice.applyView(id, idle)
+		const best = choice.choose(query, many, 0)
+		expect(choice.choose(query, [...many].reverse(), 0)).toEqual(best)
 	})
 })
--- a/src/policy/dispatch/engineChoice.ts
+++ b/src/policy/dispatch/engineChoice.ts
@@ -1,5 +1,5 @@
 /**
- * Ranks the engines for a generation by the expected time to its first event.
+ * Chooses the engine for a generation by the expected time to its first event.
  * The estimate uses the state that each engine's agent sent last, the gateway's
  * own asks (requests for a grant) since then, adapter residency and failures.
  *
@@ -11,11 +11,8 @@
  *   the request goes elsewhere, which adds a replica of a hot adapter when its
  *   traffic jumps.
  */
-import {
-	getRendezvousScore,
-	hashString,
-	type RendezvousItem
-} from "../rendezvous.js"
+import {getRendezvousScore, hashString} from "../rendezvous.js"
+import {LruSet, recentAdapterCapacity} from "../grants/index.js"
 import {FailurePenalty} from "./failurePenalty.js"
 
 /** Load time of an adapter from the local cache of the engine's host. */
@@ -35,9 +32,11 @@
 const unlinkedFirstEventMs = 300
 /** Added to it for each request of this gateway in flight at the engine. */
 const unlinkedMsPerInFlight = 60
-/** An agent sends a changed state within this time. An older ask is either part
- * of the last state or was served without changing it. */
-const askReflectedMs = 200
+/** Time beyond the interval of states in which an ask reaches the agent and the
+ * state that reflects it the gateway. An older ask is either part of the last state
+ * or was served without changing it. */
+const askTransitMs = 120
+const defaultStateIntervalMs = 80
 /** Extra cost of an engine in another failure domain, where calls take longer. */
 const remoteDomainPenaltyMs = 5
 
@@ -79,9 +78,9 @@
 
 interface EngineRecord {
 	view: EngineView | undefined
-	residentAdapters: ReadonlySet<string>
-	/** Adapters that the engine's host holds in a local cache. */
-	recentAdapters: ReadonlySet<string>
+	residentAdapters: Set<string>
+	/** Adapters that the engine's host is assumed to hold in a local cache. */
+	recentAdapters: LruSet
 	/** Asks of this gateway that `view` may not reflect yet. */
 	asks: SentAsk[]
 	/** Requests of this gateway that are in flight at the engine. */
@@ -102,6 +101,12 @@
 
 export class EngineChoice {
 	private readonly records = new Map<string, EngineRecord>()
+	private askReflectedMs = defaultStateIntervalMs + askTransitMs
+
+	/** Sets the longest interval at which agents send changed states. */
+	setStateInterval(intervalMs: number): void {
+		this.askReflectedMs = intervalMs + askTransitMs
+	}
 
 	/** Stores a state from the engine's agent and drops the asks so far, which it is
 	 * assumed to reflect. */
@@ -118,7 +123,26 @@
 	): void {
 		const record = this.getRecord(id)
 		record.residentAdapters = new Set(residents)
-		record.recentAdapters = new Set(recents)
+		record.recentAdapters.clear()
+		for (const adapter of recents) record.recentAdapters.add(adapter)
+		for (const adapter of residents) record.recentAdapters.add(adapter)
+	}
+
+	/** Applies what changed since the last residency. */
+	applyResidencyChange(
+		id: string,
+		loaded: readonly string[],
+		evicted: readonly string[]
+	): void {
+		const record = this.getRecord(id)
+		for (const adapter of loaded) {
+			record.residentAdapters.add(adapter)
+			record.recentAdapters.add(adapter)
+		}
+		for (const adapter of evicted) {
+			record.residentAdapters.delete(adapter)
+			record.recentAdapters.add(adapter)
+		}
 	}
 
 	/** Drops the state of a lost agent; the last known residency stays in use. */
@@ -159,34 +183,33 @@
 		}
 	}
 
-	/** Usable engines, ordered by cost; the cheapest is first. */
-	rank(
+	/** The usable engine with the lowest cost; undefined if there is none. */
+	choose(
 		query: EngineQuery,
 		candidates: readonly EngineCandidate[],
 		now: number
-	): EngineRating[] {
-		const rendezvousRanks = this.getRendezvousRanks(query.slotKey, candidates)
-		const ratings: EngineRating[] = []
+	): EngineRating | undefined {
+		const preferredIds = this.listPreferred(query.slotKey, candidates)
+		let best: EngineRating | undefined
 		for (const {id, isNear} of candidates) {
 			const record = this.getRecord(id)
-			const affinityMs =
-				Math.min(maxRendezvousRank, rendezvousRanks.get(id) ?? 0) *
-				rendezvousRankStepMs
 			const expected = this.estimate(record, query, now)
 			if (expected === undefined) continue
 			const {expectedMs, storePenaltyMs} = expected
-			const penaltyMs = record.failurePenalty.getPenaltyMs(now)
+			const rank = preferredIds.indexOf(id)
+			const affinityMs =
+				(rank < 0 ? maxRendezvousRank : rank) * rendezvousRankStepMs
 			const cost =
 				expectedMs +
 				storePenaltyMs +
-				penaltyMs +
+				record.failurePenalty.getPenaltyMs(now) +
 				affinityMs +
 				(isNear ? 0 : remoteDomainPenaltyMs)
+			if (best !== undefined && cost >= best.cost) continue
 			const isLinked = record.view !== undefined
-			ratings.push({id, expectedMs, cost, isLinked})
+			best = {id, expectedMs, cost, isLinked}
 		}
-		ratings.sort((a, b) => a.cost - b.cost)
-		return ratings
+		return best
 	}
 
 	/**
@@ -208,9 +231,11 @@
 			return {expectedMs, storePenaltyMs: 0}
 		}
 		if (!view.isUsable) return undefined
-		record.asks = record.asks.filter(
-			({sentAt}) => now - sentAt < askReflectedMs
-		)
+		if (record.asks.length > 0) {
+			record.asks = record.asks.filter(
+				({sentAt}) => now - sentAt < this.askReflectedMs
+			)
+		}
 		const pendingTokens = record.asks.reduce((sum, ask) => sum + ask.tokens, 0)
 		const tokens = pendingTokens + query.promptTokens
 		const waitMs = view.waitMs + tokens / view.tokensPerMs
@@ -225,18 +250,28 @@
 		return {expectedMs: waitMs + slotWaitMs + loadMs, storePenaltyMs}
 	}
 
-	/** Rank of each candidate in the key's rendezvous order; 0 is preferred. */
-	private getRendezvousRanks(
+	/** The first candidates in the key's rendezvous order; the first is preferred. */
+	private listPreferred(
 		key: string,
 		candidates: readonly EngineCandidate[]
-	): Map<string, number> {
+	): string[] {
 		const keyHash = hashString(key)
-		const items: RendezvousItem[] = candidates.map(({id}) => ({
-			id,
-			weight: getRendezvousScore(keyHash, this.getRecord(id).idHash, 1)
-		}))
-		items.sort((a, b) => b.weight - a.weight)
-		return new Map(items.map(({id}, index) => [id, index]))
+		const ids: string[] = []
+		const weights: number[] = []
+		for (const {id} of candidates) {
+			const {idHash} = this.getRecord(id)
+			const weight = getRendezvousScore(keyHash, idHash, 1)
+			let position = ids.length
+			while (position > 0 && weight > (weights[position - 1] ?? 0))
+				position -= 1
+			if (position >= maxRendezvousRank) continue
+			ids.splice(position, 0, id)
+			weights.splice(position, 0, weight)
+			if (ids.length <= maxRendezvousRank) continue
+			ids.pop()
+			weights.pop()
+		}
+		return ids
 	}
 
 	private getRecord(id: string): EngineRecord {
@@ -245,7 +280,7 @@
 			record = {
 				view: undefined,
 				residentAdapters: new Set(),
-				recentAdapters: new Set(),
+				recentAdapters: new LruSet(recentAdapterCapacity),
 				asks: [],
 				inFlight: 0,
 				failurePenalty: new FailurePenalty(),
--- a/src/policy/grants/adapterSlots.ts
+++ b/src/policy/grants/adapterSlots.ts
@@ -35,7 +35,7 @@
 const defaultBaseLoadMs = 1000
 /** Last seen adapters, resident ones included, that the engine's host is assumed
  * to keep in its local cache. */
-const recentAdapterCapacity = 30
+export const recentAdapterCapacity = 30
 /** Short, so that use counts follow a shift of demand within a few seconds. */
 const popularityHalfLifeMs = 8000
 
@@ -56,6 +56,7 @@
 	private readonly popularity = new Popularity({
 		halfLifeMs: popularityHalfLifeMs
 	})
+	private restartCount = 0
 	private recentLoadMs = initialRecentLoadMs
 	private storeLoadMs = initialStoreLoadMs
 
@@ -88,8 +89,14 @@
 		}
 	}
 
+	/** Rises when the engine restarts, so that its local cache counts as empty. */
+	get restarts(): number {
+		return this.restartCount
+	}
+
 	/** Discards the view of an engine that has restarted. */
 	reset(): void {
+		this.restartCount += 1
 		this.sequence = -1
 		this.models.reset()
 		this.slots.clear()
--- a/src/policy/linkIntervals.ts
+++ b/src/policy/linkIntervals.ts
@@ -1,8 +1,8 @@
 /**
- * Intervals of the control messages of an entry while nothing but load changes:
- * acknowledgements to its endpoint processes, their reports, and reads of the
- * host list. The intervals grow with the number of links and hosts, because the
- * bandwidth of control messages is bounded for the whole entry, not per link.
+ * Intervals of the control messages of a process while nothing but load changes:
+ * acknowledgements of an entry to its endpoint processes, their reports, and reads
+ * of the host list; heartbeats of a gateway, and states of an agent. The intervals grow with the number of links and hosts, because the
+ * bandwidth of control messages is bounded for the whole process, not per link.
  */
 
 export interface LinkIntervals {
@@ -19,28 +19,56 @@
 	listIntervalMs: number
 }
 
-const minHeartbeatMs = 1000
-const minReportMs = 200
 const minListIntervalMs = 2000
 /** Several, so that a few lost heartbeats do not make a host suspect. */
 const heartbeatsPerTimeout = 4
+const listIntervalMsPerHost = 100
+
+/** How the intervals of one kind of link grow. */
+export interface LinkPace {
+	minHeartbeatMs: number
+	minReportMs: number
+	heartbeatMsPerLink: number
+	reportMsPerLink: number
+}
+
 /**
- * With these, reports and list reads stay below 19 KB/s, the limit on a node's
- * control messages, at the size they are computed for: 320 links and 360 hosts.
+ * Between entries and endpoint processes. With it, reports and list reads stay
+ * below 19 KB/s, the limit on a node's control messages, at the size they are
+ * computed for: 320 links and 360 hosts.
  */
-const heartbeatMsPerLink = 30
-const minReportMsPerLink = 30
-const listIntervalMsPerHost = 100
+export const entryLinkPace: LinkPace = {
+	minHeartbeatMs: 1000,
+	minReportMs: 200,
+	heartbeatMsPerLink: 30,
+	reportMsPerLink: 30
+}
+
+/**
+ * Between gateways and agents while no request uses the link: at most 125 states
+ * and 17 heartbeats a second for each process.
+ */
+export const grantLinkPace: LinkPace = {
+	minHeartbeatMs: 4000,
+	minReportMs: 80,
+	heartbeatMsPerLink: 60,
+	reportMsPerLink: 8
+}
+
+/** Heartbeat of a link between a gateway and an agent while a request uses it. */
+export const activeHeartbeatMs = 600
 
-/** Intervals for an entry with `links` open links that knows `hosts` hosts. */
+/** Intervals for a process with `links` open links that knows `hosts` hosts. */
 export function chooseLinkIntervals(
 	links: number,
-	hosts: number
+	hosts: number,
+	pace: LinkPace = entryLinkPace
 ): LinkIntervals {
-	const heartbeatMs = Math.max(minHeartbeatMs, links * heartbeatMsPerLink)
+	const {minHeartbeatMs, minReportMs} = pace
+	const heartbeatMs = Math.max(minHeartbeatMs, links * pace.heartbeatMsPerLink)
 	return {
 		heartbeatMs,
-		minReportMs: Math.max(minReportMs, links * minReportMsPerLink),
+		minReportMs: Math.max(minReportMs, links * pace.reportMsPerLink),
 		heartbeatTimeoutMs: heartbeatMs * heartbeatsPerTimeout,
 		listIntervalMs: Math.max(minListIntervalMs, hosts * listIntervalMsPerHost)
 	}
