Charge a load from the weight store 900 ms in the choice of an engine

A copy is worth it only for a wait that is much longer than the load.

Change: 430 ms to 900 ms; an engine with the adapter is left only for 1.2 s.

--- a/src/policy/dispatch/__tests__/engineChoice.test.ts
+++ b/src/policy/dispatch/__tests__/engineChoice.test.ts
@@ -62,6 +62,13 @@
 		expect(listIds(choice)[0]).not.toBe("e2")
 	})
 
+	it("waits for the resident engine rather than load from the weight store", () => {
+		// A crowd of tail adapters: every load holds a slot and delays other loads.
+		const choice = createChoice({e2: {waitMs: 1000}})
+		choice.applyResidency("e2", ["base/a1"], [])
+		expect(listIds(choice)[0]).toBe("e2")
+	})
+
 	it("counts its own asks until the agent sends a new state", () => {
 		const choice = createChoice()
 		choice.applyResidency("e2", ["base/a1"], [])
--- a/src/policy/dispatch/engineChoice.ts
+++ b/src/policy/dispatch/engineChoice.ts
@@ -21,7 +21,7 @@
 const storeLoadMs = 270
 /** Added to the cost of a load from the weight store, which all engines share,
  * so that it is the last resort. */
-const storeLoadPenaltyMs = 430
+const storeLoadPenaltyMs = 900
 /** Cost of each rank in the rendezvous order: sends all requests of an adapter
  * to the same engine while all engines are idle. */
 const rendezvousRankStepMs = 25
