Play the three new promises in the fault soak

The stand-ins of the store and of workers learn them: a return to a copy with a new era, leaving workers, pauses. judgeStatements holds what workers stated against the requests that reached them, by gateway and incarnation.

Mended on the way: an endpoint that took its draining back in one era of the store would have counted as leaving after the next (Departures.deleteDrain).

--- a/bench/soak/__tests__/faults.test.ts
+++ b/bench/soak/__tests__/faults.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from "vitest"
 import type {SoakDeployment} from "../deployment.js"
-import {type Fault, pickFault} from "../faults.js"
+import {type Fault, FaultSet, pickFault} from "../faults.js"
 
 /** A process whose exits the test decides. */
 class ScriptedProcess {
@@ -28,7 +28,7 @@
 
 function pickNamed(deployment: SoakDeployment, name: string): Fault {
 	for (let n = 0; n < 10_000; n++) {
-		const fault = pickFault(deployment, Math.random)
+		const fault = pickFault(deployment, Math.random, FaultSet.First)
 		if (fault.name === name) return fault
 	}
 	throw new Error(`${name} was never picked`)
@@ -42,7 +42,8 @@
 		const worker = {name: "engine1"}
 		const deployment = {
 			gateways: [{process, storeLink: link}],
-			sites: [{agent: process, worker, link, agentLink: link}]
+			sites: [{agent: process, worker, link, agentLink: link}],
+			noteDisturbance: () => undefined
 		} as unknown as SoakDeployment
 		const fault = pickNamed(deployment, "stop gateway-1")
 		void fault.start()
--- a/bench/soak/__tests__/soak.test.ts
+++ b/bench/soak/__tests__/soak.test.ts
@@ -1,4 +1,5 @@
 import {describe, expect, it} from "vitest"
+import {FaultSet} from "../faults.js"
 import {runSoak} from "../soak.js"
 
 /** Seeds that failed once, with what they found. */
@@ -20,6 +21,16 @@
 		expect(report.answered).toBeGreaterThan(50)
 	}, 120_000)
 
+	it("heeds eras of the store, leaving workers and pauses", async () => {
+		const report = await runSoak({
+			seed: 2,
+			durationMs: 15_000,
+			block: 84,
+			faults: FaultSet.All
+		})
+		expect(report.breaches).toEqual([])
+	}, 120_000)
+
 	it.each(regressions)(
 		"keeps every promise with seed $seed, which failed once",
 		async ({seed, block}) => {
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -12,6 +12,8 @@
 
 export interface CallRecord {
 	id: string
+	/** `ip:port` of the gateway that it was sent to. */
+	gateway: string
 	kind: string
 	end: CallEnd
 	sentAt: number
@@ -81,7 +83,7 @@
 			const end = (how: CallEnd, status: number): void => {
 				clearTimeout(timer)
 				const endedAt = performance.now()
-				resolve({id, kind, end: how, sentAt, endedAt, status})
+				resolve({id, gateway: address, kind, end: how, sentAt, endedAt, status})
 			}
 			const req = request({
 				host,
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -5,6 +5,7 @@
 import {FleetStore, FleetWorker} from "../../standins/fleet/index.js"
 import {type Relay, startRelay} from "../../standins/relay.js"
 import {ChildProcess} from "../deployment/childProcess.js"
+import type {Disturbance} from "./statements.js"
 
 export interface SoakSizes {
 	gateways: number
@@ -41,6 +42,8 @@
 export class SoakDeployment {
 	readonly gateways: GatewaySite[] = []
 	readonly sites: WorkerSite[] = []
+	/** Kills, stops, freezes and starts of gateways. */
+	readonly disturbances: Disturbance[] = []
 	configVersion = 0
 	private readonly dir = mkdtempSync(join(tmpdir(), "goldcrestloom-soak-"))
 	private readonly timers: NodeJS.Timeout[] = []
@@ -142,6 +145,17 @@
 		this.store.put("servers", worker.id, entry)
 	}
 
+	/** Writes again what operator and workers wrote, as after a loss of the store. */
+	writeAgain(): void {
+		this.applyConfig()
+		this.writeEntries()
+	}
+
+	/** Records a fault of a gateway, which excuses it from what it heard before. */
+	noteDisturbance(gateway: string): void {
+		this.disturbances.push({gateway, at: performance.now()})
+	}
+
 	async stop(): Promise<void> {
 		for (const timer of this.timers) clearInterval(timer)
 		const children = [
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -1,5 +1,6 @@
 /** A seeded series of faults, which may overlap, and their ends. */
 import {Cut} from "../../standins/relay.js"
+import {sleep} from "../../src/utils/common.js"
 import type {SoakDeployment} from "./deployment.js"
 
 export interface Fault {
@@ -8,11 +9,23 @@
 	end: () => void | Promise<void>
 }
 
+/** Which kinds of faults a soak picks from. */
+export enum FaultSet {
+	/** Those of the earliest soaks, so that a seed stands for the same series. */
+	First = "first",
+	/** Also stores that return from a copy, leaving workers, and pauses. */
+	All = "all"
+}
+
 /** Picks the next fault of the deployment. */
 export function pickFault(
 	deployment: SoakDeployment,
-	random: () => number
+	random: () => number,
+	set: FaultSet
 ): Fault {
+	if (set === FaultSet.All && random() < statementFaultShare) {
+		return pick(listStatementFaults(deployment, random), random)
+	}
 	const faults = [
 		...listProcessFaults(deployment, random),
 		...listWorkerFaults(deployment, random),
@@ -37,16 +50,31 @@
 	const agent = pick(agents, random)
 	const child = random() < 0.5 ? gateway : agent
 	const {name} = child
+	const callers = deployment.gateways.find(
+		({process}) => process === child
+	)?.callers
+	const note = (): void => {
+		if (callers !== undefined) deployment.noteDisturbance(callers)
+	}
 	const start = (): void => {
+		note()
 		if (!child.isRunning) child.start()
 	}
 	// Another fault may have started the process again before this one ends.
 	let stopped: Promise<unknown> = Promise.resolve()
 	return [
-		{name: `kill ${name}`, start: () => void child.kill(), end: start},
+		{
+			name: `kill ${name}`,
+			start: () => {
+				note()
+				void child.kill()
+			},
+			end: start
+		},
 		{
 			name: `stop ${name}`,
 			start: () => {
+				note()
 				stopped = child.terminate()
 			},
 			end: async () => {
@@ -60,6 +88,7 @@
 				child.freeze()
 			},
 			end: () => {
+				note()
 				child.thaw()
 			}
 		},
@@ -134,6 +163,56 @@
 	]
 }
 
+/** Share of the faults that are about what the store and workers state. */
+const statementFaultShare = 0.3
+/** Time after which operator and workers notice and write again. */
+const rewriteDelayMs = 800
+const pauseMs = 1500
+
+function listStatementFaults(
+	deployment: SoakDeployment,
+	random: () => number
+): Fault[] {
+	const {store} = deployment
+	const site = pick(deployment.sites, random)
+	const {worker} = site
+	return [
+		{
+			name: "store returns from a copy",
+			start: () => {
+				store.saveCopy()
+			},
+			end: async () => {
+				store.returnToCopy()
+				await sleep(rewriteDelayMs)
+				deployment.writeAgain()
+			}
+		},
+		{
+			name: `${worker.name} leaves`,
+			start: () => {
+				worker.isLeaving = true
+			},
+			end: async () => {
+				const oldId = worker.id
+				await worker.crash(false)
+				store.remove("servers", oldId)
+				if (!worker.isUp) await worker.start()
+				deployment.writeEntry(site)
+			}
+		},
+		{
+			name: `${worker.name} turns work away`,
+			start: () => {
+				worker.pauseMs = pauseMs
+			},
+			end: () => {
+				worker.pauseMs = 0
+			}
+		}
+	]
+}
+
 function listLinkFaults(
 	deployment: SoakDeployment,
 	random: () => number
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -1,6 +1,7 @@
 /** `npm run soak -- --seed N --minutes M`: faults against the real programs. */
 import {cac} from "cac"
 import {exitOnSignal} from "../deployment/childProcess.js"
+import {FaultSet} from "./faults.js"
 import {runSoak} from "./soak.js"
 
 const cli = cac("soak")
@@ -30,6 +31,7 @@
 				desks: Number(options.desks)
 			},
 			callers: Number(options.callers),
+			faults: FaultSet.All,
 			block: Number(options.block),
 			onProgress: text => {
 				if (options.verbose === true) console.log(`  ${text}`)
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -3,13 +3,16 @@
 import {Random} from "../load/random.js"
 import {CallEnd, Callers, type CallRecord} from "./callers.js"
 import {SoakDeployment, type SoakSizes} from "./deployment.js"
-import {type Fault, pickFault} from "./faults.js"
+import {type Fault, FaultSet, pickFault} from "./faults.js"
+import {judgeStatements} from "./statements.js"
 
 export interface SoakOptions {
 	seed: number
 	durationMs: number
 	sizes?: SoakSizes
 	callers?: number
+	/** `First` by default. */
+	faults?: FaultSet
 	/** Second number of the loopback addresses, one for each soak at a time. */
 	block?: number
 	onProgress?: (text: string) => void
@@ -60,7 +63,12 @@
 		const breaches = [
 			...callers.breaches,
 			...deployment.sites.flatMap(({worker}) => worker.violations),
-			...judgeRuns(deployment, records)
+			...judgeRuns(deployment, records),
+			...judgeStatements({
+				records,
+				arrivals: deployment.sites.flatMap(({worker}) => worker.arrivals),
+				disturbances: deployment.disturbances
+			})
 		]
 		if (recovered < minRecovered) {
 			breaches.push(`only ${recovered.toFixed(2)} answered after recovery`)
@@ -80,11 +88,12 @@
 	options: SoakOptions,
 	durationMs: number
 ): Promise<string[]> {
+	const {faults: set = FaultSet.First} = options
 	const until = performance.now() + durationMs
 	const names: string[] = []
 	const running: Promise<void>[] = []
 	while (performance.now() < until) {
-		const fault = pickFault(deployment, random)
+		const fault = pickFault(deployment, random, set)
 		names.push(fault.name)
 		options.onProgress?.(fault.name)
 		const leftMs = Math.max(500, until - performance.now())
--- a/src/gateway/fleetState.ts
+++ b/src/gateway/fleetState.ts
@@ -274,6 +274,7 @@
 		this.pendingRemovals.delete(id)
 		this.departures.deleteRemoval(id)
 		if (state === EndpointState.Draining) this.departures.addDrain(endpoint)
+		else this.departures.deleteDrain(id)
 		const isRestart = known !== undefined && known.bornAt !== endpoint.bornAt
 		if (isRestart || known?.address !== address) this.replacedIds.delete(id)
 		this.endpoints.set(id, {...endpoint, state})
--- a/src/policy/registrations/departures.ts
+++ b/src/policy/registrations/departures.ts
@@ -62,6 +62,12 @@
 		dropOldest(this.leavings)
 	}
 
+	/** Forgets a drain that the endpoint took back; a statement stays. */
+	deleteDrain(id: string): void {
+		const known = this.leavings.get(id)
+		if (known !== undefined && known.sinceEra > 0) this.leavings.delete(id)
+	}
+
 	addRemoval(removal: Registration): void {
 		this.removals.delete(removal.id)
 		this.removals.set(removal.id, removal)
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -22,6 +22,17 @@
 	random: () => number
 }
 
+/** A request that reached the worker, and what the worker stated in its answer. */
+export interface WorkerArrival {
+	requestId: string
+	/** Id and incarnation; the id may outlive a crash. */
+	worker: string
+	at: number
+	isLeaving: boolean
+	/** Time until which the worker wants no requests; 0 if it stated none. */
+	pausedUntil: number
+}
+
 export interface WorkerRun {
 	requestId: string
 	worker: string
@@ -64,6 +75,11 @@
 
 export class FleetWorker {
 	readonly runs: WorkerRun[] = []
+	readonly arrivals: WorkerArrival[] = []
+	/** States in every answer that it is leaving, until it crashes. */
+	isLeaving = false
+	/** Turns half of the requests away for this long; 0 for none. */
+	pauseMs = 0
 	/**
 	 * Violations, as text: orders that unload an adapter with a reported active
 	 * run, and loads that need more adapters than there are slots.
@@ -143,6 +159,7 @@
 		this.hasModel = false
 		this.sequence = 0
 		this.highestFence = 0
+		this.isLeaving = false
 		this.bornAt = Date.now()
 	}
 
@@ -170,11 +187,32 @@
 			if (req.url === "/report") this.sendReport(res)
 			else if (req.url === "/health") res.writeHead(200).end()
 			else if (req.url === "/order") this.order(res, body)
+			else if (this.turnsAway(req, res)) return
 			else if (this.options.adapterSlots > 0) this.generate(req, res)
 			else this.serveCall(req, res)
 		})
 	}
 
+	/** Records the arrival of a request; returns true if it is turned away. */
+	private turnsAway(req: IncomingMessage, res: ServerResponse): boolean {
+		const {isLeaving, pauseMs} = this
+		const requestId = String(req.headers["x-request-id"])
+		const at = performance.now()
+		const isPause = pauseMs > 0 && this.options.random() < 0.5
+		const pausedUntil = isPause ? at + pauseMs : 0
+		const worker = `${this.id} (${this.incarnation})`
+		this.arrivals.push({requestId, worker, at, isLeaving, pausedUntil})
+		if (isLeaving) res.setHeader("Server-Leaving", "1")
+		if (!isPause) return false
+		res.writeHead(503, {
+			"X-Request-Id": requestId,
+			"X-Not-Run": "1",
+			"Retry-After": String(pauseMs / 1000)
+		})
+		res.end()
+		return true
+	}
+
 	private sendReport(res: ServerResponse): void {
 		for (const run of this.activeRuns) run.isReported = true
 		const models = this.hasModel
