Send hellos and version notices only where they say something new

Cause: each configuration made every gateway send its hello, with the limits of the engine, to every agent, and each announced version went to every agent: 5,712 messages for one change on the large site, 25 times that in a storm of configurations. Each growth of a starting fleet by a fifth repeated the hellos.

Change: a link sends a hello only if it differs from the last one of the stream. A version is announced to the agents whose engine holds the adapter, and when an engine is heard to have loaded it; every ask states it as before.

--- a/src/gateway/__tests__/agentLink.test.ts
+++ b/src/gateway/__tests__/agentLink.test.ts
@@ -2,6 +2,7 @@
 import {afterEach, describe, expect, it, vi} from "vitest"
 import {
 	type AgentMessage,
+	type GatewayMessage,
 	AgentMessageSchema,
 	AskSchema,
 	EngineStateSchema,
@@ -23,6 +24,8 @@
 	downs: string[]
 	/** Number of states that arrived. */
 	readonly states: number
+	/** Cases of the messages that the agent received. */
+	received: (string | undefined)[]
 	sendToGateway: (body: AgentMessage["body"]) => void
 }
 
@@ -58,6 +61,8 @@
 	})
 	const call = await accepted
 	call.on("error", () => undefined)
+	const received: (string | undefined)[] = []
+	call.on("data", ({body}: GatewayMessage) => received.push(body.case))
 	const sendToGateway = (body: AgentMessage["body"]): void => {
 		call.write(create(AgentMessageSchema, {body}))
 	}
@@ -66,6 +71,7 @@
 	return {
 		link,
 		downs,
+		received,
 		get states() {
 			return states
 		},
@@ -129,6 +135,16 @@
 		expect(downs).toEqual(["this process was paused"])
 	})
 
+	it("sends the same hello only once on a stream", async () => {
+		const {link, received} = await connect(() => 0)
+		for (let n = 0; n < 5; n++) link.sendHello()
+		link.notifyStarted("r1")
+		await vi.waitFor(() => {
+			expect(received).toContain("started")
+		})
+		expect(received.filter(kind => kind === "hello")).toHaveLength(1)
+	})
+
 	it("fails when an agent sends nothing on an open connection", async () => {
 		let time = 0
 		const {link, downs} = await connect(() => time)
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -3,13 +3,15 @@
  * response to the request that asked, and reports the engine's state. Reconnects
  * after a failure.
  */
-import {create} from "@bufbuild/protobuf"
+import {create, equals} from "@bufbuild/protobuf"
 import {
 	type AgentMessage,
 	type EngineLimits,
 	type EngineState,
 	type GatewayMessage,
 	GatewayMessageSchema,
+	type Hello,
+	HelloSchema,
 	RefuseReason
 } from "../contract/gen/grants_pb.js"
 import {type OpenGrantStream, openGrantStream} from "../link/fleetLink.js"
@@ -82,6 +84,8 @@
 
 export class AgentLink {
 	private openStream: OpenGrantStream | undefined
+	/** The hello that was sent last on the open stream. */
+	private sentHello: Hello | undefined
 	private readonly pendingAsks = new Map<string, AskHandlers>()
 	/** Keys of requests that are queued or granted at the agent. */
 	private readonly requests = new Set<string>()
@@ -151,22 +155,27 @@
 		this.send({case: "leaving", value: {$typeName, endpointId, bornAt}})
 	}
 
-	/** Sends the agent the limits that the configuration sets for its engine. */
+	/**
+	 * Sends the agent the limits that the configuration sets for its engine and the
+	 * pace of this gateway, unless it was told the same on this stream.
+	 */
 	sendHello(): void {
-		const {heartbeatMs, minReportMs} = this.options.getIntervals()
-		this.idleHeartbeatMs = heartbeatMs
-		this.send({
-			case: "hello",
-			value: {
-				$typeName: "goldcrestloom.grants.v1.Hello",
-				gateway: this.options.gateway,
-				engineId: this.options.getEngineId(),
-				stateIntervalMs: minReportMs,
-				heartbeatMs,
-				takesChanges: true,
-				...toLimitsField(this.options.getLimits())
-			}
+		const {options} = this
+		const {heartbeatMs, minReportMs} = options.getIntervals()
+		const limits = options.getLimits()
+		const hello = create(HelloSchema, {
+			gateway: options.gateway,
+			engineId: options.getEngineId(),
+			stateIntervalMs: minReportMs,
+			heartbeatMs,
+			takesChanges: true,
+			...(limits === undefined ? {} : {limits})
 		})
+		const known = this.sentHello
+		if (known !== undefined && equals(HelloSchema, known, hello)) return
+		this.sentHello = hello
+		this.idleHeartbeatMs = heartbeatMs
+		this.send({case: "hello", value: hello})
 	}
 
 	/**
@@ -197,6 +206,7 @@
 	private connect(): void {
 		const connection = openGrantStream(this.options.address, this.options.tls)
 		this.openStream = connection
+		this.sentHello = undefined
 		this.openedAt = this.options.now()
 		connection.stream.on("data", (message: AgentMessage) => {
 			if (this.openStream === connection) this.receive(message)
@@ -302,9 +312,3 @@
 		for (const handlers of lostAsks) handlers.onLost()
 	}
 }
-
-function toLimitsField(limits: EngineLimits | undefined): {
-	limits?: EngineLimits
-} {
-	return limits === undefined ? {} : {limits}
-}
--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -4,7 +4,7 @@
  * address changes, and passes each agent's `EngineState` to the engine choice.
  */
 import {create} from "@bufbuild/protobuf"
-import type {FleetEndpoint} from "../contract/fleet.js"
+import {slotKey, type FleetEndpoint} from "../contract/fleet.js"
 import {
 	type EngineLimits,
 	EngineLimitsSchema
@@ -50,7 +50,10 @@
 				for (const link of this.links.values()) link.sendHello()
 			},
 			onVersion: ({model, adapter, version}) => {
-				for (const link of this.links.values()) {
+				// The other agents hear it when they load the adapter, and with each ask.
+				const key = slotKey(model, adapter)
+				for (const [id, link] of this.links) {
+					if (!options.engineChoice.isResident(id, key)) continue
 					link.announceVersion(model, adapter, version)
 				}
 			}
@@ -160,15 +163,17 @@
 				if (state.hasResidency)
 					engineChoice.applyResidency(id, state.resident, state.recent)
 				else engineChoice.applyResidencyChange(id, state.loaded, state.evicted)
+				for (const key of [...state.resident, ...state.loaded]) {
+					const newest = fleet.findVersion(key)
+					if (newest === undefined) continue
+					link.announceVersion(newest.model, newest.adapter, newest.version)
+				}
 			},
 			onLeaving: (endpointId, bornAt) => {
 				fleet.markLeaving(endpointId, bornAt, `agent of ${id}`)
 			},
 			onUp: () => {
 				log.decide("agent.up", {endpoint: id})
-				for (const {model, adapter, version} of fleet.listVersions()) {
-					link.announceVersion(model, adapter, version)
-				}
 			},
 			onDown: reason => {
 				log.decide("agent.down", {endpoint: id, reason})
--- a/src/gateway/fleetState.ts
+++ b/src/gateway/fleetState.ts
@@ -243,6 +243,11 @@
 		for (const listener of this.listeners) listener.onVersion?.(version)
 	}
 
+	/** The newest announced version of the adapter with this slot key. */
+	findVersion(key: string): AnnouncedVersion | undefined {
+		return this.versions.get(key)
+	}
+
 	/** Lowest version that may serve: the newest announced one, 0 if none was. */
 	getMinVersion(model: string, adapter: string): number {
 		return this.versions.get(slotKey(model, adapter))?.version ?? 0
--- a/src/policy/dispatch/engineChoice.ts
+++ b/src/policy/dispatch/engineChoice.ts
@@ -150,6 +150,11 @@
 		this.getRecord(id).view = undefined
 	}
 
+	/** Whether the adapter was resident at the engine when it was last heard of. */
+	isResident(id: string, slotKey: string): boolean {
+		return this.getRecord(id).residentAdapters.has(slotKey)
+	}
+
 	isLinked(id: string): boolean {
 		return this.getRecord(id).view !== undefined
 	}
