--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -73,7 +73,8 @@
 	private readonly servers: Server[] = []
 	private readonly publisher: FleetPublisher | undefined
 	private readonly follower: FleetFollower
-	private readonly isPublisher: boolean
+	/** Whether this gateway watches the store and publishes it to the others. */
+	readonly isPublisher: boolean
 	private timer: NodeJS.Timeout | undefined
 
 	constructor(private readonly options: GatewayTaskOptions) {
