--- a/scripts/writeFaults.mjs
+++ b/scripts/writeFaults.mjs
@@ -81,6 +81,9 @@
 Every other pair of a step and a fault is not run with processes. The decision
 modules cover more pairs under generated schedules: \`src/policy/__tests__\`,
 \`src/endpoint/claims/__tests__\` and \`src/operator/__tests__\`.
+
+The programs on the users' platform meet their faults in the [fault soak](SOAK.md), among
+them a store that returns from a copy and endpoints that leave or want a pause.
 `
 writeFileSync("docs/FAULTS.md", text)
 console.log(`docs/FAULTS.md: ${JSON.stringify(counts)}`)
