--- a/src/agent/gatewayLinks.ts
+++ b/src/agent/gatewayLinks.ts
@@ -14,7 +14,8 @@
 import {
 	activeHeartbeatMs,
 	chooseLinkIntervals,
-	grantLinkPace
+	grantLinkPace,
+	grantLinkTimeoutHeartbeats
 } from "../policy/index.js"
 import type {GrantSchedulerView} from "../policy/grants/index.js"
 
@@ -62,8 +63,6 @@
 	heartbeatMs: activeHeartbeatMs,
 	takesChanges: false
 }
-/** A gateway sends at least three messages in its receive timeout. */
-const heartbeatsPerTimeout = 10 / 3
 /**
  * Waits are compared in steps of this size; a smaller difference changes no
  * decision.
@@ -148,7 +147,7 @@
 			const {pace, requests} = link
 			const isActive = requests.size > 0
 			const expectedMs = isActive ? activeHeartbeatMs : pace.heartbeatMs
-			if (now - link.lastReceivedAt > expectedMs * heartbeatsPerTimeout) {
+			if (now - link.lastReceivedAt > expectedMs * grantLinkTimeoutHeartbeats) {
 				this.disconnect(owner, "silent")
 				continue
 			}
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -20,6 +20,7 @@
 	activeHeartbeatMs,
 	chooseLinkIntervals,
 	grantLinkPace,
+	grantLinkTimeoutHeartbeats,
 	type LinkIntervals
 } from "../policy/index.js"
 
@@ -71,8 +72,6 @@
  * gateway from which it receives nothing for 3.3 heartbeats.
  */
 const maxSendGapHeartbeats = 2.5
-/** An agent sends at least three messages in the receive timeout. */
-const heartbeatsPerTimeout = 10 / 3
 /**
  * An agent that has sent nothing for this long after an ask counts as lost: it sends
  * a state within 650 ms if it can't respond.
@@ -245,7 +244,7 @@
 			const silenceMs =
 				this.pendingAsks.size > 0
 					? askSilenceMs
-					: activeHeartbeatMs * heartbeatsPerTimeout
+					: activeHeartbeatMs * grantLinkTimeoutHeartbeats
 			return Math.max(lastReceivedAt, activeSince) + silenceMs
 		}
 		const {heartbeatMs} = chooseLinkIntervals(
@@ -253,7 +252,7 @@
 			0,
 			grantLinkPace
 		)
-		return lastReceivedAt + heartbeatMs * heartbeatsPerTimeout
+		return lastReceivedAt + heartbeatMs * grantLinkTimeoutHeartbeats
 	}
 
 	private applyState(state: EngineState | undefined): void {
--- a/src/policy/linkIntervals.ts
+++ b/src/policy/linkIntervals.ts
@@ -1,8 +1,9 @@
 /**
  * Intervals of the control messages of a process while nothing but load changes:
  * acknowledgements of an entry to its endpoint processes, their reports, and reads
- * of the host list; heartbeats of a gateway, and states of an agent. The intervals grow with the number of links and hosts, because the
- * bandwidth of control messages is bounded for the whole process, not per link.
+ * of the host list; heartbeats of a gateway, and states of an agent. The intervals
+ * grow with the number of links and hosts, because the bandwidth of control
+ * messages is bounded for the whole process, not per link.
  */
 
 export interface LinkIntervals {
@@ -58,6 +59,12 @@
 /** Heartbeat of a link between a gateway and an agent while a request uses it. */
 export const activeHeartbeatMs = 600
 
+/**
+ * Heartbeats without a message after which such a link fails: three messages are
+ * due before.
+ */
+export const grantLinkTimeoutHeartbeats = 10 / 3
+
 /** Intervals for a process with `links` open links that knows `hosts` hosts. */
 export function chooseLinkIntervals(
 	links: number,
