Mend what a last reading of the change found

- The fencing test had come to ignore a draft that rejects (allSettled).
It fails again (Promise.all), as before.
- A gateway's pace kept the whole hello message; it keeps its three fields.

--- a/__tests__/faults/fencing.test.ts
+++ b/__tests__/faults/fencing.test.ts
@@ -70,14 +70,17 @@
 	}
 }
 
-/** Sends rounds of drafts until the replacement has loaded an adapter. */
+/**
+ * Sends rounds of drafts until the replacement has loaded an adapter. Resolves
+ * while the last round may still be running.
+ */
 async function sendUntilLoaded(
 	adapters: readonly string[],
 	health: string
-): Promise<[Promise<unknown>]> {
+): Promise<{lastRound: Promise<unknown>}> {
 	// Drafts that entries sent to the frozen process only end at their deadline, so
 	// the wait for a load is not one for the end of their round.
-	let round: Promise<unknown> = Promise.resolve()
+	let lastRound: Promise<unknown> = Promise.resolve()
 	let isRoundRunning = false
 	await bed.waitUntil("the replacement has loaded an adapter", async () => {
 		if (!isRoundRunning) {
@@ -85,11 +88,11 @@
 			const results = adapters.map(adapter =>
 				streamDraft(entry, {adapter, prompt: "later", maxTokens: 5})
 			)
-			round = Promise.allSettled(results).then(() => (isRoundRunning = false))
+			lastRound = Promise.all(results).finally(() => (isRoundRunning = false))
 		}
 		return (await countLoads(health)) > 0
 	})
-	return [round]
+	return {lastRound}
 }
 
 testCell("fencing: thawed predecessor, engine checks", async () => {
@@ -107,7 +110,7 @@
 	predecessor.freeze()
 	const health = await findAddress()
 	startReplacement(host, await findAddress(), health)
-	const [lastRound] = await sendUntilLoaded(adapters, health)
+	const {lastRound} = await sendUntilLoaded(adapters, health)
 	await lastRound
 	predecessor.thaw()
 	await predecessor.exited
--- a/src/agent/gatewayLinks.ts
+++ b/src/agent/gatewayLinks.ts
@@ -117,13 +117,13 @@
 		link.call.write(create(AgentMessageSchema, {body}))
 	}
 
+	/** Applies what a gateway stated in its hello. */
 	setPace(owner: string, pace: GatewayPace): void {
 		const link = this.links.get(owner)
 		if (link === undefined) return
-		link.pace = {
-			...pace,
-			heartbeatMs: Math.max(activeHeartbeatMs, pace.heartbeatMs)
-		}
+		const {stateIntervalMs, takesChanges} = pace
+		const heartbeatMs = Math.max(activeHeartbeatMs, pace.heartbeatMs)
+		link.pace = {stateIntervalMs, heartbeatMs, takesChanges}
 	}
 
 	/** Sends a message to all gateways but one. */
--- a/src/policy/__tests__/linkIntervals.test.ts
+++ b/src/policy/__tests__/linkIntervals.test.ts
@@ -35,7 +35,7 @@
 	}
 })
 
-// Sizes of the messages between gateways and agents with their HTTP/2 frames.
+// Assumed sizes with their frames, and processor time, of one message.
 const stateBytes = 60
 const heartbeatBytes = 25
 const messageMicros = 100
--- a/src/policy/registrations/departures.ts
+++ b/src/policy/registrations/departures.ts
@@ -79,10 +79,6 @@
 		this.removals.delete(id)
 	}
 
-	getRemoval(id: string): StoreRevision | undefined {
-		return this.removals.get(id)
-	}
-
 	listRemovals(): Registration[] {
 		return [...this.removals.values()]
 	}
