Name the shared backoff and the idle interval for what they are

ClaimBackoff serves claims and the store's follower: PlatformBackoff. The hello's heartbeat_ms bore a name of the users' wire: idle_interval_ms, with the same field number, so that builds still understand one another.

--- a/src/agent/__tests__/gatewayLinks.test.ts
+++ b/src/agent/__tests__/gatewayLinks.test.ts
@@ -59,7 +59,7 @@
 	}
 }
 
-const pace = {stateIntervalMs: 0, heartbeatMs: 0, takesChanges: true}
+const pace = {stateIntervalMs: 0, idleIntervalMs: 0, takesChanges: true}
 
 describe("GatewayLinks", () => {
 	it("sends the whole residency first, then only what changed", () => {
@@ -118,7 +118,7 @@
 		const {links, clock, lost, connect, publish} = createLinks()
 		connect()
 		connect()
-		links.setPace("g2", {...pace, heartbeatMs: 1200})
+		links.setPace("g2", {...pace, idleIntervalMs: 1200})
 		clock.now = 2500
 		publish([])
 		expect(lost).toEqual(["silent"])
--- a/src/agent/gatewayLinks.ts
+++ b/src/agent/gatewayLinks.ts
@@ -41,7 +41,7 @@
 	/** Shortest interval at which it wants states. */
 	stateIntervalMs: number
 	/** Longest time between two of its messages while it has no request here. */
-	heartbeatMs: number
+	idleIntervalMs: number
 	/** Whether it takes changes of the residency in place of whole lists. */
 	takesChanges: boolean
 }
@@ -60,7 +60,7 @@
 
 const defaultPace: GatewayPace = {
 	stateIntervalMs: 0,
-	heartbeatMs: activeHeartbeatMs,
+	idleIntervalMs: activeHeartbeatMs,
 	takesChanges: false
 }
 /**
@@ -122,8 +122,8 @@
 		const link = this.links.get(owner)
 		if (link === undefined) return
 		const {stateIntervalMs, takesChanges} = pace
-		const heartbeatMs = Math.max(activeHeartbeatMs, pace.heartbeatMs)
-		link.pace = {stateIntervalMs, heartbeatMs, takesChanges}
+		const idleIntervalMs = Math.max(activeHeartbeatMs, pace.idleIntervalMs)
+		link.pace = {stateIntervalMs, idleIntervalMs, takesChanges}
 	}
 
 	/** Sends a message to all gateways but one. */
@@ -146,7 +146,7 @@
 		for (const [owner, link] of this.links) {
 			const {pace, requests} = link
 			const isActive = requests.size > 0
-			const expectedMs = isActive ? activeHeartbeatMs : pace.heartbeatMs
+			const expectedMs = isActive ? activeHeartbeatMs : pace.idleIntervalMs
 			if (now - link.lastReceivedAt > expectedMs * grantLinkTimeoutHeartbeats) {
 				this.disconnect(owner, "silent")
 				continue
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -166,7 +166,7 @@
 			gateway: options.gateway,
 			engineId: options.getEngineId(),
 			stateIntervalMs: minReportMs,
-			heartbeatMs,
+			idleIntervalMs: heartbeatMs,
 			takesChanges: true,
 			...(limits === undefined ? {} : {limits})
 		})
--- a/src/policy/claims.ts
+++ b/src/policy/claims.ts
@@ -11,7 +11,7 @@
  * shows whether it was applied before.
  */
 import {WriteOutcome, absentVersion} from "../link/platform.js"
-import {ClaimBackoff} from "./claimBackoff.js"
+import {PlatformBackoff} from "./platformBackoff.js"
 import {
 	type ClaimBatch,
 	type ClaimHead,
@@ -72,7 +72,7 @@
 export class ClaimBucket {
 	private readonly options: ClaimOptions & typeof defaultClaimOptions
 	private readonly records: ClaimRecords
-	private readonly backoff: ClaimBackoff
+	private readonly backoff: PlatformBackoff
 	private actions: ClaimAction[] = []
 
 	private head: ClaimHead = emptyHead
@@ -91,7 +91,7 @@
 
 	constructor(options: ClaimOptions) {
 		this.options = {...defaultClaimOptions, ...options}
-		this.backoff = new ClaimBackoff(this.options)
+		this.backoff = new PlatformBackoff(this.options)
 		const nextId = (): string => this.makeId()
 		this.records = new ClaimRecords({...this.options, nextId}, action =>
 			this.actions.push(action)
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -21,6 +21,7 @@
 	type EngineOrder,
 	type EngineReport,
 	GrantDecisionKind,
+	type GrantSchedulerView,
 	type GrantRequest,
 	type GrantDecision,
 	type OrderOutcome,
@@ -50,22 +51,6 @@
 const prefixCacheFraction = 0.6
 const minRetryAfterMs = 150
 
-export interface GrantSchedulerView {
-	/** Whether the engine answers and a base model is resident or loading. */
-	isUsable: boolean
-	/** Expected time until the prefill of a new request for a resident adapter
-	 * begins. */
-	waitMs: number
-	/** Prefill rate. */
-	tokensPerSecond: number
-	/** Available slots minus adapters that wait for one; may be negative. */
-	freeSlots: number
-	/** Expected interval at which slots become free. */
-	slotStepMs: number
-	/** Grants that have not ended, whether or not the engine runs them yet. */
-	running: number
-}
-
 export class GrantScheduler {
 	readonly slots = new AdapterSlots()
 	private readonly prefillRate = new PrefillRate()
--- a/src/policy/grants/types.ts
+++ b/src/policy/grants/types.ts
@@ -149,3 +149,20 @@
 		loadMs: number
 	}[]
 }
+
+/** State of the scheduler and its engine, as told to gateways. */
+export interface GrantSchedulerView {
+	/** Whether the engine answers and a base model is resident or loading. */
+	isUsable: boolean
+	/** Expected time until the prefill of a new request for a resident adapter
+	 * begins. */
+	waitMs: number
+	/** Prefill rate. */
+	tokensPerSecond: number
+	/** Available slots minus adapters that wait for one; may be negative. */
+	freeSlots: number
+	/** Expected interval at which slots become free. */
+	slotStepMs: number
+	/** Grants that have not ended, whether or not the engine runs them yet. */
+	running: number
+}
--- a/src/policy/claimBackoff.ts
+++ b/src/policy/platformBackoff.ts
@@ -1,6 +1,6 @@
 /** Exponential backoff between calls to the platform after failures. */
 
-export interface ClaimBackoffOptions {
+export interface PlatformBackoffOptions {
 	/**
 	 * Delay after the first failure, doubled after each further one up to
 	 * `retryMaxMs`; `jitter` reduces it by up to half.
@@ -17,13 +17,13 @@
 /** Consecutive failures after which the platform counts as down. */
 const downAfterFailures = 2
 
-export class ClaimBackoff {
+export class PlatformBackoff {
 	/** Time before which no call to the platform is started. */
 	retryAt = -Infinity
 	/** Consecutive failures. */
 	private failures = 0
 
-	constructor(private readonly options: ClaimBackoffOptions) {}
+	constructor(private readonly options: PlatformBackoffOptions) {}
 
 	get isDown(): boolean {
 		return this.failures >= downAfterFailures
