Decide a generation's time limits in the policy

The latest useful time and the objective of the next event were decided in GenerationTask, between its sends: getStartLimits has them as a pure function, with tests for arrivals, short times, resumptions and begun streams. The inverse of slotKey stands beside it.

No change of behaviour.

--- a/src/contract/fleet.ts
+++ b/src/contract/fleet.ts
@@ -52,6 +52,12 @@
 	return `${model}/${adapter}`
 }
 
+/** Inverse of `slotKey`. */
+export function splitSlotKey(key: string): {model: string; adapter: string} {
+	const separator = key.lastIndexOf("/")
+	return {model: key.slice(0, separator), adapter: key.slice(separator + 1)}
+}
+
 export interface EngineSpec {
 	/** Requests that the engine runs concurrently. */
 	seats: number
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -6,7 +6,12 @@
  */
 import {slotKey, type FleetEndpoint} from "../contract/fleet.js"
 import {RefuseReason} from "../contract/gen/grants_pb.js"
-import type {EngineQuery, EngineRating} from "../policy/dispatch/index.js"
+import {
+	type EngineQuery,
+	type EngineRating,
+	getStartLimits,
+	type StartLimits
+} from "../policy/dispatch/index.js"
 import type {AgentLink, AgentRefusal} from "./agentLink.js"
 import {CallOutcome} from "./endpointCall.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
@@ -18,16 +23,6 @@
 const maxGrantAsks = 2
 /** Limit on sends of one request, including those an engine did not run. */
 const maxSends = 4
-/**
- * Callers stop waiting for an event after a multiple of the route's objective,
- * well before their deadline. An event later than this multiple is of no use.
- */
-const startTimeoutObjectives = 2.5
-/**
- * Share of the time to the deadline that may pass before the next event; the
- * rest is needed for the events that follow.
- */
-const maxStartShare = 0.6
 const minRetryAfterMs = 150
 const httpOk = 200
 
@@ -71,7 +66,7 @@
 	private tryNextEngine(refusal?: AgentRefusal): void {
 		if (this.isCancelled) return
 		const best = this.asks >= maxGrantAsks ? undefined : this.pickEngine()
-		const startByLeftMs = this.getStartDeadline() - this.ctx.now()
+		const startByLeftMs = this.startLimits.startBy - this.ctx.now()
 		if (best === undefined || best.expectedMs > startByLeftMs) {
 			this.endWithoutEngine(best, refusal)
 			return
@@ -100,27 +95,18 @@
 		})
 	}
 
-	/** Latest time at which the next event is still of use to the caller. */
-	private getStartDeadline(): number {
-		const {route, arrivedAt, deadline} = this.request
-		const startTimeoutMs = route.objectiveMs * startTimeoutObjectives
-		if (this.mayHaveRun) {
-			const now = this.ctx.now()
-			return now + Math.min(startTimeoutMs, (deadline - now) * maxStartShare)
-		}
-		const leftMs = deadline - arrivedAt
-		return arrivedAt + Math.min(startTimeoutMs, leftMs * maxStartShare)
-	}
-
-	/**
-	 * Time by which the next event is on time. Within the event gap for a stream that
-	 * has begun, since its caller is already reading and would notice a pause;
-	 * otherwise within the route's objective.
-	 */
-	private getObjectiveTime(): number {
-		const {route, arrivedAt, exchange} = this.request
-		if (exchange.hasStarted) return this.ctx.now() + route.eventGapMs
-		return arrivedAt + route.objectiveMs
+	/** Times that the next event has to meet. */
+	private get startLimits(): StartLimits {
+		const {route, arrivedAt, deadline, exchange} = this.request
+		return getStartLimits({
+			now: this.ctx.now(),
+			arrivedAt,
+			deadline,
+			objectiveMs: route.objectiveMs,
+			eventGapMs: route.eventGapMs,
+			mayHaveRun: this.mayHaveRun,
+			hasStarted: exchange.hasStarted
+		})
 	}
 
 	private get query(): EngineQuery {
@@ -177,8 +163,8 @@
 			promptTokens: generation.promptTokens,
 			outputTokens: generation.outputTokens,
 			priority: Math.max(0, route.priority),
-			objectiveLeftMs: Math.round(this.getObjectiveTime() - now),
-			startByLeftMs: Math.round(this.getStartDeadline() - now),
+			objectiveLeftMs: Math.round(this.startLimits.objectiveAt - now),
+			startByLeftMs: Math.round(this.startLimits.startBy - now),
 			deadlineLeftMs: Math.round(request.deadline - now)
 		}
 		link.ask(ask, {
@@ -382,7 +368,7 @@
 	 * refused callers don't retry at the same moment.
 	 */
 	private getRetryAfterMs(best: EngineRating | undefined): number {
-		const leftMs = this.getStartDeadline() - this.ctx.now()
+		const leftMs = this.startLimits.startBy - this.ctx.now()
 		const excessMs = best === undefined ? 0 : best.expectedMs - leftMs
 		return Math.max(minRetryAfterMs, excessMs) * (1 + this.ctx.random())
 	}
--- a/src/policy/grants/adapterSlots.ts
+++ b/src/policy/grants/adapterSlots.ts
@@ -8,7 +8,7 @@
  * the copy that arrives first invalidates the other. While the lost order is an
  * eviction, no request is granted on its adapter.
  */
-import {slotKey} from "../../contract/fleet.js"
+import {slotKey, splitSlotKey} from "../../contract/fleet.js"
 import {Popularity} from "../popularity.js"
 import {BaseModels} from "./baseModels.js"
 import {
@@ -41,6 +41,8 @@
 
 export class AdapterSlots {
 	limits: EngineLimits | undefined
+	/** Restarts of the engine so far; each leaves its local cache empty. */
+	restarts = 0
 	/** Engine's count of accepted orders; -1 while unknown: until the first report,
 	 * and after some outcomes (see `endOrder`) until the next one. */
 	private sequence = -1
@@ -56,7 +58,6 @@
 	private readonly popularity = new Popularity({
 		halfLifeMs: popularityHalfLifeMs
 	})
-	private restartCount = 0
 	private recentLoadMs = initialRecentLoadMs
 	private storeLoadMs = initialStoreLoadMs
 
@@ -89,14 +90,9 @@
 		}
 	}
 
-	/** Rises when the engine restarts, so that its local cache counts as empty. */
-	get restarts(): number {
-		return this.restartCount
-	}
-
 	/** Discards the view of an engine that has restarted. */
 	reset(): void {
-		this.restartCount += 1
+		this.restarts += 1
 		this.sequence = -1
 		this.models.reset()
 		this.slots.clear()
@@ -318,7 +314,7 @@
 		if (known !== undefined && !known.isReady && isReady) {
 			this.recordLoadTime(known, now)
 		}
-		const {model, adapter} = splitKey(key)
+		const {model, adapter} = splitSlotKey(key)
 		const readyAt = known?.readyAt ?? now + this.storeLoadMs
 		this.slots.set(key, {
 			model,
@@ -354,8 +350,3 @@
 		return this.pins.has(key)
 	}
 }
-
-function splitKey(key: string): {model: string; adapter: string} {
-	const separator = key.lastIndexOf("/")
-	return {model: key.slice(0, separator), adapter: key.slice(separator + 1)}
-}
