Log who closed a connection, whose deadline passed and how long a stream was silent

What the logs could not tell apart in the report of lost requests: a caller that left from a connection that the gateway closed itself; the caller's deadline from the route's timeout, and the configuration that set it; a stream cut in flow from one cut in a silence. A connection closed by the idle limit left no line and no count.

request.ended bears deadlineSource and configVersion at a deadline and sinceEventMs for a stream; what a drain closes is a cut with its reason; connection.closed and goldcrestloom_connection_closes_total count the rest. No decision changes.

--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -22,10 +22,23 @@
 	/** Kind of the matched route, a metrics label; `none` without a route. */
 	kind: string
 	arrivedAt: number
+	/**
+	 * Why the gateway closed the connection itself; undefined if it did not. Called
+	 * when the connection closes before the response is complete.
+	 */
+	getCloseReason: () => CloseReason | undefined
 	/** Monotonic milliseconds. */
 	now: () => number
 }
 
+/** Why the gateway closes a caller's connection. */
+export enum CloseReason {
+	/** It was idle for longer than the configuration allows. */
+	Idle = "idle",
+	/** The grace period of a drain ends. */
+	Drain = "drain"
+}
+
 const httpServiceUnavailable = 503
 const httpBadGateway = 502
 const httpGatewayTimeout = 504
@@ -40,7 +53,7 @@
 		const {res} = options
 		res.on("close", () => {
 			if (this.hasEnded) return
-			this.recordOutcome(RequestOutcome.Abandoned, {})
+			this.recordClose()
 			this.onDisconnect?.()
 		})
 	}
@@ -169,6 +182,13 @@
 		res.end(body)
 	}
 
+	/** Records that the connection closed before the response was complete. */
+	private recordClose(): void {
+		const reason = this.options.getCloseReason()
+		if (reason === undefined) this.recordOutcome(RequestOutcome.Abandoned, {})
+		else this.recordOutcome(RequestOutcome.Cut, {detail: reason})
+	}
+
 	private recordOutcome(outcome: RequestOutcome, logFields: LogFields): void {
 		if (this.hasEnded) return
 		this.hasEnded = true
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -31,6 +31,11 @@
 	random: () => number
 }
 
+export enum DeadlineSource {
+	Caller = "caller",
+	Route = "route"
+}
+
 /** A caller's request, read completely, with the route that matched it. */
 export interface RoutedRequest {
 	exchange: CallerExchange
@@ -41,4 +46,8 @@
 	arrivedAt: number
 	/** Earlier of the caller's deadline and the route's timeout. */
 	deadline: number
+	/** Which of the two `deadline` is. */
+	deadlineSource: DeadlineSource
+	/** Version of the configuration that the route is from. */
+	configVersion: number
 }
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -80,6 +80,12 @@
 		labelNames: ["dependency"],
 		registers: [this.registry]
 	})
+	private readonly connectionCloses = new Counter({
+		name: "goldcrestloom_connection_closes_total",
+		help: "Callers' connections that the gateway closed, by reason",
+		labelNames: ["reason"],
+		registers: [this.registry]
+	})
 	readonly activeRequests = new Gauge({
 		name: "goldcrestloom_active_requests",
 		help: "Requests being served",
@@ -102,6 +108,10 @@
 		this.dependencyLosses.inc({dependency})
 	}
 
+	countConnectionClose(reason: string): void {
+		this.connectionCloses.inc({reason})
+	}
+
 	/** Records the error of an estimated time to the first event. */
 	observeEstimate(expectedMs: number, actualMs: number): void {
 		this.estimateError.observe((actualMs - expectedMs) / 1000)
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -8,14 +8,15 @@
 	type Server,
 	type ServerResponse
 } from "node:http"
+import type {Socket} from "node:net"
 import {
 	type ForwardRoute,
 	type PoolShare,
 	RouteKind
 } from "../contract/fleet.js"
 import {sleep} from "../utils/common.js"
-import {CallerExchange} from "./callerExchange.js"
-import type {GatewayContext} from "./gatewayContext.js"
+import {CallerExchange, CloseReason} from "./callerExchange.js"
+import {DeadlineSource, type GatewayContext} from "./gatewayContext.js"
 import {GenerationTask} from "./generationTask.js"
 import {ServiceTask} from "./serviceTask.js"
 import {RejectedRequestError, type RequestHead} from "./wire.js"
@@ -52,6 +53,9 @@
 	private readonly server: Server
 	private activeRequests = 0
 	private drainStartedAt: number | undefined
+	/** Connections that the gateway closed because they were idle. */
+	private readonly idleSockets = new WeakSet<Socket>()
+	private isClosingAll = false
 
 	constructor(private readonly options: GatewayServerOptions) {
 		this.server = createServer(
@@ -63,6 +67,9 @@
 		// No timeout for reading a request: on a keep-alive connection a request may
 		// be read while earlier ones are still being served.
 		this.server.requestTimeout = 0
+		this.server.on("timeout", (socket: Socket) => {
+			this.closeIdleSocket(socket)
+		})
 		options.ctx.fleet.addListener({
 			onConfig: ({limits}) => {
 				this.server.keepAliveTimeout = limits.idleTimeoutMs
@@ -100,9 +107,26 @@
 			this.server.closeIdleConnections()
 			await sleep(drainPollMs)
 		}
+		this.isClosingAll = true
 		this.server.closeAllConnections()
 	}
 
+	private closeIdleSocket(socket: Socket): void {
+		const {metrics, log} = this.options.ctx
+		this.idleSockets.add(socket)
+		metrics.countConnectionClose(CloseReason.Idle)
+		log.request("connection.closed", "", {
+			reason: CloseReason.Idle,
+			limitMs: this.server.keepAliveTimeout
+		})
+		socket.destroy()
+	}
+
+	private getCloseReason(socket: Socket): CloseReason | undefined {
+		if (this.idleSockets.has(socket)) return CloseReason.Idle
+		return this.isClosingAll ? CloseReason.Drain : undefined
+	}
+
 	private handleRequest(req: IncomingMessage, res: ServerResponse): void {
 		const {ctx} = this.options
 		const arrivedAt = ctx.now()
@@ -143,6 +167,7 @@
 			metrics,
 			kind: route?.kind ?? "none",
 			arrivedAt,
+			getCloseReason: () => this.getCloseReason(req.socket),
 			now
 		})
 		if (fleet.config === undefined) {
@@ -178,6 +203,10 @@
 		const {ctx} = this.options
 		const {patienceMs = route.timeoutMs, generation} = exchange.head
 		const deadline = arrivedAt + Math.min(patienceMs, route.timeoutMs)
+		const deadlineSource =
+			patienceMs < route.timeoutMs
+				? DeadlineSource.Caller
+				: DeadlineSource.Route
 		const pool = pickPool(route.pools, ctx.random())
 		if (pool === undefined) {
 			exchange.refuse("the route has no service", unconfiguredRetryAfterMs, {})
@@ -187,7 +216,16 @@
 			exchange.refuse("leaving", 0, {})
 			return
 		}
-		const request = {exchange, route, pool, body, arrivedAt, deadline}
+		const request = {
+			exchange,
+			route,
+			pool,
+			body,
+			arrivedAt,
+			deadline,
+			deadlineSource,
+			configVersion: ctx.fleet.config?.version ?? 0
+		}
 		if (route.kind !== RouteKind.Generation) {
 			new ServiceTask(ctx, request).start()
 		} else if (generation === undefined) {
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -37,6 +37,7 @@
 	private pendingAsk: {link: AgentLink; key: string} | undefined
 	private currentSend: GenerationSend | undefined
 	private lastEventId: string | undefined
+	private lastEventAt: number | undefined
 	/** Expected time to the first event at the engine asked last. */
 	private estimate: {askedAt: number; ratedMs: number} | undefined
 	/** Measured time from that grant request to the first event. */
@@ -227,6 +228,7 @@
 				exchange.startStream(responseHead)
 				if (event.id !== "") this.lastEventId = event.id
 				exchange.writeEvent(event.bytes)
+				this.lastEventAt = ctx.now()
 			},
 			onEnd: (send, outcome, detail) => {
 				endProbe(outcome === CallOutcome.Complete)
@@ -376,7 +378,16 @@
 	private failRequest(detail: string, isTimeout = false): void {
 		this.clearTimers()
 		const {exchange} = this.request
-		const logFields = {sends: this.sends, lastEvent: this.lastEventId}
+		const {lastEventAt} = this
+		const logFields = {
+			sends: this.sends,
+			lastEvent: this.lastEventId,
+			sinceEventMs:
+				lastEventAt === undefined
+					? undefined
+					: Math.round(this.ctx.now() - lastEventAt),
+			...(isTimeout ? this.deadlineFields : {})
+		}
 		if (exchange.hasStarted) exchange.abortStream({detail, ...logFields})
 		else if (this.mayHaveRun)
 			exchange.respondUnknown(detail, logFields, isTimeout)
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -2,6 +2,7 @@
  * Base of the tasks that serve one caller's request each: starts the deadline
  * timer, reacts to the caller's disconnect and counts sends.
  */
+import type {LogFields} from "./callerExchange.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
 
 export abstract class RequestTask {
@@ -55,6 +56,12 @@
 		return pauses.getEarliestReturn(ids, at) - at
 	}
 
+	/** What set the deadline, for the log line of a request that reached it. */
+	protected get deadlineFields(): LogFields {
+		const {deadlineSource, configVersion} = this.request
+		return {deadlineSource, configVersion}
+	}
+
 	/** Prevents further sends; subclasses also abort the send in progress. */
 	protected cancel(): void {
 		this.clearTimers()
--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -221,7 +221,11 @@
 		const {exchange} = this.request
 		const wasSent = this.mayHaveRun || (this.call?.wasSent ?? false)
 		this.cancel()
-		const logFields = {sends: this.sends, tried: [...this.tried]}
+		const logFields = {
+			sends: this.sends,
+			tried: [...this.tried],
+			...this.deadlineFields
+		}
 		if (this.errorResponse !== undefined) {
 			exchange.forwardResponse(
 				this.errorResponse.responseHead,
