Keep the call to a silent engine open until another one goes on

What callers saw: a stream that had begun, or a request that was read whole and had no event yet, ended with a closed connection or a 502 while its engine was silent for a second or so. Near a change of the configuration the users count that as a lost request.

Cause: the gateway closed its call to the engine after three event gaps of silence and looked for a replacement afterwards. With no engine in time, a declined grant, no repeats left, or a replacement that did not run it, nobody was left to answer. The class: giving up what still works before its replacement is certain.

Change: silence only starts the search. The call stays open; whichever engine delivers the next event goes on and the other call is cancelled. EngineSearch takes the rating and the asking out of GenerationTask.

--- /dev/null
+++ b/src/gateway/engineSearch.ts
@@ -0,0 +1,262 @@
+/**
+ * Finds an engine for one generation request: rates the engines that are left and
+ * asks the agent of the best one for a grant, then the next one's.
+ */
+import {slotKey, type FleetEndpoint} from "../contract/fleet.js"
+import {RefuseReason} from "../contract/gen/grants_pb.js"
+import type {
+	EngineQuery,
+	EngineRating,
+	StartLimits
+} from "../policy/dispatch/index.js"
+import type {AgentLink, AgentRefusal} from "./agentLink.js"
+import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
+import type {SendTarget} from "./generationSend.js"
+import type {GenerationHead} from "./wire.js"
+
+export interface EngineSearchOptions {
+	ctx: GatewayContext
+	request: RoutedRequest
+	generation: GenerationHead
+	/** Times that the next event of the request has to meet. */
+	getStartLimits: () => StartLimits
+	onFound: (target: SendTarget) => void
+	/** Called when no engine is left that could deliver an event in time. */
+	onNone: (refusal: SearchRefusal) => void
+}
+
+/** What to tell a caller for whom no engine was found. */
+export interface SearchRefusal {
+	reason: string
+	retryAfterMs: number
+	/** Expected time to the first event at the best engine; 0 if unknown. */
+	expectedMs: number
+	asks: number
+}
+
+/** Engines asked for a grant, one after the other, before a refusal. */
+const maxGrantAsks = 2
+const minRetryAfterMs = 150
+
+export class EngineSearch {
+	private readonly refusingEngines = new Set<string>()
+	private readonly usedEngines = new Set<string>()
+	/**
+	 * Grant requests of this search, not counting those whose link failed or whose
+	 * endpoint was no longer ready when the grant arrived.
+	 */
+	private asks = 0
+	/** Number of the last grant request, part of its key. */
+	private lastAsk = 0
+	private pendingAsk: {link: AgentLink; key: string} | undefined
+
+	constructor(private readonly options: EngineSearchOptions) {}
+
+	/** Whether an agent has yet to respond. */
+	get isPending(): boolean {
+		return this.pendingAsk !== undefined
+	}
+
+	/** Searches among the engines that neither refused nor were sent the request. */
+	start(): void {
+		this.asks = 0
+		this.tryNextEngine()
+	}
+
+	/** As `start`, also among engines that refused before. */
+	startOver(): void {
+		this.refusingEngines.clear()
+		this.start()
+	}
+
+	cancel(): void {
+		this.pendingAsk?.link.notifyEnded(this.pendingAsk.key)
+		this.pendingAsk = undefined
+	}
+
+	private tryNextEngine(refusal?: AgentRefusal): void {
+		const {ctx, getStartLimits, onNone} = this.options
+		const best = this.asks >= maxGrantAsks ? undefined : this.pickEngine()
+		const startByLeftMs = getStartLimits().startBy - ctx.now()
+		const endpoint =
+			best === undefined || best.expectedMs > startByLeftMs
+				? undefined
+				: ctx.fleet.getEndpoint(best.id)
+		if (best === undefined || endpoint === undefined) {
+			onNone(this.describeFailure(best, refusal))
+			return
+		}
+		const link = ctx.links.get(best.id)
+		if (best.isLinked && link !== undefined) this.askAgent(endpoint, link, best)
+		else this.useWithoutGrant(endpoint, best)
+	}
+
+	/** The best-rated engine left to ask; undefined if there is none. */
+	private pickEngine(): EngineRating | undefined {
+		const {ctx, request} = this.options
+		const candidates = ctx.fleet
+			.listReady(request.pool)
+			.filter(
+				({id}) =>
+					!this.refusingEngines.has(id) &&
+					!this.usedEngines.has(id) &&
+					ctx.pauses.isOpen(id, ctx.now())
+			)
+			.map(({id, failureDomain}) => ({
+				id,
+				isNear: failureDomain === ctx.failureDomain
+			}))
+		return ctx.engines.choose(this.query, candidates, ctx.now())
+	}
+
+	private get query(): EngineQuery {
+		const {model, adapter, promptTokens} = this.options.generation
+		return {
+			slotKey: slotKey(model, adapter),
+			hasAdapter: adapter !== "",
+			promptTokens
+		}
+	}
+
+	/**
+	 * Uses an engine whose agent is disconnected. The engine itself rejects the
+	 * request if it doesn't hold the adapter version.
+	 */
+	private useWithoutGrant(endpoint: FleetEndpoint, rating: EngineRating): void {
+		const {ctx, generation, onFound} = this.options
+		const {model, adapter} = generation
+		this.usedEngines.add(endpoint.id)
+		onFound({
+			endpoint,
+			link: undefined,
+			key: "",
+			engineId: endpoint.id,
+			version: ctx.fleet.getMinVersion(model, adapter),
+			expectedMs: rating.expectedMs,
+			ratedAt: ctx.now(),
+			ratedMs: Math.round(rating.expectedMs)
+		})
+	}
+
+	private askAgent(
+		endpoint: FleetEndpoint,
+		link: AgentLink,
+		rating: EngineRating
+	): void {
+		const {ctx, request} = this.options
+		const {log, engines, now} = ctx
+		const requestId = request.exchange.head.id
+		this.asks += 1
+		this.lastAsk += 1
+		const key = `${requestId}#${this.lastAsk}`
+		this.pendingAsk = {link, key}
+		const askedAt = now()
+		const ratedMs = Math.round(rating.expectedMs)
+		engines.addAsk(endpoint.id, this.query, askedAt)
+		link.ask(this.createAsk(key), {
+			onGrant: grant => {
+				this.pendingAsk = undefined
+				log.request("granted", requestId, {
+					endpoint: endpoint.id,
+					version: grant.version,
+					waitedMs: Math.round(now() - askedAt),
+					expectedMs: grant.expectedMs,
+					rated: ratedMs
+				})
+				this.useGrant({
+					endpoint,
+					link,
+					key,
+					engineId: grant.engineId === "" ? endpoint.id : grant.engineId,
+					version: grant.version,
+					expectedMs: grant.expectedMs,
+					ratedAt: askedAt,
+					ratedMs
+				})
+			},
+			onRefuse: refusal => {
+				this.pendingAsk = undefined
+				this.refusingEngines.add(endpoint.id)
+				this.tryNextEngine(refusal)
+			},
+			onLost: () => {
+				this.pendingAsk = undefined
+				this.skipEngine(endpoint.id)
+			}
+		})
+	}
+
+	private useGrant(target: SendTarget): void {
+		const {ctx, onFound} = this.options
+		const {endpoint, link, key} = target
+		const isOpen = ctx.pauses.isOpen(endpoint.id, ctx.now())
+		if (isOpen && ctx.fleet.isReady(endpoint)) {
+			this.usedEngines.add(endpoint.id)
+			onFound(target)
+			return
+		}
+		// The endpoint began to drain, wants no requests for now, or was removed or
+		// replaced, while the request was queued.
+		link?.notifyEnded(key)
+		this.skipEngine(endpoint.id)
+	}
+
+	/** Goes on to the next engine without counting the last grant request. */
+	private skipEngine(id: string): void {
+		this.refusingEngines.add(id)
+		this.asks -= 1
+		this.tryNextEngine()
+	}
+
+	private createAsk(key: string): Parameters<AgentLink["ask"]>[0] {
+		const {ctx, request, generation, getStartLimits} = this.options
+		const {model, adapter, promptTokens, outputTokens} = generation
+		const now = ctx.now()
+		const {objectiveAt, startBy} = getStartLimits()
+		return {
+			$typeName: "goldcrestloom.grants.v1.Ask",
+			key,
+			requestId: request.exchange.head.id,
+			model,
+			adapter,
+			minVersion: ctx.fleet.getMinVersion(model, adapter),
+			parts: generation.parts.map(part => ({
+				$typeName: "goldcrestloom.grants.v1.PromptPart",
+				...part
+			})),
+			promptTokens,
+			outputTokens,
+			priority: Math.max(0, request.route.priority),
+			objectiveLeftMs: Math.round(objectiveAt - now),
+			startByLeftMs: Math.round(startBy - now),
+			deadlineLeftMs: Math.round(request.deadline - now)
+		}
+	}
+
+	private describeFailure(
+		best: EngineRating | undefined,
+		refusal: AgentRefusal | undefined
+	): SearchRefusal {
+		const reason =
+			refusal === undefined
+				? "no engine in time"
+				: RefuseReason[refusal.reason].toLowerCase()
+		return {
+			reason,
+			retryAfterMs: refusal?.retryAfterMs ?? this.getRetryAfterMs(best),
+			expectedMs: Math.round(best?.expectedMs ?? refusal?.expectedMs ?? 0),
+			asks: this.asks
+		}
+	}
+
+	/**
+	 * Time until the engine is expected to start in time, with random jitter so that
+	 * refused callers don't retry at the same moment.
+	 */
+	private getRetryAfterMs(best: EngineRating | undefined): number {
+		const {ctx, getStartLimits} = this.options
+		const leftMs = getStartLimits().startBy - ctx.now()
+		const excessMs = best === undefined ? 0 : best.expectedMs - leftMs
+		return Math.max(minRetryAfterMs, excessMs) * (1 + ctx.random())
+	}
+}
--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -1,7 +1,6 @@
 /**
  * One send of a generation request to an engine. Splits the response into
- * complete events, and aborts the call when no stream data arrives in time and
- * another engine could resume.
+ * complete events, and reports when no stream data arrives in time.
  */
 import type {FleetEndpoint} from "../contract/fleet.js"
 import type {AgentLink} from "./agentLink.js"
@@ -27,6 +26,10 @@
 	version: number
 	/** Expected time to the first event, milliseconds. */
 	expectedMs: number
+	/** Time at which the engine was chosen. */
+	ratedAt: number
+	/** Time from then to the first event by which the engine was chosen. */
+	ratedMs: number
 }
 
 export interface GenerationSendOptions {
@@ -35,21 +38,25 @@
 	target: SendTarget
 	/** Id of the last event delivered, when the generation is resumed. */
 	resumeAfter: string | undefined
-	/** Whether another engine could resume if this call were aborted. */
-	mayGiveUp: () => boolean
-	onEvent: (responseHead: ResponseHead, event: StreamEvent) => void
+	onEvent: (
+		send: GenerationSend,
+		responseHead: ResponseHead,
+		event: StreamEvent
+	) => void
+	/** Called each time that no stream data has arrived for the limit. */
+	onSilent: (send: GenerationSend) => void
 	onEnd: (send: GenerationSend, outcome: CallOutcome, detail: string) => void
 }
 
 /**
  * Multiple of the expected time to the first event after which an engine that has
- * sent no stream data counts as stalled.
+ * sent no stream data counts as silent.
  */
 const firstEventTimeoutFactor = 3
 const minFirstEventTimeoutMs = 1200
 /**
  * Multiple of the route's event gap after which a stream without new data counts
- * as stalled.
+ * as silent.
  */
 const eventGapTimeoutFactor = 3
 const minEventGapTimeoutMs = 900
@@ -58,14 +65,12 @@
 export class GenerationSend {
 	readonly target: SendTarget
 	readonly sentAt: number
-	/** Whether the call was aborted because no stream data arrived in time. */
-	isStalled = false
 	private readonly options: GenerationSendOptions
 	private readonly call: EndpointCall
 	private readonly splitter = new EventSplitter()
 	private readonly chunks: Buffer[] = []
 	private hasFirstEvent = false
-	private stallTimer: NodeJS.Timeout | undefined
+	private silenceTimer: NodeJS.Timeout | undefined
 
 	constructor(options: GenerationSendOptions) {
 		const {ctx, request, target, resumeAfter} = options
@@ -95,13 +100,13 @@
 					this.receive(chunk)
 				},
 				onEnd: (outcome, detail) => {
-					clearTimeout(this.stallTimer)
+					clearTimeout(this.silenceTimer)
 					options.onEnd(this, outcome, detail)
 				}
 			}
 		})
 		const factorMs = target.expectedMs * firstEventTimeoutFactor
-		this.restartStallTimer(Math.max(minFirstEventTimeoutMs, factorMs))
+		this.restartSilenceTimer(Math.max(minFirstEventTimeoutMs, factorMs))
 	}
 
 	get responseHead(): ResponseHead | undefined {
@@ -139,19 +144,18 @@
 				this.hasFirstEvent = true
 				target.link?.notifyStarted(target.key)
 			}
-			onEvent(responseHead, event)
+			onEvent(this, responseHead, event)
 		}
 		const gapMs = request.route.eventGapMs * eventGapTimeoutFactor
-		this.restartStallTimer(Math.max(minEventGapTimeoutMs, gapMs))
+		this.restartSilenceTimer(Math.max(minEventGapTimeoutMs, gapMs))
 	}
 
-	/** Restarts the timer that aborts the call when no data arrives in time. */
-	private restartStallTimer(limitMs: number): void {
-		clearTimeout(this.stallTimer)
-		if (!this.options.mayGiveUp()) return
-		this.stallTimer = setTimeout(() => {
-			this.isStalled = true
-			this.call.abort()
+	/** Restarts the timer that reports when no data arrives in time. */
+	private restartSilenceTimer(limitMs: number): void {
+		clearTimeout(this.silenceTimer)
+		this.silenceTimer = setTimeout(() => {
+			this.restartSilenceTimer(limitMs)
+			this.options.onSilent(this)
 		}, limitMs)
 	}
 }
