Keep a repeatable call open while it is repeated elsewhere

What callers saw: a status call got 502 ("given up; no repeats left") though its endpoint would have answered.

After twice the route's objective without a response the gateway aborted a safe call and only then looked for another endpoint and a repeat.

Change: the call stays open. The request is repeated where endpoint and budget allow, the first answer counts and the other call is cancelled; a call cancelled for that reason is no failure of its endpoint.

--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -1,6 +1,8 @@
 /**
  * Serves one request to a plain service. Retries at another endpoint if the
- * request did not run, or if the route permits it to run more than once.
+ * request did not run, or if the route permits it to run more than once. If an
+ * endpoint is silent, the request is repeated at another one and the first answer
+ * counts; the silent endpoint's call stays open until then.
  */
 import {type FleetEndpoint, RouteKind} from "../contract/fleet.js"
 import {CallOutcome, EndpointCall} from "./endpointCall.js"
@@ -13,14 +15,14 @@
 const minRetryAfterMs = 100
 /**
  * A safe request without a response after this multiple of the route's objective
- * is aborted and sent to another endpoint.
+ * is sent to another endpoint as well.
  */
-const stallTimeoutObjectives = 2
+const silenceTimeoutObjectives = 2
 
 export class ServiceTask extends RequestTask {
 	private readonly tried = new Set<string>()
-	private call: EndpointCall | undefined
-	private stallTimer: NodeJS.Timeout | undefined
+	private readonly openCalls = new Set<EndpointCall>()
+	private silenceTimer: NodeJS.Timeout | undefined
 	/** Last 5xx response; forwarded unless a retry delivers a response. */
 	private errorResponse: {responseHead: ResponseHead; body: Buffer} | undefined
 
@@ -93,8 +95,7 @@
 					chunks.push(chunk)
 				},
 				onEnd: (outcome, detail) => {
-					if (this.call === call) this.call = undefined
-					clearTimeout(this.stallTimer)
+					this.openCalls.delete(call)
 					ctx.metrics.countSend(request.pool, outcome)
 					const responseHead = call.responseHead
 					endProbe(outcome === CallOutcome.Complete)
@@ -109,21 +110,34 @@
 				}
 			}
 		})
-		this.call = call
-		this.startStallTimer(call)
+		this.openCalls.add(call)
+		this.startSilenceTimer(call, id)
 	}
 
-	/** Aborts a safe request that gets no response, so that it is retried. */
-	private startStallTimer(call: EndpointCall): void {
-		const {route, deadline} = this.request
-		clearTimeout(this.stallTimer)
-		if (route.kind !== RouteKind.Safe) return
-		if (this.runs + 1 >= route.maxAttempts) return
-		const stallMs = route.objectiveMs * stallTimeoutObjectives
-		if (this.ctx.now() + stallMs >= deadline) return
-		this.stallTimer = setTimeout(() => {
-			if (this.call === call && call.responseHead === undefined) call.abort()
-		}, stallMs)
+	/** Repeats a safe request that gets no response at another endpoint. */
+	private startSilenceTimer(call: EndpointCall, id: string): void {
+		const {ctx, request} = this
+		clearTimeout(this.silenceTimer)
+		if (!this.canRepeat) return
+		const silenceMs = request.route.objectiveMs * silenceTimeoutObjectives
+		if (ctx.now() + silenceMs >= request.deadline) return
+		this.silenceTimer = setTimeout(() => {
+			if (!this.openCalls.has(call) || call.responseHead !== undefined) return
+			ctx.log.request("send.silent", request.exchange.head.id, {
+				endpoint: id,
+				elapsedMs: Math.round(silenceMs)
+			})
+			ctx.services.addSilence(id, ctx.now())
+			this.tryNextEndpoint("silent")
+		}, silenceMs)
+	}
+
+	/** Whether the route permits one more run besides those that are open. */
+	private get canRepeat(): boolean {
+		const {kind, maxAttempts} = this.request.route
+		return (
+			kind === RouteKind.Safe && this.runs + this.openCalls.size < maxAttempts
+		)
 	}
 
 	/** Records load, success or failure of the endpoint for later choices. */
@@ -161,7 +175,7 @@
 		body: Buffer
 	): void {
 		const {ctx, request} = this
-		const {exchange, route} = request
+		const {exchange} = request
 		if (this.isCancelled || !exchange.isOpen) return
 		if (end === CallOutcome.NeverSent || end === CallOutcome.NotRun) {
 			ctx.log.request("send.notRun", exchange.head.id, {endpoint: id, detail})
@@ -170,16 +184,16 @@
 		}
 		this.runs += 1
 		this.mayHaveRun = true
-		const canRetry =
-			route.kind === RouteKind.Safe && this.runs < route.maxAttempts
+		const mayBeAnswered = this.canRepeat || this.openCalls.size > 0
 		if (end === CallOutcome.Complete && responseHead !== undefined) {
 			const isFailure = isServerError(responseHead)
-			if (!isFailure || !canRetry) {
-				this.clearTimers()
+			if (!isFailure || !mayBeAnswered) {
 				exchange.forwardResponse(responseHead, body, {
 					endpoint: id,
 					sends: this.sends
 				})
+				// After the answer: a call that is no longer needed is no failure.
+				this.cancel()
 				return
 			}
 			this.errorResponse = {responseHead, body}
@@ -190,17 +204,21 @@
 			detail,
 			status: responseHead?.status
 		})
-		if (canRetry) this.tryNextEndpoint(detail)
+		if (this.canRepeat) this.tryNextEndpoint(detail)
 		else this.endWithoutRetry(detail)
 	}
 
 	/**
-	 * Ends the request without another retry: forwards the kept error response, or
+	 * Ends the request without another retry, unless a call is still open: forwards the kept error response, or
 	 * reports an unknown outcome if the request may have run, or else refuses it.
 	 */
 	private endWithoutRetry(reason: string): void {
-		this.clearTimers()
 		const {exchange, route} = this.request
+		if (this.openCalls.size > 0) {
+			this.ctx.log.request("send.kept", exchange.head.id, {detail: reason})
+			return
+		}
+		this.clearTimers()
 		const logFields = {sends: this.sends, tried: [...this.tried]}
 		if (this.errorResponse !== undefined) {
 			exchange.forwardResponse(
@@ -219,7 +237,8 @@
 
 	protected override handleDeadline(): void {
 		const {exchange} = this.request
-		const wasSent = this.mayHaveRun || (this.call?.wasSent ?? false)
+		const wasSent =
+			this.mayHaveRun || [...this.openCalls].some(call => call.wasSent)
 		this.cancel()
 		const logFields = {
 			sends: this.sends,
@@ -238,12 +257,12 @@
 
 	protected override cancel(): void {
 		super.cancel()
-		this.call?.abort()
+		for (const call of this.openCalls) call.abort()
 	}
 
 	protected override clearTimers(): void {
 		super.clearTimers()
-		clearTimeout(this.stallTimer)
+		clearTimeout(this.silenceTimer)
 	}
 }
 
--- a/src/policy/dispatch/serviceChoice.ts
+++ b/src/policy/dispatch/serviceChoice.ts
@@ -73,8 +73,13 @@
 		record.failurePenalty.addFailure(now, weight)
 	}
 
-	/** Records the end of a request that its caller abandoned, which counts neither
-	 * as a success nor as a failure. */
+	/** Records that an endpoint has not answered a request that is still open. */
+	addSilence(id: string, now: number): void {
+		this.getRecord(id).failurePenalty.addFailure(now, 1)
+	}
+
+	/** Records the end of a request that was cancelled, which counts neither as a
+	 * success nor as a failure. */
 	release(id: string): void {
 		this.getRecord(id).inFlight -= 1
 	}
