Cancel the standby send with the current one

What callers and engines saw: after a caller left, or at its deadline, while a silent engine's request stood by at another engine, the standby's call stayed open, and at the next silence a third engine got the request.

Cause: aborting the current send ends it at once, and its end makes the standby send the current one, so the abort of the standby found none. The silence of that send then began a search for a request that was over.

Change: both sends are taken before either is aborted, and a cancelled request seeks no standby.

--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -132,7 +132,8 @@
 	 */
 	private handleSilence(send: GenerationSend): void {
 		const {ctx, request} = this
-		if (send !== this.currentSend || this.isSeekingStandby) return
+		if (this.isCancelled || send !== this.currentSend) return
+		if (this.isSeekingStandby) return
 		if (!this.canResume(1) || this.sends >= maxSends) return
 		const {id} = send.target.endpoint
 		ctx.log.request("send.silent", request.exchange.head.id, {
@@ -331,7 +332,10 @@
 	protected override cancel(): void {
 		super.cancel()
 		this.search.cancel()
-		this.currentSend?.abort()
-		this.standbySend?.abort()
+		// The end of the current send would make the standby send the current one.
+		const sends = [this.currentSend, this.standbySend]
+		this.currentSend = undefined
+		this.standbySend = undefined
+		for (const send of sends) send?.abort()
 	}
 }
