Use an engine for a standby only once it was sent the request

What callers saw: a stream of a silent engine was cut though sound engines were idle and its deadline was seconds away, after the retry budget had been empty at earlier silences.

Cause: an engine counted as used before the budget was asked, so each denied try excluded one for good; and one that could not be reached stayed excluded though it may be back a second later.

Change: the search marks an engine as used when the request was sent to it; a denied one is left out of this search only, and one that was not reached may be used by a later search.

Evidence: a test of standby.test.ts (budget empty at the first silence) failed before: the stream was not taken over. 24 tests of standby, silence and generation pass.

--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/engineSearch.ts
@@ -20,7 +20,8 @@
 	generation: GenerationHead
 	/** Times that the next event of the request has to meet. */
 	getStartLimits: () => StartLimits
-	onFound: (target: SendTarget) => void
+	/** Returns whether the request was sent. */
+	onFound: (target: SendTarget) => boolean
 	/** Called when no engine is left that could deliver an event in time. */
 	onNone: (refusal: SearchRefusal) => void
 }
@@ -69,6 +70,12 @@
 		this.start()
 	}
 
+	/** Lets a later search use an engine again that the request did not reach. */
+	readmit(id: string): void {
+		this.usedEngines.delete(id)
+		this.refusingEngines.add(id)
+	}
+
 	cancel(): void {
 		this.pendingAsk?.link.notifyEnded(this.pendingAsk.key)
 		this.pendingAsk = undefined
@@ -125,8 +132,7 @@
 	private useWithoutGrant(endpoint: FleetEndpoint, rating: EngineRating): void {
 		const {ctx, generation, onFound} = this.options
 		const {model, adapter} = generation
-		this.usedEngines.add(endpoint.id)
-		onFound({
+		const isSent = onFound({
 			endpoint,
 			link: undefined,
 			key: "",
@@ -136,6 +142,7 @@
 			ratedAt: ctx.now(),
 			ratedMs: Math.round(rating.expectedMs)
 		})
+		this.exclude(endpoint.id, isSent)
 	}
 
 	private askAgent(
@@ -191,8 +198,7 @@
 		const {endpoint, link, key} = target
 		const isOpen = ctx.pauses.isOpen(endpoint.id, ctx.now())
 		if (isOpen && ctx.fleet.isReady(endpoint)) {
-			this.usedEngines.add(endpoint.id)
-			onFound(target)
+			this.exclude(endpoint.id, onFound(target))
 			return
 		}
 		// The endpoint began to drain, wants no requests for now, or was removed or
@@ -201,6 +207,12 @@
 		this.skipEngine(endpoint.id)
 	}
 
+	/** Excludes an engine: for good if it was sent the request, else from this search. */
+	private exclude(id: string, isSent: boolean): void {
+		if (isSent) this.usedEngines.add(id)
+		else this.refusingEngines.add(id)
+	}
+
 	/** Goes on to the next engine without counting the last grant request. */
 	private skipEngine(id: string): void {
 		this.refusingEngines.add(id)
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -42,9 +42,7 @@
 			request,
 			generation,
 			getStartLimits: () => this.startLimits,
-			onFound: target => {
-				this.send(target)
-			},
+			onFound: target => this.send(target),
 			onNone: refusal => {
 				this.endWithoutEngine(refusal)
 			}
@@ -73,12 +71,13 @@
 		})
 	}
 
-	private send(target: SendTarget): void {
+	/** Returns false if no repeat is left for it. */
+	private send(target: SendTarget): boolean {
 		const {ctx, request} = this
 		if (this.sends > 0 && !ctx.retryBudgets.tryRetry(request.pool)) {
 			target.link?.notifyEnded(target.key)
 			this.endWithoutSend("no repeats left")
-			return
+			return false
 		}
 		this.sends += 1
 		ctx.engines.begin(target.endpoint.id)
@@ -101,6 +100,7 @@
 		})
 		if (this.currentSend === undefined) this.currentSend = send
 		else this.standbySend = send
+		return true
 	}
 
 	private forwardEvent(
@@ -208,6 +208,7 @@
 			outcome === CallOutcome.NeverSent ||
 			outcome === CallOutcome.NotRun ||
 			!send.wasSent
+		if (outcome === CallOutcome.NeverSent) this.search.readmit(id)
 		if (!hasNotRun) {
 			this.runs += 1
 			this.mayHaveRun = true
