Keep the agents of a service that a configuration drops

What callers saw: beside a change of the configuration that drops a service, a running stream whose engine broke off was cut though a sound engine was there, and requests queued at an agent were refused.

Cause: the links to the agents of a service, and what the gateway knew of its engines, were closed as the configuration dropped it, under the requests that it still served. The same class as the cut of silent engines: something in use is given up before what depends on it has ended.

Change: links stay as long as the endpoints are registered; a new request can't reach the service, since no route names it.

--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -36,6 +36,11 @@
 
 export class AgentLinks {
 	private readonly links = new Map<string, AgentLink>()
+	/**
+	 * Pools of engines. A pool that a configuration no longer has stays, because its
+	 * requests may still run or wait.
+	 */
+	private readonly enginePools = new Set<string>()
 	/** Gateways connected to the agent whose state arrived last, this one included. */
 	private reportedGateways = 1
 	private intervals = chooseLinkIntervals(0, 0, grantLinkPace)
@@ -45,7 +50,11 @@
 			onEndpoints: () => {
 				this.syncLinks()
 			},
-			onConfig: () => {
+			onConfig: ({pools}) => {
+				for (const {name, engine} of pools) {
+					if (engine === undefined) this.enginePools.delete(name)
+					else this.enginePools.add(name)
+				}
 				this.syncLinks()
 				for (const link of this.links.values()) link.sendHello()
 			},
@@ -103,7 +112,7 @@
 		const {fleet, engineChoice} = this.options
 		const engines = new Map<string, FleetEndpoint>()
 		for (const endpoint of fleet.listEndpoints()) {
-			if (fleet.getPool(endpoint.pool)?.engine === undefined) continue
+			if (!this.enginePools.has(endpoint.pool)) continue
 			engines.set(endpoint.id, endpoint)
 		}
 		for (const [id, link] of this.links) {
