Search again for an engine to go on with a stream that has no call left

What callers saw: a stream whose engine broke off was cut at once when no other engine could take it at that moment, seconds before it was of no use.

Cause: one pass over the engines decided. An agent that was silent for 1.1 s, or an engine that could not be reached for a second, counted as none.

Change: while an event is still of use (a stored time, from the end of the last call) the search is repeated each 250 ms. Requests without an event yet are answered at once as before, so that their callers can try elsewhere.

--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -18,6 +18,8 @@
 /** Limit on sends of one request, including those an engine did not run. */
 const maxSends = 4
 const minRetryAfterMs = 150
+/** Pause between two searches for an engine to go on with a stream. */
+const searchIntervalMs = 250
 const httpOk = 200
 
 export class GenerationTask extends RequestTask {
@@ -28,6 +30,12 @@
 	private standbySend: GenerationSend | undefined
 	private lastEventId: string | undefined
 	private lastEventAt: number | undefined
+	/**
+	 * Time until which the stream must go on; undefined while a call is open. A later
+	 * event is of no use.
+	 */
+	private resumeBy: number | undefined
+	private searchTimer: NodeJS.Timeout | undefined
 	/** Measured time from the choice of the engine to the first event. */
 	private startedMs: number | undefined
 
@@ -60,7 +68,7 @@
 	/** Times that the next event has to meet. */
 	private get startLimits(): StartLimits {
 		const {route, arrivedAt, deadline, exchange} = this.request
-		return getStartLimits({
+		const limits = getStartLimits({
 			now: this.ctx.now(),
 			arrivedAt,
 			deadline,
@@ -69,6 +77,8 @@
 			mayHaveRun: this.mayHaveRun || this.currentSend !== undefined,
 			hasStarted: exchange.hasStarted
 		})
+		const {resumeBy = limits.startBy} = this
+		return {...limits, startBy: Math.min(limits.startBy, resumeBy)}
 	}
 
 	/** Returns false if no repeat is left for it. */
@@ -117,6 +127,7 @@
 		if (event.id !== "") this.lastEventId = event.id
 		exchange.writeEvent(event.bytes)
 		this.lastEventAt = ctx.now()
+		this.resumeBy = undefined
 	}
 
 	/** Records the error of the estimate by which the engine was chosen. */
@@ -274,7 +285,7 @@
 	/** Ends a request for which no engine is left that could start in time. */
 	private endWithoutEngine(refusal: SearchRefusal): void {
 		if (this.mayHaveRun || this.currentSend !== undefined) {
-			this.endWithoutSend("no engine to go on at")
+			if (!this.searchLater()) this.endWithoutSend("no engine to go on at")
 			return
 		}
 		this.clearTimers()
@@ -287,6 +298,21 @@
 		})
 	}
 
+	/**
+	 * Searches again soon for an engine to go on with a stream that has begun and has
+	 * no open call. Returns false when it is too late for that.
+	 */
+	private searchLater(): boolean {
+		if (this.currentSend !== undefined) return false
+		if (!this.request.exchange.hasStarted || !this.canResume(0)) return false
+		this.resumeBy ??= this.startLimits.startBy
+		if (this.ctx.now() + searchIntervalMs >= this.resumeBy) return false
+		this.searchTimer = setTimeout(() => {
+			this.search.startOver()
+		}, searchIntervalMs)
+		return true
+	}
+
 	/** Ends a request that can't be sent again, unless a call is still open. */
 	private endWithoutSend(detail: string): void {
 		if (this.currentSend === undefined) {
@@ -330,6 +356,11 @@
 		this.failRequest("deadline", this.deadlineFields, true)
 	}
 
+	protected override clearTimers(): void {
+		super.clearTimers()
+		clearTimeout(this.searchTimer)
+	}
+
 	protected override cancel(): void {
 		super.cancel()
 		this.search.cancel()
