Log the build of engines and which request a caller resumes

Callers got streams of two engine builds, and the gateways' logs could tell neither the build of an engine nor that a request resumes another one, so what happened within an answer could not be told from what happened over a caller's tries.

The registration's software version is now decoded as the build of an endpoint and published between gateways (a new field; older gateways ignore it and their notices count as without a build). endpoint.state, granted and the new send.ungranted, for sends without a grant, name it; request.ended names the request that a caller resumes and its last event.

--- a/src/contract/fleet.ts
+++ b/src/contract/fleet.ts
@@ -108,6 +108,11 @@
 	state: EndpointState
 	/** Start time, Unix milliseconds; 0 when the registration has none. */
 	bornAt: number
+	/**
+	 * Build of its software; empty when the registration has none. Builds have no
+	 * order, and a stream can't be resumed at another build than its first.
+	 */
+	build: string
 	/** Store era and revision of the registration; earlier ones are stale. */
 	era: number
 	revision: number
--- a/src/gateway/__tests__/fleetState.test.ts
+++ b/src/gateway/__tests__/fleetState.test.ts
@@ -48,6 +48,7 @@
 		seats: 6,
 		state,
 		bornAt: 1,
+		build: "v1",
 		era,
 		revision,
 		residents: []
@@ -235,6 +236,21 @@
 		})
 	})
 
+	it("learns that an engine restarted with another build", async () => {
+		const addresses = createAddresses()
+		const [first] = await Promise.all(addresses.map(startSource))
+		first?.fleet.applyEndpoint(createEndpoint("i-1", 2), 0)
+		const {fleet} = follow(addresses)
+		await vi.waitFor(() => {
+			expect(fleet.getEndpoint("i-1")?.build).toBe("v1")
+		})
+		const reborn = {...createEndpoint("i-1", 5), bornAt: 2, build: "v1.1"}
+		first?.fleet.applyEndpoint(reborn, 0)
+		await vi.waitFor(() => {
+			expect(fleet.getEndpoint("i-1")?.build).toBe("v1.1")
+		})
+	})
+
 	it("gets a change that a source published while its view was stale", async () => {
 		const addresses = createAddresses()
 		const [first, second] = await Promise.all(addresses.map(startSource))
--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -195,10 +195,16 @@
 		const {metrics, kind, log, head, now, arrivedAt} = this.options
 		metrics.countRequest(kind, outcome)
 		const elapsedMs = Math.round(now() - arrivedAt)
+		const {resumption} = head
+		const resumed =
+			resumption === undefined
+				? {}
+				: {resumes: resumption.originId, resumesAfter: resumption.lastEventId}
 		log.request("request.ended", head.id, {
 			outcome,
 			elapsedMs,
 			kind,
+			...resumed,
 			...logFields
 		})
 	}
--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/engineSearch.ts
@@ -130,14 +130,21 @@
 	 * request if it doesn't hold the adapter version.
 	 */
 	private useWithoutGrant(endpoint: FleetEndpoint, rating: EngineRating): void {
-		const {ctx, generation, onFound} = this.options
+		const {ctx, request, generation, onFound} = this.options
 		const {model, adapter} = generation
+		const version = ctx.fleet.getMinVersion(model, adapter)
+		ctx.log.request("send.ungranted", request.exchange.head.id, {
+			endpoint: endpoint.id,
+			build: endpoint.build,
+			version,
+			expectedMs: Math.round(rating.expectedMs)
+		})
 		const isSent = onFound({
 			endpoint,
 			link: undefined,
 			key: "",
 			engineId: endpoint.id,
-			version: ctx.fleet.getMinVersion(model, adapter),
+			version,
 			expectedMs: rating.expectedMs,
 			ratedAt: ctx.now(),
 			ratedMs: Math.round(rating.expectedMs)
@@ -165,6 +172,7 @@
 				this.pendingAsk = undefined
 				log.request("granted", requestId, {
 					endpoint: endpoint.id,
+					build: endpoint.build,
 					version: grant.version,
 					waitedMs: Math.round(now() - askedAt),
 					expectedMs: grant.expectedMs,
--- a/src/gateway/fleetFollower.ts
+++ b/src/gateway/fleetFollower.ts
@@ -144,7 +144,7 @@
 }
 
 function decodeEndpoint(notice: EndpointNotice): FleetEndpoint {
-	const {id, pool, address, failureDomain, seats, bornAt} = notice
+	const {id, pool, address, failureDomain, seats, bornAt, build} = notice
 	const {isDraining, residents, era, revision} = notice
 	const state = isDraining ? EndpointState.Draining : EndpointState.Ready
 	return {
@@ -154,6 +154,7 @@
 		failureDomain,
 		seats,
 		bornAt,
+		build,
 		residents,
 		era,
 		revision,
--- a/src/gateway/fleetPublisher.ts
+++ b/src/gateway/fleetPublisher.ts
@@ -30,8 +30,8 @@
 export class FleetPublisher {
 	private readonly subscribers = new Set<FollowCall>()
 	/**
-	 * Last published pool, address, state and start time, by endpoint id; a change of
-	 * these is published. Registrations are rewritten at each heartbeat, so a new
+	 * Last published pool, address, state, start time and build, by endpoint id; a
+	 * change of these is published. Registrations are rewritten at each heartbeat, so a new
 	 * revision or residency alone is not.
 	 */
 	private readonly publishedFields = new Map<string, string>()
@@ -125,8 +125,8 @@
 		const changed: FleetEndpoint[] = []
 		for (const endpoint of this.options.fleet.listEndpoints()) {
 			present.add(endpoint.id)
-			const {pool, address, state, bornAt} = endpoint
-			const fields = `${pool} ${address} ${state} ${bornAt}`
+			const {pool, address, state, bornAt, build} = endpoint
+			const fields = `${pool} ${address} ${state} ${bornAt} ${build}`
 			if (this.publishedFields.get(endpoint.id) === fields) continue
 			this.publishedFields.set(endpoint.id, fields)
 			changed.push(endpoint)
--- a/src/gateway/fleetState.ts
+++ b/src/gateway/fleetState.ts
@@ -279,7 +279,7 @@
 	}
 
 	private putEndpoint(endpoint: FleetEndpoint, now: number): void {
-		const {id, pool, address} = endpoint
+		const {id, pool, address, build} = endpoint
 		const known = this.endpoints.get(id)
 		// Another source may already have delivered a later change.
 		if (known !== undefined && compareRevisions(endpoint, known) < 0) return
@@ -300,7 +300,13 @@
 		if (isRestart || known?.address !== address) this.replacedIds.delete(id)
 		this.endpoints.set(id, {...endpoint, state})
 		if (known?.state === state && !isRestart) return
-		this.log.decide("endpoint.state", {endpoint: id, pool, state, address})
+		this.log.decide("endpoint.state", {
+			endpoint: id,
+			pool,
+			state,
+			address,
+			build
+		})
 	}
 
 	private withhold(endpoint: FleetEndpoint, now: number): void {
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -16,6 +16,17 @@
 	outputTokens: number
 }
 
+/** What a caller states when it resumes a stream with a new request. */
+export interface Resumption {
+	/**
+	 * Id of the caller's request that delivered the stream's first event; empty if
+	 * the caller doesn't state it.
+	 */
+	originId: string
+	/** Id of the last event that the caller received. */
+	lastEventId: string
+}
+
 /** A caller's request without its body. */
 export interface RequestHead {
 	id: string
@@ -29,6 +40,8 @@
 	/** Caller's timeout in milliseconds; undefined when the request states none. */
 	patienceMs: number | undefined
 	generation: GenerationHead | undefined
+	/** Set if the caller resumes a stream. */
+	resumption: Resumption | undefined
 }
 
 /** Values that the gateway encodes into the headers of a forwarded request. */
