Let a stream go on only at the build that began it

Cause: the choice of the engine that goes on knew adapters, load and failures but not the build; and a caller's resumption was a new request, since no gateway knew what another one had forwarded. The class of fault is a continuation that drops part of the identity of what it continues.

Change: - A stream is bound to the build of the engine that sent its first event (src/policy/streams); only engines of that build may go on. A grant carries the start time that the engine reported last, so that an engine that restarted with another build under an old registration doesn't count. - Each gateway remembers where the streams began that it forwards, until no caller resumes them, and tells the agent that granted, with the message about the first event that it sends anyway. While a stream of unknown origin would be refused, and for running streams at the moment the second build appears, two more agents are told, by rendezvous of the request's id. - A gateway that gets a resumption asks the agents, 32 at most, and waits 150 ms at most. Then it asks only engines of that build, in the pool of the origin also where a route is split. A resumption without an engine of its build, or of unknown origin, is refused at once, not run. An unknown origin is permitted when one build alone has served the pool for longer than the stream can last; callers that name no origin, which are unaware of builds, are refused only where this gateway has seen a second build.

All messages are new fields. An older agent doesn't answer, which counts as unknown after 150 ms; an older gateway tells no agent and resumes as before.

Of the lead's design: one query bounded to 32 agents instead of all; the origin carries the pool, since a split route could move a stream to another service; entries are kept by both gateways and agents with the same class.

Looked for the same cause elsewhere: sends without a grant and the standby of a silent engine go through the same search. src/entry and src/endpoint attach again to the same run of the same engine and start none, so they can't change the build.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -3,13 +3,14 @@
  * unload orders to the engine, and it owns the queue of requests for the engine:
  * gateways ask it for grants and send granted requests directly to the engine.
  */
+import {create} from "@bufbuild/protobuf"
 import type * as grpc from "@grpc/grpc-js"
 import type {
 	Ask,
 	GatewayMessage,
 	LeavingNotice
 } from "../contract/gen/grants_pb.js"
-import {RefuseReason} from "../contract/gen/grants_pb.js"
+import {OriginAnswerSchema, RefuseReason} from "../contract/gen/grants_pb.js"
 import {startGrantServer} from "../link/fleetLink.js"
 import type {TlsKeys} from "../link/tls.js"
 import {
@@ -20,6 +21,7 @@
 	type GrantDecision,
 	GrantRefusalReason
 } from "../policy/grants/index.js"
+import {StreamOrigins} from "../policy/streams/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
 import {EngineLoop} from "./engineLoop.js"
 import type {EnginePort, FencingTokenSource} from "./enginePort.js"
@@ -46,6 +48,8 @@
 const idleTickMs = 300
 /** Several times the endpoints of a large fleet. */
 const maxKnownLeaving = 10_000
+/** Several times the streams that one engine begins while callers may resume them. */
+const maxKnownOrigins = 20_000
 
 export class AgentTask {
 	private readonly scheduler: GrantScheduler
@@ -53,6 +57,7 @@
 	private readonly now: () => number
 	/** Incarnations of endpoints that are leaving, already passed on. */
 	private readonly knownLeaving = new LruSet(maxKnownLeaving)
+	private readonly origins = new StreamOrigins(maxKnownOrigins)
 	private server: grpc.Server | undefined
 	private readonly loop: EngineLoop
 	private timer: NodeJS.Timeout | undefined
@@ -109,7 +114,11 @@
 
 	private receive(owner: string, message: GatewayMessage): void {
 		const now = this.now()
-		const {body} = message
+		const {body, origins} = message
+		for (const {requestId, pool, build, keepMs} of origins) {
+			const expiresAt = now + keepMs
+			this.origins.add({requestId, pool, build, expiresAt}, now)
+		}
 		if (body.case === "ask") {
 			this.handleAsk(owner, body.value, now)
 		} else if (body.case === "started") {
@@ -132,6 +141,8 @@
 			this.loop.requestPlan()
 		} else if (body.case === "leaving") {
 			this.handleLeaving(owner, body.value, now)
+		} else if (body.case === "findOrigin") {
+			this.answerOrigin(owner, body.value, now)
 		} else if (body.case === "hello") {
 			this.links.setPace(owner, body.value)
 			if (body.value.limits === undefined) return
@@ -156,6 +167,18 @@
 		this.sendDecisions(this.scheduler.markLeaving(bornAt, now))
 	}
 
+	/** Tells a gateway where a stream began that its caller resumes. */
+	private answerOrigin(owner: string, requestId: string, now: number): void {
+		const origin = this.origins.find(requestId, now)
+		const value = create(OriginAnswerSchema, {
+			requestId,
+			...(origin === undefined
+				? {}
+				: {origin: {...origin, keepMs: Math.round(origin.expiresAt - now)}})
+		})
+		this.links.send(owner, {case: "origin", value})
+	}
+
 	private handleAsk(owner: string, ask: Ask, now: number): void {
 		if (ask.minVersion > 0) {
 			const {model, adapter, minVersion} = ask
@@ -181,7 +204,8 @@
 						version: decision.version,
 						engineId: this.options.engine.engineId,
 						expectedMs: Math.round(expectedMs),
-						state
+						state,
+						engineBornAt: this.scheduler.engineBornAt
 					}
 				})
 				continue
--- a/src/gateway/__tests__/agentLink.test.ts
+++ b/src/gateway/__tests__/agentLink.test.ts
@@ -52,6 +52,7 @@
 		getEngineId: () => "i-1",
 		onState: () => (states += 1),
 		onLeaving: () => undefined,
+		onOrigin: () => undefined,
 		onUp: resolveUp,
 		onDown: reason => downs.push(reason)
 	})
@@ -96,7 +97,14 @@
 	key: string
 ): Extract<AgentMessage["body"], {case: "grant"}>["value"] {
 	const $typeName = "goldcrestloom.grants.v1.Grant"
-	return {$typeName, key, version: 1, engineId: "i-1", expectedMs: 0}
+	return {
+		$typeName,
+		key,
+		version: 1,
+		engineId: "i-1",
+		expectedMs: 0,
+		engineBornAt: 0
+	}
 }
 
 function ask(link: AgentLink, key: string): Promise<string> {
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -12,7 +12,9 @@
 	GatewayMessageSchema,
 	type Hello,
 	HelloSchema,
-	RefuseReason
+	type OriginAnswer,
+	RefuseReason,
+	type StreamOrigin
 } from "../contract/gen/grants_pb.js"
 import {type OpenGrantStream, openGrantStream} from "../link/fleetLink.js"
 import type {TlsKeys} from "../link/tls.js"
@@ -29,6 +31,8 @@
 	engineId: string
 	version: number
 	expectedMs: number
+	/** Start time of the engine that granted; 0 when unknown. */
+	engineBornAt: number
 }
 
 export interface AgentRefusal {
@@ -62,6 +66,8 @@
 	onState(state: EngineState): void
 	/** Another gateway heard that an endpoint is leaving. */
 	onLeaving(endpointId: string, bornAt: number): void
+	/** The agent's answer to `findOrigin`. */
+	onOrigin(answer: OriginAnswer): void
 	onUp(): void
 	onDown(reason: string): void
 }
@@ -127,9 +133,23 @@
 		this.send({case: "ask", value: ask})
 	}
 
-	/** Tells the agent that the first event of a granted request arrived. */
-	notifyStarted(key: string): void {
-		this.send({case: "started", value: key})
+	/**
+	 * Tells the agent that the first event of a granted request arrived, and where
+	 * its stream began if that is known.
+	 */
+	notifyStarted(key: string, origin?: StreamOrigin): void {
+		const origins = origin === undefined ? [] : [origin]
+		this.send({case: "started", value: key}, origins)
+	}
+
+	/** Has the agent remember where streams began. */
+	announceOrigins(origins: StreamOrigin[]): void {
+		this.send({case: undefined}, origins)
+	}
+
+	/** Asks the agent where a stream began. */
+	findOrigin(requestId: string): void {
+		this.send({case: "findOrigin", value: requestId})
 	}
 
 	/**
@@ -272,6 +292,7 @@
 		if (body.case === "state") this.applyState(body.value)
 		else if (body.case === "leaving")
 			this.options.onLeaving(body.value.endpointId, body.value.bornAt)
+		else if (body.case === "origin") this.options.onOrigin(body.value)
 		else if (body.case === "grant") {
 			this.applyState(body.value.state)
 			const handlers = this.takePendingAsk(body.value.key)
@@ -291,10 +312,13 @@
 		return handlers
 	}
 
-	private send(body: GatewayMessage["body"]): void {
+	private send(
+		body: GatewayMessage["body"],
+		origins: StreamOrigin[] = []
+	): void {
 		if (this.openStream === undefined) return
 		this.lastSentAt = this.options.now()
-		this.openStream.stream.write(create(GatewayMessageSchema, {body}))
+		this.openStream.stream.write(create(GatewayMessageSchema, {body, origins}))
 	}
 
 	private fail(reason: string): void {
--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -7,11 +7,16 @@
 import {slotKey, type FleetEndpoint} from "../contract/fleet.js"
 import {
 	type EngineLimits,
-	EngineLimitsSchema
+	EngineLimitsSchema,
+	type OriginAnswer
 } from "../contract/gen/grants_pb.js"
 import type {TlsKeys} from "../link/tls.js"
 import type {EngineChoice} from "../policy/dispatch/index.js"
-import {chooseLinkIntervals, grantLinkPace} from "../policy/index.js"
+import {
+	chooseLinkIntervals,
+	grantLinkPace,
+	rankByRendezvous
+} from "../policy/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
 import {AgentLink} from "./agentLink.js"
 import type {FleetState} from "./fleetState.js"
@@ -27,6 +32,8 @@
 	tls?: TlsKeys | undefined
 	/** Monotonic milliseconds. */
 	now: () => number
+	/** An agent's answer about the origin of a stream. */
+	onOrigin: (endpointId: string, answer: OriginAnswer) => void
 }
 
 /** Factor by which the pace must differ from the one told to agents. */
@@ -94,6 +101,18 @@
 		}
 	}
 
+	/**
+	 * Ids of engines whose agents are connected, in an order that all gateways with
+	 * the same engines have for a request, at most `count`.
+	 */
+	rankLinked(requestId: string, count: number): string[] {
+		const linked = [...this.links.keys()].filter(id =>
+			this.options.engineChoice.isLinked(id)
+		)
+		const items = linked.map(id => ({id, weight: 1}))
+		return rankByRendezvous(requestId, items).slice(0, count)
+	}
+
 	tick(): void {
 		for (const link of this.links.values()) link.tick()
 	}
@@ -181,6 +200,9 @@
 			onLeaving: (endpointId, bornAt) => {
 				fleet.markLeaving(endpointId, bornAt, `agent of ${id}`)
 			},
+			onOrigin: answer => {
+				this.options.onOrigin(id, answer)
+			},
 			onUp: () => {
 				log.decide("agent.up", {endpoint: id})
 			},
--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/engineSearch.ts
@@ -9,15 +9,18 @@
 	EngineRating,
 	StartLimits
 } from "../policy/dispatch/index.js"
+import type {StreamBinding} from "../policy/streams/index.js"
 import type {AgentLink, AgentRefusal} from "./agentLink.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
-import type {SendTarget} from "./generationSend.js"
+import {findBuild, type SendTarget} from "./sendTarget.js"
 import type {GenerationHead} from "./wire.js"
 
 export interface EngineSearchOptions {
 	ctx: GatewayContext
 	request: RoutedRequest
 	generation: GenerationHead
+	/** Builds that may go on with the stream. */
+	binding: StreamBinding
 	/** Times that the next event of the request has to meet. */
 	getStartLimits: () => StartLimits
 	/** Returns whether the request was sent. */
@@ -100,11 +103,12 @@
 
 	/** The best-rated engine left to ask; undefined if there is none. */
 	private pickEngine(): EngineRating | undefined {
-		const {ctx, request} = this.options
+		const {ctx, request, binding} = this.options
 		const candidates = ctx.fleet
 			.listReady(request.pool)
 			.filter(
-				({id}) =>
+				({id, build}) =>
+					binding.permits(build) &&
 					!this.refusingEngines.has(id) &&
 					!this.usedEngines.has(id) &&
 					ctx.pauses.isOpen(id, ctx.now())
@@ -144,6 +148,7 @@
 			link: undefined,
 			key: "",
 			engineId: endpoint.id,
+			bornAt: endpoint.bornAt,
 			version,
 			expectedMs: rating.expectedMs,
 			ratedAt: ctx.now(),
@@ -183,6 +188,7 @@
 					link,
 					key,
 					engineId: grant.engineId === "" ? endpoint.id : grant.engineId,
+					bornAt: grant.engineBornAt,
 					version: grant.version,
 					expectedMs: grant.expectedMs,
 					ratedAt: askedAt,
@@ -202,15 +208,17 @@
 	}
 
 	private useGrant(target: SendTarget): void {
-		const {ctx, onFound} = this.options
+		const {ctx, binding, onFound} = this.options
 		const {endpoint, link, key} = target
 		const isOpen = ctx.pauses.isOpen(endpoint.id, ctx.now())
-		if (isOpen && ctx.fleet.isReady(endpoint)) {
+		const isPermitted = binding.permits(findBuild(ctx.fleet, target))
+		if (isOpen && isPermitted && ctx.fleet.isReady(endpoint)) {
 			this.exclude(endpoint.id, onFound(target))
 			return
 		}
-		// The endpoint began to drain, wants no requests for now, or was removed or
-		// replaced, while the request was queued.
+		// The endpoint began to drain, wants no requests for now, was removed or
+		// replaced, or restarted with a build that is not known to fit, while the
+		// request was queued.
 		link?.notifyEnded(key)
 		this.skipEngine(endpoint.id)
 	}
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -10,6 +10,7 @@
 import type {FleetState} from "./fleetState.js"
 import type {GatewayMetrics} from "./gatewayMetrics.js"
 import type {RetryBudgets} from "./retryBudgets.js"
+import type {StreamDirectory} from "./streamDirectory.js"
 import type {CallerExchange} from "./callerExchange.js"
 import type {WireCodec} from "./wire.js"
 
@@ -20,6 +21,7 @@
 	engines: EngineChoice
 	services: ServiceChoice
 	pauses: EndpointPauses
+	streams: StreamDirectory
 	retryBudgets: RetryBudgets
 	log: DecisionLog
 	metrics: GatewayMetrics
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -19,6 +19,7 @@
 import {GatewayMetrics} from "./gatewayMetrics.js"
 import {GatewayServer} from "./gatewayServer.js"
 import {RetryBudgets} from "./retryBudgets.js"
+import {StreamDirectory} from "./streamDirectory.js"
 import type {WireCodec} from "./wire.js"
 
 export interface GatewayTaskOptions {
@@ -89,8 +90,12 @@
 			log,
 			agentPort: options.agentPort,
 			tls,
-			now
+			now,
+			onOrigin: (endpointId, answer) => {
+				streams.applyAnswer(endpointId, answer)
+			}
 		})
+		const streams = new StreamDirectory({fleet: this.fleet, links, now})
 		this.ctx = {
 			wire,
 			fleet: this.fleet,
@@ -98,6 +103,7 @@
 			engines,
 			services: new ServiceChoice(),
 			pauses: new EndpointPauses(),
+			streams,
 			retryBudgets: new RetryBudgets({
 				ratio: options.repeatRatio,
 				extra: options.repeatExtra,
--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -2,42 +2,22 @@
  * One send of a generation request to an engine. Splits the response into
  * complete events, and reports when no stream data arrives in time.
  */
-import type {FleetEndpoint} from "../contract/fleet.js"
-import type {AgentLink} from "./agentLink.js"
+import type {StreamOrigin} from "../contract/gen/grants_pb.js"
 import {type CallOutcome, EndpointCall} from "./endpointCall.js"
 import {applySignals} from "./endpointSignals.js"
 import {EventSplitter, type StreamEvent} from "./eventSplitter.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
+import type {SendTarget} from "./sendTarget.js"
 import type {ResponseHead} from "./wire.js"
 
-/**
- * Engine and adapter version of a send: those of an agent's grant or, while the
- * agent is disconnected, an engine chosen by its last known residency and the
- * newest announced version.
- */
-export interface SendTarget {
-	endpoint: FleetEndpoint
-	/** Link to the agent that granted; absent when the agent is disconnected. */
-	link: AgentLink | undefined
-	/** Key of the grant; empty without an agent. */
-	key: string
-	engineId: string
-	/** Adapter version that the engine must serve with; 0 for any. */
-	version: number
-	/** Expected time to the first event, milliseconds. */
-	expectedMs: number
-	/** Time at which the engine was chosen. */
-	ratedAt: number
-	/** Time from then to the first event by which the engine was chosen. */
-	ratedMs: number
-}
-
 export interface GenerationSendOptions {
 	ctx: GatewayContext
 	request: RoutedRequest
 	target: SendTarget
 	/** Id of the last event delivered, when the generation is resumed. */
 	resumeAfter: string | undefined
+	/** Tells the granting agent where the stream began, if that is known. */
+	createOriginNotice: (send: GenerationSend) => StreamOrigin | undefined
 	onEvent: (
 		send: GenerationSend,
 		responseHead: ResponseHead,
@@ -142,7 +122,8 @@
 		for (const event of this.splitter.push(chunk)) {
 			if (!this.hasFirstEvent) {
 				this.hasFirstEvent = true
-				target.link?.notifyStarted(target.key)
+				const notice = this.options.createOriginNotice(this)
+				target.link?.notifyStarted(target.key, notice)
 			}
 			onEvent(this, responseHead, event)
 		}
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -6,13 +6,16 @@
  * the caller's stream ends only when no call is left.
  */
 import {getStartLimits, type StartLimits} from "../policy/dispatch/index.js"
+import {StreamBinding, type StreamOrigin} from "../policy/streams/index.js"
 import type {LogFields} from "./callerExchange.js"
 import {CallOutcome} from "./endpointCall.js"
 import {EngineSearch, type SearchRefusal} from "./engineSearch.js"
 import type {StreamEvent} from "./eventSplitter.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
-import {GenerationSend, type SendTarget} from "./generationSend.js"
+import {GenerationSend} from "./generationSend.js"
 import {RequestTask} from "./requestTask.js"
+import {findBuild, type SendTarget} from "./sendTarget.js"
+import {getStreamSpanMs, locateStream} from "./streamResumption.js"
 import {type ResponseHead, type GenerationHead, isServerError} from "./wire.js"
 
 /** Limit on sends of one request, including those an engine did not run. */
@@ -24,6 +27,7 @@
 
 export class GenerationTask extends RequestTask {
 	private readonly search: EngineSearch
+	private readonly binding = new StreamBinding()
 	/** The send whose events the caller receives. */
 	private currentSend: GenerationSend | undefined
 	/** A send to another engine while the current one is silent. */
@@ -49,6 +53,7 @@
 			ctx,
 			request,
 			generation,
+			binding: this.binding,
 			getStartLimits: () => this.startLimits,
 			onFound: target => this.send(target),
 			onNone: refusal => {
@@ -58,7 +63,24 @@
 	}
 
 	protected override dispatch(): void {
-		this.search.start()
+		const {ctx, request, binding} = this
+		const {resumption} = request.exchange.head
+		if (resumption === undefined) {
+			this.search.start()
+			return
+		}
+		locateStream({
+			ctx,
+			request,
+			resumption,
+			binding,
+			onPermitted: () => {
+				if (!this.isCancelled) this.search.start()
+			},
+			onRefused: reason => {
+				if (!this.isCancelled) this.failRequest(reason, {})
+			}
+		})
 	}
 
 	protected override handleDisconnect(): void {
@@ -97,6 +119,11 @@
 			request,
 			target,
 			resumeAfter: this.lastEventId,
+			createOriginNotice: from => {
+				const build = findBuild(ctx.fleet, from.target)
+				if (build === undefined) return undefined
+				return ctx.streams.createNotice(this.createOrigin(build))
+			},
 			onEvent: (from, responseHead, event) => {
 				this.forwardEvent(from, responseHead, event)
 			},
@@ -123,6 +150,7 @@
 		if (send === this.currentSend) this.dropStandby()
 		else this.takeOver(send)
 		if (!exchange.hasStarted) this.recordFirstEvent(send)
+		this.noteBuild(send)
 		exchange.startStream(responseHead)
 		if (event.id !== "") this.lastEventId = event.id
 		exchange.writeEvent(event.bytes)
@@ -130,6 +158,33 @@
 		this.resumeBy = undefined
 	}
 
+	/** Binds the stream to the build of its first engine once that is known. */
+	private noteBuild({target}: GenerationSend): void {
+		const {ctx, binding} = this
+		if (binding.isKnown && this.request.exchange.hasStarted) return
+		const build = findBuild(ctx.fleet, target)
+		binding.bind(build)
+		if (build === undefined) return
+		const origin = this.createOrigin(build)
+		ctx.streams.add(origin, target.endpoint.id)
+		// The first event told the agent of no build.
+		if (this.request.exchange.hasStarted)
+			target.link?.announceOrigins([ctx.streams.createNotice(origin)])
+	}
+
+	/** The origin of the stream, to be known while its caller may resume it. */
+	private createOrigin(build: string): StreamOrigin {
+		const {ctx, request} = this
+		const {id, resumption} = request.exchange.head
+		const requestId = resumption?.originId ?? ""
+		return {
+			requestId: requestId === "" ? id : requestId,
+			pool: request.pool,
+			build,
+			expiresAt: ctx.now() + getStreamSpanMs(request)
+		}
+	}
+
 	/** Records the error of the estimate by which the engine was chosen. */
 	private recordFirstEvent({target}: GenerationSend): void {
 		const {ratedAt, ratedMs} = target
--- /dev/null
+++ b/src/gateway/sendTarget.ts
@@ -0,0 +1,42 @@
+/** The engine that was chosen for one send of a generation request. */
+import type {FleetEndpoint} from "../contract/fleet.js"
+import type {AgentLink} from "./agentLink.js"
+import type {FleetState} from "./fleetState.js"
+
+/**
+ * Engine and adapter version of a send: those of an agent's grant or, while the
+ * agent is disconnected, an engine chosen by its last known residency and the
+ * newest announced version.
+ */
+export interface SendTarget {
+	endpoint: FleetEndpoint
+	/** Link to the agent that granted; absent when the agent is disconnected. */
+	link: AgentLink | undefined
+	/** Key of the grant; empty without an agent. */
+	key: string
+	engineId: string
+	/** Start time of the engine that was chosen; 0 when unknown. */
+	bornAt: number
+	/** Adapter version that the engine must serve with; 0 for any. */
+	version: number
+	/** Expected time to the first event, milliseconds. */
+	expectedMs: number
+	/** Time at which the engine was chosen. */
+	ratedAt: number
+	/** Time from then to the first event by which the engine was chosen. */
+	ratedMs: number
+}
+
+/**
+ * Build of the engine; undefined while the registration is that of another start,
+ * which may have had another build.
+ */
+export function findBuild(
+	fleet: FleetState,
+	{endpoint, bornAt}: SendTarget
+): string | undefined {
+	const registered = fleet.getEndpoint(endpoint.id) ?? endpoint
+	const isSameStart =
+		bornAt === 0 || registered.bornAt === 0 || registered.bornAt === bornAt
+	return isSameStart ? registered.build : undefined
+}
--- /dev/null
+++ b/src/gateway/streamResumption.ts
@@ -0,0 +1,73 @@
+/** Decides where the stream that a caller resumes may go on, or that it may not. */
+import type {StreamBinding, StreamOrigin} from "../policy/streams/index.js"
+import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
+import type {Resumption} from "./wire.js"
+
+export interface StreamResumptionOptions {
+	ctx: GatewayContext
+	request: RoutedRequest
+	resumption: Resumption
+	/** Is bound to the build that began the stream, if that is known. */
+	binding: StreamBinding
+	onPermitted: () => void
+	/** The stream can't go on, and nothing was sent. */
+	onRefused: (reason: string) => void
+}
+
+/** How long after its begin the stream of a request may be resumed. */
+export function getStreamSpanMs({route, exchange}: RoutedRequest): number {
+	return Math.max(route.timeoutMs, exchange.head.patienceMs ?? 0)
+}
+
+export function locateStream(options: StreamResumptionOptions): void {
+	const {ctx, resumption} = options
+	const {originId} = resumption
+	const askedAt = ctx.now()
+	const decide = (origin: StreamOrigin | undefined): void => {
+		ctx.log.request("stream.origin", options.request.exchange.head.id, {
+			resumes: originId,
+			pool: origin?.pool,
+			build: origin?.build,
+			waitedMs: Math.round(ctx.now() - askedAt)
+		})
+		const reason =
+			origin === undefined ? checkUnknown(options) : bind(options, origin)
+		if (reason === undefined) options.onPermitted()
+		else options.onRefused(reason)
+	}
+	if (originId === "") decide(undefined)
+	else ctx.streams.find(originId, decide)
+}
+
+/**
+ * Returns why a stream of unknown origin can't go on. Callers that don't state the
+ * origin at all are unaware of builds, and are refused only if this gateway has
+ * seen more than one.
+ */
+function checkUnknown({
+	ctx,
+	request,
+	resumption
+}: StreamResumptionOptions): string | undefined {
+	const countsUnseen = resumption.originId !== ""
+	const spanMs = getStreamSpanMs(request)
+	return ctx.streams.isSettled(request.pool, spanMs, countsUnseen)
+		? undefined
+		: "unknown origin of the stream"
+}
+
+/**
+ * Binds the request to the pool and the build of the origin. Returns why the stream
+ * can't go on there.
+ */
+function bind(
+	{ctx, request, binding}: StreamResumptionOptions,
+	{pool, build}: StreamOrigin
+): string | undefined {
+	const isServed = request.route.pools.some(share => share.pool === pool)
+	if (!isServed) return "the stream's service no longer serves the route"
+	request.pool = pool
+	binding.bind(build)
+	const isReady = ctx.fleet.listReady(pool).some(ready => ready.build === build)
+	return isReady ? undefined : "no engine of the stream's build"
+}
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -83,6 +83,11 @@
 		this.random = options.random
 	}
 
+	/** Start time that the engine reported last, Unix milliseconds; 0 when unknown. */
+	get engineBornAt(): number {
+		return this.engineStartedAt
+	}
+
 	setLimits(limits: EngineLimits): void {
 		this.slots.limits = limits
 		this.prefixCache.setCapacity(limits.memoryTokens * prefixCacheFraction)
--- /dev/null
+++ b/src/policy/streams/index.ts
@@ -0,0 +1,3 @@
+export * from "./buildHistory.js"
+export * from "./streamBinding.js"
+export * from "./streamOrigins.js"
