Soak engines of two builds and callers that resume streams

No test across processes had engines of two builds or a caller that resumes at another gateway, so no soak could find streams of two builds. Engines now have two builds, another one at each start, events name theirs, and callers resume a stream that broke off and judge both parts.

What the faults meet depends on timing.

--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -19,8 +19,21 @@
 	sentAt: number
 	endedAt: number
 	status: number
+	/** Set if it is a stream that broke off after an event. */
+	cut?: CutStream | undefined
 }
 
+/** What a caller knows of a stream that it may resume. */
+interface CutStream {
+	headers: Record<string, string>
+	lastEvent: number
+	/** Build of the engine that sent the last event. */
+	build: string
+}
+
+type LastEvent = Pick<CutStream, "lastEvent" | "build">
+type End = (how: CallEnd, status: number, last?: LastEvent) => void
+
 const kinds = ["draft", "draft", "book", "status"]
 const adapterCount = 9
 const eventCount = 6
@@ -59,8 +72,15 @@
 		let address = pick()
 		while (!this.isStopped) {
 			const kind = kinds[Math.floor(this.random() * kinds.length)] ?? "draft"
-			const record = await this.call(kind, address, agent)
+			let record = await this.call(kind, address, agent)
 			this.records.push(record)
+			if (record.cut !== undefined) {
+				agent.destroy()
+				agent = new Agent({keepAlive: true, maxSockets: 1})
+				address = pick()
+				record = await this.call(kind, address, agent, record)
+				this.records.push(record)
+			}
 			if (record.end !== CallEnd.Answered) {
 				agent.destroy()
 				agent = new Agent({keepAlive: true, maxSockets: 1})
@@ -74,16 +94,22 @@
 	private call(
 		kind: string,
 		address: string,
-		agent: Agent
+		agent: Agent,
+		/** The call whose stream this one resumes. */
+		first?: CallRecord
 	): Promise<CallRecord> {
 		const id = `c${this.next++}`
+		const headers = this.createHeaders(id, kind, first)
 		const sentAt = performance.now()
 		const [host, port] = address.split(":")
 		return new Promise(resolve => {
-			const end = (how: CallEnd, status: number): void => {
+			const end: End = (how, status, last) => {
 				clearTimeout(timer)
 				const endedAt = performance.now()
-				resolve({id, gateway: address, kind, end: how, sentAt, endedAt, status})
+				const gateway = address
+				const isCut = last !== undefined && last.lastEvent < eventCount
+				const cut = isCut ? {...last, headers} : undefined
+				resolve({id, gateway, kind, end: how, sentAt, endedAt, status, cut})
 			}
 			const req = request({
 				host,
@@ -91,7 +117,7 @@
 				agent,
 				method: kind === "status" ? "GET" : "POST",
 				path: `/${kind}/1`,
-				headers: this.createHeaders(id, kind)
+				headers
 			})
 			const timer = setTimeout(() => {
 				this.breaches.push(`${id}: ${kind} has no end after ${patienceMs} ms`)
@@ -101,7 +127,7 @@
 				end(CallEnd.Unknown, 0)
 			})
 			req.on("response", res => {
-				this.receive(res, id, kind, end)
+				this.receive(res, id, kind, end, first?.cut)
 			})
 			req.end()
 		})
@@ -111,7 +137,8 @@
 		res: IncomingMessage,
 		id: string,
 		kind: string,
-		end: (how: CallEnd, status: number) => void
+		end: End,
+		resumed: CutStream | undefined
 	): void {
 		const chunks: Buffer[] = []
 		res.on("data", (chunk: Buffer) => chunks.push(chunk))
@@ -119,9 +146,11 @@
 		res.on("close", () => {
 			const status = res.statusCode ?? 0
 			const body = Buffer.concat(chunks).toString()
-			if (!res.complete) end(CallEnd.Unknown, status)
+			const isStream = kind === "draft" && status === 200
+			const last = isStream ? this.checkStream(id, body, resumed) : undefined
+			if (!res.complete) end(CallEnd.Unknown, status, last)
 			else if (status === 200) {
-				this.check(res, id, kind, body)
+				this.check(res, id, kind, body, last)
 				end(CallEnd.Answered, status)
 			} else if (status === 503 || status === 429) {
 				end(CallEnd.Refused, status)
@@ -133,21 +162,56 @@
 		res: IncomingMessage,
 		id: string,
 		kind: string,
-		body: string
+		body: string,
+		last: LastEvent | undefined
 	): void {
 		if (res.headers["x-server-stamp"] === undefined) {
 			this.breaches.push(`${id}: success without a worker's stamp`)
 		}
-		const events = Array.from(
-			{length: eventCount},
-			(_, n) => `id: ${n + 1}\ndata: ${id} ${n + 1}\n\n`
-		)
-		const expected = kind === "draft" ? events.join("") : `done ${id}`
-		if (body === expected) return
+		const isWhole =
+			kind === "draft"
+				? last?.lastEvent === eventCount && body.endsWith("\n\n")
+				: body === `done ${id}`
+		if (isWhole) return
 		this.breaches.push(`${id}: ${kind} answered ${JSON.stringify(body)}`)
 	}
 
-	private createHeaders(id: string, kind: string): Record<string, string> {
+	/**
+	 * Checks that the whole events of a stream follow each other, and those before
+	 * it, at one build. Returns the last one; undefined if there is none.
+	 */
+	private checkStream(
+		id: string,
+		body: string,
+		resumed: CutStream | undefined
+	): LastEvent | undefined {
+		let last: LastEvent | undefined = resumed
+		for (const text of body.split("\n\n").slice(0, -1)) {
+			const number = (last?.lastEvent ?? 0) + 1
+			const build = text.split(" ").at(-1) ?? ""
+			if (text !== `id: ${number}\ndata: ${id} ${number} ${build}`)
+				this.breaches.push(`${id}: event ${number} is ${JSON.stringify(text)}`)
+			if (last !== undefined && last.build !== build)
+				this.breaches.push(`${id}: ${build} goes on after ${last.build}`)
+			last = {lastEvent: number, build}
+		}
+		return last
+	}
+
+	private createHeaders(
+		id: string,
+		kind: string,
+		first: CallRecord | undefined
+	): Record<string, string> {
+		if (first?.cut !== undefined) {
+			const {headers, lastEvent} = first.cut
+			return {
+				...headers,
+				"X-Request-Id": id,
+				Resumes: first.id,
+				"Last-Event-Id": String(lastEvent)
+			}
+		}
 		const headers: Record<string, string> = {
 			Host: routeHost,
 			"X-Request-Id": id,
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -193,7 +193,8 @@
 			port: 9001,
 			adapterSlots: isEngine ? adapterSlots : 0,
 			stepMs: 30,
-			random: this.random
+			random: this.random,
+			builds: index % 2 === 0 ? ["v1", "v2"] : ["v2", "v1"]
 		})
 		await worker.start()
 		const ip = `127.${block}.2.${index}`
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -20,6 +20,8 @@
 	/** Duration of a service call, or the interval between stream events. */
 	stepMs: number
 	random: () => number
+	/** Builds of the software, one for each start in turn. */
+	builds?: readonly string[]
 }
 
 /** A request that reached the worker, and what the worker stated in its answer. */
@@ -125,6 +127,11 @@
 		return `${this.options.ip}:${this.options.port}`
 	}
 
+	get build(): string {
+		const {builds = ["v1"]} = this.options
+		return builds[(this.incarnation - 1) % builds.length] ?? ""
+	}
+
 	get isUp(): boolean {
 		return this.server !== undefined
 	}
@@ -168,9 +175,9 @@
 		const models = this.hasModel
 			? [{name: "base", version: 1, adapters: this.listAdapters()}]
 			: []
-		const {address, sequence: seq, bornAt: born} = this
+		const {address, sequence: seq, bornAt: born, build: version} = this
 		// `slots` is the number of requests that run at a time, not of adapters.
-		return {service, address, zone, slots: 8, state, seq, born, models}
+		return {service, address, zone, slots: 8, state, seq, born, version, models}
 	}
 
 	private handleRequest(req: IncomingMessage, res: ServerResponse): void {
@@ -356,6 +363,7 @@
 			return
 		}
 		const {version} = loaded
+		const {build} = this
 		this.recordRun(requestId, `${adapter}@${version}`, false)
 		res.writeHead(200, this.createHead(requestId))
 		const run: ActiveRun = {requestId, adapter, isReported: false}
@@ -367,7 +375,7 @@
 				this.options.random() < this.answerLossRatio / eventsPerStream
 			if (isCut) res.socket?.resetAndDestroy()
 			else if (next > eventsPerStream) res.end()
-			else res.write(`id: ${next}\ndata: ${requestId} ${next}\n\n`)
+			else res.write(`id: ${next}\ndata: ${requestId} ${next} ${build}\n\n`)
 			next += 1
 		}, this.options.stepMs)
 		res.on("close", () => {
