--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -17,7 +17,7 @@
 	/** Id of the last event delivered, when the generation is resumed. */
 	resumeAfter: string | undefined
 	/** Tells the granting agent where the stream began, if that is known. */
-	createOriginNotice: (send: GenerationSend) => StreamOrigin | undefined
+	createOriginNotice: () => StreamOrigin | undefined
 	onEvent: (
 		send: GenerationSend,
 		responseHead: ResponseHead,
@@ -122,7 +122,7 @@
 		for (const event of this.splitter.push(chunk)) {
 			if (!this.hasFirstEvent) {
 				this.hasFirstEvent = true
-				const notice = this.options.createOriginNotice(this)
+				const notice = this.options.createOriginNotice()
 				target.link?.notifyStarted(target.key, notice)
 			}
 			onEvent(this, responseHead, event)
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -6,16 +6,16 @@
  * the caller's stream ends only when no call is left.
  */
 import {getStartLimits, type StartLimits} from "../policy/dispatch/index.js"
-import {StreamBinding, type StreamOrigin} from "../policy/streams/index.js"
 import type {LogFields} from "./callerExchange.js"
+import {CallerStream} from "./callerStream.js"
 import {CallOutcome} from "./endpointCall.js"
 import {EngineSearch, type SearchRefusal} from "./engineSearch.js"
 import type {StreamEvent} from "./eventSplitter.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
 import {GenerationSend} from "./generationSend.js"
 import {RequestTask} from "./requestTask.js"
-import {findBuild, type SendTarget} from "./sendTarget.js"
-import {getStreamSpanMs, locateStream} from "./streamResumption.js"
+import type {SendTarget} from "./sendTarget.js"
+import {locateStream} from "./streamResumption.js"
 import {type ResponseHead, type GenerationHead, isServerError} from "./wire.js"
 
 /** Limit on sends of one request, including those an engine did not run. */
@@ -27,21 +27,17 @@
 
 export class GenerationTask extends RequestTask {
 	private readonly search: EngineSearch
-	private readonly binding = new StreamBinding()
+	private readonly stream: CallerStream
 	/** The send whose events the caller receives. */
 	private currentSend: GenerationSend | undefined
 	/** A send to another engine while the current one is silent. */
 	private standbySend: GenerationSend | undefined
-	private lastEventId: string | undefined
-	private lastEventAt: number | undefined
 	/**
 	 * Time until which the stream must go on; undefined while a call is open. A later
 	 * event is of no use.
 	 */
 	private resumeBy: number | undefined
 	private searchTimer: NodeJS.Timeout | undefined
-	/** Measured time from the choice of the engine to the first event. */
-	private startedMs: number | undefined
 
 	constructor(
 		ctx: GatewayContext,
@@ -49,11 +45,12 @@
 		generation: GenerationHead
 	) {
 		super(ctx, request)
+		this.stream = new CallerStream(ctx, request)
 		this.search = new EngineSearch({
 			ctx,
 			request,
 			generation,
-			binding: this.binding,
+			binding: this.stream.binding,
 			getStartLimits: () => this.startLimits,
 			onFound: target => this.send(target),
 			onNone: refusal => {
@@ -63,7 +60,7 @@
 	}
 
 	protected override dispatch(): void {
-		const {ctx, request, binding} = this
+		const {ctx, request, stream} = this
 		const {resumption} = request.exchange.head
 		if (resumption === undefined) {
 			this.search.start()
@@ -73,7 +70,7 @@
 			ctx,
 			request,
 			resumption,
-			binding,
+			binding: stream.binding,
 			onPermitted: () => {
 				if (!this.isCancelled) this.search.start()
 			},
@@ -118,12 +115,8 @@
 			ctx,
 			request,
 			target,
-			resumeAfter: this.lastEventId,
-			createOriginNotice: from => {
-				const build = findBuild(ctx.fleet, from.target)
-				if (build === undefined) return undefined
-				return ctx.streams.createNotice(this.createOrigin(build))
-			},
+			resumeAfter: this.stream.lastEventId,
+			createOriginNotice: () => this.stream.createNotice(target),
 			onEvent: (from, responseHead, event) => {
 				this.forwardEvent(from, responseHead, event)
 			},
@@ -145,53 +138,12 @@
 		responseHead: ResponseHead,
 		event: StreamEvent
 	): void {
-		const {ctx, request} = this
-		const {exchange} = request
 		if (send === this.currentSend) this.dropStandby()
 		else this.takeOver(send)
-		if (!exchange.hasStarted) this.recordFirstEvent(send)
-		this.noteBuild(send)
-		exchange.startStream(responseHead)
-		if (event.id !== "") this.lastEventId = event.id
-		exchange.writeEvent(event.bytes)
-		this.lastEventAt = ctx.now()
+		this.stream.forward(send.target, responseHead, event)
 		this.resumeBy = undefined
 	}
 
-	/** Binds the stream to the build of its first engine once that is known. */
-	private noteBuild({target}: GenerationSend): void {
-		const {ctx, binding} = this
-		if (binding.isKnown && this.request.exchange.hasStarted) return
-		const build = findBuild(ctx.fleet, target)
-		binding.bind(build)
-		if (build === undefined) return
-		const origin = this.createOrigin(build)
-		ctx.streams.add(origin, target.endpoint.id)
-		// The first event told the agent of no build.
-		if (this.request.exchange.hasStarted)
-			target.link?.announceOrigins([ctx.streams.createNotice(origin)])
-	}
-
-	/** The origin of the stream, to be known while its caller may resume it. */
-	private createOrigin(build: string): StreamOrigin {
-		const {ctx, request} = this
-		const {id, resumption} = request.exchange.head
-		const requestId = resumption?.originId ?? ""
-		return {
-			requestId: requestId === "" ? id : requestId,
-			pool: request.pool,
-			build,
-			expiresAt: ctx.now() + getStreamSpanMs(request)
-		}
-	}
-
-	/** Records the error of the estimate by which the engine was chosen. */
-	private recordFirstEvent({target}: GenerationSend): void {
-		const {ratedAt, ratedMs} = target
-		this.startedMs = Math.round(this.ctx.now() - ratedAt)
-		this.ctx.metrics.observeEstimate(ratedMs, this.startedMs)
-	}
-
 	/**
 	 * Looks for an engine to go on in place of a silent one, whose call stays open.
 	 * Does nothing while another engine is about to go on.
@@ -204,7 +156,7 @@
 		const {id} = send.target.endpoint
 		ctx.log.request("send.silent", request.exchange.head.id, {
 			endpoint: id,
-			lastEvent: this.lastEventId,
+			lastEvent: this.stream.lastEventId,
 			elapsedMs: Math.round(ctx.now() - send.sentAt)
 		})
 		ctx.engines.addFailure(id, ctx.now())
@@ -267,7 +219,7 @@
 			endpoint: id,
 			end: outcome,
 			detail,
-			lastEvent: this.lastEventId,
+			lastEvent: this.stream.lastEventId,
 			elapsedMs: Math.round(ctx.now() - send.sentAt)
 		})
 		const hasNotRun =
@@ -304,8 +256,7 @@
 		const logFields = {
 			endpoint: send.target.endpoint.id,
 			sends: this.sends,
-			ratedMs: send.target.ratedMs,
-			startedMs: this.startedMs
+			...this.stream.getEstimateFields(send.target)
 		}
 		if (responseHead.status === httpOk) {
 			if (send.hasPartialEvent || !exchange.hasStarted) return false
@@ -388,14 +339,9 @@
 	): void {
 		this.clearTimers()
 		const {exchange} = this.request
-		const {lastEventAt} = this
 		const logFields = {
 			sends: this.sends,
-			lastEvent: this.lastEventId,
-			sinceEventMs:
-				lastEventAt === undefined
-					? undefined
-					: Math.round(this.ctx.now() - lastEventAt),
+			...this.stream.endFields,
 			...fields
 		}
 		if (exchange.hasStarted) exchange.abortStream({detail, ...logFields})
