Say in one place how a standby send becomes the current one

No change of behaviour: the promotion of the standby was written out twice, once in a condition that compared two fields that may both be empty. The comment of resumeBy said when it is unset wrongly.

--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -33,8 +33,8 @@
 	/** A send to another engine while the current one is silent. */
 	private standbySend: GenerationSend | undefined
 	/**
-	 * Time until which the stream must go on; undefined while a call is open. A later
-	 * event is of no use.
+	 * Time until which a stream without an open call must go on, since a later event
+	 * is of no use; undefined until one was lost, and again after an event.
 	 */
 	private resumeBy: number | undefined
 	private searchTimer: NodeJS.Timeout | undefined
@@ -139,7 +139,7 @@
 		event: StreamEvent
 	): void {
 		if (send === this.currentSend) this.dropStandby()
-		else this.takeOver(send)
+		else this.takeOver()
 		this.stream.forward(send.target, responseHead, event)
 		this.resumeBy = undefined
 	}
@@ -167,14 +167,18 @@
 		return this.search.isPending || this.standbySend !== undefined
 	}
 
-	/** Makes the standby send, which has delivered an event, the current one. */
-	private takeOver(standby: GenerationSend): void {
+	/** Goes on with the standby send, which has delivered an event. */
+	private takeOver(): void {
 		const silent = this.currentSend
-		this.currentSend = standby
-		this.standbySend = undefined
+		this.promoteStandby()
 		silent?.abort()
 	}
 
+	private promoteStandby(): void {
+		this.currentSend = this.standbySend
+		this.standbySend = undefined
+	}
+
 	/** Cancels the standby send, or the search for one: the engine has gone on. */
 	private dropStandby(): void {
 		this.search.cancel()
@@ -204,10 +208,9 @@
 		ctx.metrics.countSend(request.pool, outcome)
 		ctx.engines.end(id)
 		target.link?.notifyEnded(target.key, responseHead?.isMisdirected ?? false)
-		const isStandby = this.standbySend === send
-		if (this.currentSend === send) this.currentSend = this.standbySend
-		if (isStandby || this.currentSend === this.standbySend)
-			this.standbySend = undefined
+		const isStandby = send === this.standbySend
+		if (isStandby) this.standbySend = undefined
+		else if (send === this.currentSend) this.promoteStandby()
 		if (this.isCancelled || !exchange.isOpen) return
 		if (outcome !== CallOutcome.Aborted)
 			this.recordResult(id, outcome, responseHead)
@@ -232,7 +235,7 @@
 			this.mayHaveRun = true
 		}
 		if (outcome === CallOutcome.Aborted || this.search.isPending) return
-		// The standby send has become the current one.
+		// The standby send was promoted.
 		if (this.currentSend !== undefined && !isStandby) return
 		const canRetry =
 			(hasNotRun && !this.mayHaveRun && this.currentSend === undefined) ||
