--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -16,7 +16,7 @@
 	target: SendTarget
 	/** Id of the last event delivered, when the generation is resumed. */
 	resumeAfter: string | undefined
-	/** Tells the granting agent where the stream began, if that is known. */
+	/** What to tell the granting agent of where the stream began, if that is known. */
 	createOriginNotice: () => StreamOrigin | undefined
 	onEvent: (
 		send: GenerationSend,
--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -209,8 +209,9 @@
 	}
 
 	/**
-	 * Ends the request without another retry, unless a call is still open: forwards the kept error response, or
-	 * reports an unknown outcome if the request may have run, or else refuses it.
+	 * Ends the request without another retry, unless a call is still open: forwards
+	 * the kept error response, or reports an unknown outcome if the request may have
+	 * run, or else refuses it.
 	 */
 	private endWithoutRetry(reason: string): void {
 		const {exchange, route} = this.request
