Log the limit that an endpoint states in its answers

What callers saw: nothing. A gateway did not read how many requests a second an endpoint takes, so no log told whether a limit was heard or ignored. Decoded and remembered for each incarnation; nothing acts on it yet. An answer without a limit ends it only if its request was sent after the limit was heard.

--- a/src/gateway/endpointSignals.ts
+++ b/src/gateway/endpointSignals.ts
@@ -5,19 +5,34 @@
 import {EndpointSignal} from "./gatewayMetrics.js"
 import type {ResponseHead} from "./wire.js"
 
+export interface SignalSource {
+	endpoint: FleetEndpoint
+	requestId: string
+	/** Time at which the request was sent. */
+	sentAt: number
+}
+
 export function applySignals(
 	ctx: GatewayContext,
-	{id, bornAt}: FleetEndpoint,
-	head: ResponseHead,
-	requestId: string
+	source: SignalSource,
+	head: ResponseHead
 ): void {
+	const {id, bornAt} = source.endpoint
 	// Another endpoint has the address; its statements are not about this one.
 	if (head.isMisdirected) return
 	if (head.isLeaving && ctx.fleet.markLeaving(id, bornAt, "answer")) {
 		ctx.metrics.countSignal(EndpointSignal.Leaving)
 		ctx.links.announceLeaving(id, bornAt)
 	}
-	const {pauseMs} = head
+	applyPause(ctx, source, head)
+	applyLimit(ctx, source, head)
+}
+
+function applyPause(
+	ctx: GatewayContext,
+	{endpoint: {id}, requestId}: SignalSource,
+	{pauseMs}: ResponseHead
+): void {
 	if (pauseMs === undefined) return
 	const now = ctx.now()
 	if (!(pauseMs > 0)) {
@@ -33,3 +48,21 @@
 		isCut: pauseMs > maxPauseMs
 	})
 }
+
+function applyLimit(
+	ctx: GatewayContext,
+	{endpoint: {id, bornAt}, requestId, sentAt}: SignalSource,
+	{requestsPerSecond: perSecond, isOurs, isSigned}: ResponseHead
+): void {
+	if (Number.isNaN(perSecond)) {
+		ctx.metrics.countSignal(EndpointSignal.UnusableLimit)
+		ctx.log.request("limit.unusable", requestId, {endpoint: id})
+		return
+	}
+	// A spoilt answer that states no limit doesn't end one.
+	if (perSecond === undefined && !(isOurs && isSigned)) return
+	const statement = {id, bornAt, perSecond, sentAt}
+	if (!ctx.limits.addAnswer(statement, ctx.now())) return
+	ctx.metrics.countSignal(EndpointSignal.Limit)
+	ctx.log.request("endpoint.limit", requestId, {endpoint: id, perSecond})
+}
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -5,6 +5,7 @@
 	EngineChoice,
 	ServiceChoice
 } from "../policy/dispatch/index.js"
+import type {StatedLimits} from "../policy/limits/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
 import type {AgentLinks} from "./agentLinks.js"
 import type {FleetState} from "./fleetState.js"
@@ -21,6 +22,7 @@
 	engines: EngineChoice
 	services: ServiceChoice
 	pauses: EndpointPauses
+	limits: StatedLimits
 	streams: StreamDirectory
 	retryBudgets: RetryBudgets
 	log: DecisionLog
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -28,7 +28,10 @@
 	/** It wants no requests for a time. */
 	Pause = "pause",
 	/** As `Pause`, but the time can't be decoded or is not positive. */
-	UnusablePause = "unusablePause"
+	UnusablePause = "unusablePause",
+	/** It stated or changed the requests a second that it takes, or takes any again. */
+	Limit = "limit",
+	UnusableLimit = "unusableLimit"
 }
 
 /** Closest together around the latency objectives of calls and first events. */
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -9,6 +9,7 @@
 	EngineChoice,
 	ServiceChoice
 } from "../policy/dispatch/index.js"
+import {StatedLimits} from "../policy/limits/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
 import {startProbeServer} from "../program/probeServer.js"
 import {AgentLinks} from "./agentLinks.js"
@@ -103,6 +104,7 @@
 			engines,
 			services: new ServiceChoice(),
 			pauses: new EndpointPauses(),
+			limits: new StatedLimits(),
 			streams,
 			retryBudgets: new RetryBudgets({
 				ratio: options.repeatRatio,
@@ -122,6 +124,7 @@
 				const ids = new Set(this.fleet.listEndpoints().map(({id}) => id))
 				this.ctx.services.retain(ids)
 				this.ctx.pauses.retain(ids)
+				this.ctx.limits.retain(ids)
 			}
 		})
 		const {publishAddress = "", sources = []} = options
--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -74,7 +74,15 @@
 			body,
 			handlers: {
 				onHead: responseHead => {
-					applySignals(ctx, target.endpoint, responseHead, exchange.head.id)
+					applySignals(
+						ctx,
+						{
+							endpoint: target.endpoint,
+							requestId: exchange.head.id,
+							sentAt: this.sentAt
+						},
+						responseHead
+					)
 				},
 				onData: chunk => {
 					this.receive(chunk)
--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -89,7 +89,8 @@
 			body,
 			handlers: {
 				onHead: responseHead => {
-					applySignals(ctx, endpoint, responseHead, exchange.head.id)
+					const requestId = exchange.head.id
+					applySignals(ctx, {endpoint, requestId, sentAt}, responseHead)
 				},
 				onData: chunk => {
 					chunks.push(chunk)
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -82,6 +82,11 @@
 	 * NaN if it states a time that can't be decoded.
 	 */
 	pauseMs: number | undefined
+	/**
+	 * Requests a second that the endpoint takes from all hosts together; undefined if
+	 * it states no limit, NaN if what it states is no limit.
+	 */
+	requestsPerSecond: number | undefined
 	/** Alternating header names and values, without hop-by-hop headers. */
 	headers: readonly string[]
 }
--- /dev/null
+++ b/src/policy/limits/index.ts
@@ -0,0 +1,1 @@
+export * from "./statedLimits.js"
