Keep grants to the limit that an engine states

What callers saw: nothing; an engine in need got 13 requests in 4 s where it had stated that it takes 1.2 a second, and so was helped by nobody. Cause: the limit was not read, so four gateways sent as before. Change: the engine's agent, which alone gives grants, spaces them by the limit, wherever it was stated: in reports, or in answers that gateways tell it of. First sends, repeats, standbys and resumptions all need a grant; an engine with a limit whose agent is not connected gets nothing. What would wait too long for its turn is refused at once, with a turn of its own to return.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -8,9 +8,14 @@
 import type {
 	Ask,
 	GatewayMessage,
-	LeavingNotice
+	LeavingNotice,
+	LimitNotice
+} from "../contract/gen/grants_pb.js"
+import {
+	LimitNoticeSchema,
+	OriginAnswerSchema,
+	RefuseReason
 } from "../contract/gen/grants_pb.js"
-import {OriginAnswerSchema, RefuseReason} from "../contract/gen/grants_pb.js"
 import {startGrantServer} from "../link/fleetLink.js"
 import type {TlsKeys} from "../link/tls.js"
 import {
@@ -21,6 +26,7 @@
 	type GrantDecision,
 	GrantRefusalReason
 } from "../policy/grants/index.js"
+import {StatedLimits} from "../policy/limits/index.js"
 import {StreamOrigins} from "../policy/streams/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
 import {EngineLoop} from "./engineLoop.js"
@@ -58,6 +64,8 @@
 	/** Incarnations of endpoints that are leaving, already passed on. */
 	private readonly knownLeaving = new LruSet(maxKnownLeaving)
 	private readonly origins = new StreamOrigins(maxKnownOrigins)
+	/** Limits of endpoints, as gateways heard them. */
+	private readonly limits = new StatedLimits()
 	private server: grpc.Server | undefined
 	private readonly loop: EngineLoop
 	private timer: NodeJS.Timeout | undefined
@@ -87,6 +95,8 @@
 			now: this.now,
 			onDecisions: decisions => {
 				this.sendDecisions(decisions)
+				// A report may show another incarnation than notices were about.
+				this.applyEngineLimit(this.now())
 				this.scheduleTick(activeTickMs)
 			}
 		})
@@ -141,10 +151,13 @@
 			this.loop.requestPlan()
 		} else if (body.case === "leaving") {
 			this.handleLeaving(owner, body.value, now)
+		} else if (body.case === "limit") {
+			this.handleLimit(owner, body.value, now)
 		} else if (body.case === "findOrigin") {
 			this.answerOrigin(owner, body.value, now)
 		} else if (body.case === "hello") {
 			this.links.setPace(owner, body.value)
+			this.sendLimits(owner, now)
 			if (body.value.limits === undefined) return
 			this.scheduler.setLimits(body.value.limits)
 			this.loop.requestPlan()
@@ -167,6 +180,43 @@
 		this.sendDecisions(this.scheduler.markLeaving(bornAt, now))
 	}
 
+	/**
+	 * Applies the limit that an endpoint stated: to the grants if it is the engine's,
+	 * and passes on whether the endpoint has one.
+	 */
+	private handleLimit(owner: string, notice: LimitNotice, now: number): void {
+		const {endpointId, bornAt, perSecond, ageMs} = notice
+		const statedAt = now - ageMs
+		const wasLimited = this.limits.get(endpointId, bornAt) !== undefined
+		if (!this.limits.apply(endpointId, {bornAt, perSecond, statedAt})) return
+		if (wasLimited !== (perSecond !== undefined))
+			this.links.sendToOthers(owner, {case: "limit", value: notice})
+		if (endpointId !== this.options.engine.engineId) return
+		this.options.log.decide("engine.limit", {engine: endpointId, perSecond})
+		this.applyEngineLimit(now)
+	}
+
+	/** Keeps the grants to the limit that gateways heard from the engine. */
+	private applyEngineLimit(now: number): void {
+		const {scheduler, limits, options} = this
+		const stated = limits.get(options.engine.engineId, scheduler.engineBornAt)
+		this.sendDecisions(scheduler.setRequestLimit(stated?.perSecond, now))
+	}
+
+	/** Tells a gateway which endpoints have a limit, as after its start. */
+	private sendLimits(owner: string, now: number): void {
+		for (const [endpointId, stated] of this.limits.list()) {
+			const {bornAt, perSecond, statedAt} = stated
+			const ageMs = Math.round(now - statedAt)
+			const init = {endpointId, bornAt, ageMs}
+			const value = create(
+				LimitNoticeSchema,
+				perSecond === undefined ? init : {...init, perSecond}
+			)
+			this.links.send(owner, {case: "limit", value})
+		}
+	}
+
 	/** Tells a gateway where a stream began that its caller resumes. */
 	private answerOrigin(owner: string, requestId: string, now: number): void {
 		const origin = this.origins.find(requestId, now)
@@ -278,6 +328,8 @@
 }
 
 function encodeReason(reason: GrantRefusalReason): RefuseReason {
+	// Gateways of earlier builds fail on a reason that they don't know.
+	if (reason === GrantRefusalReason.Limit) return RefuseReason.OVERLOADED
 	if (reason === GrantRefusalReason.Overloaded) return RefuseReason.OVERLOADED
 	if (reason === GrantRefusalReason.Deadline) return RefuseReason.DEADLINE
 	return RefuseReason.UNAVAILABLE
--- a/src/gateway/__tests__/agentLink.test.ts
+++ b/src/gateway/__tests__/agentLink.test.ts
@@ -52,6 +52,7 @@
 		getEngineId: () => "i-1",
 		onState: () => (states += 1),
 		onLeaving: () => undefined,
+		onLimit: () => undefined,
 		onOrigin: () => undefined,
 		onUp: resolveUp,
 		onDown: reason => downs.push(reason)
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -12,6 +12,7 @@
 	GatewayMessageSchema,
 	type Hello,
 	HelloSchema,
+	type LimitNotice,
 	type OriginAnswer,
 	RefuseReason,
 	type StreamOrigin
@@ -66,6 +67,8 @@
 	onState(state: EngineState): void
 	/** Another gateway heard that an endpoint is leaving. */
 	onLeaving(endpointId: string, bornAt: number): void
+	/** Another gateway heard an endpoint state a limit, or that it states none. */
+	onLimit(notice: LimitNotice): void
 	/** The agent's answer to `findOrigin`. */
 	onOrigin(answer: OriginAnswer): void
 	onUp(): void
@@ -174,6 +177,11 @@
 		this.send({case: "leaving", value: {$typeName, endpointId, bornAt}})
 	}
 
+	/** Tells the agent what limit on requests an endpoint stated. */
+	announceLimit(notice: LimitNotice): void {
+		this.send({case: "limit", value: notice})
+	}
+
 	/**
 	 * Sends the agent the limits that the configuration sets for its engine and the
 	 * pace of this gateway, unless it was told the same on this stream.
@@ -292,6 +300,7 @@
 		if (body.case === "state") this.applyState(body.value)
 		else if (body.case === "leaving")
 			this.options.onLeaving(body.value.endpointId, body.value.bornAt)
+		else if (body.case === "limit") this.options.onLimit(body.value)
 		else if (body.case === "origin") this.options.onOrigin(body.value)
 		else if (body.case === "grant") {
 			this.applyState(body.value.state)
--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -8,10 +8,13 @@
 import {
 	type EngineLimits,
 	EngineLimitsSchema,
+	type LimitNotice,
+	LimitNoticeSchema,
 	type OriginAnswer
 } from "../contract/gen/grants_pb.js"
 import type {TlsKeys} from "../link/tls.js"
 import type {EngineChoice} from "../policy/dispatch/index.js"
+import type {StatedLimits} from "../policy/limits/index.js"
 import {
 	chooseLinkIntervals,
 	grantLinkPace,
@@ -26,6 +29,8 @@
 	gateway: string
 	fleet: FleetState
 	engineChoice: EngineChoice
+	/** Limits that endpoints state; gets those that other gateways heard. */
+	limits: StatedLimits
 	log: DecisionLog
 	/** Port at which each agent listens on the host of its engine. */
 	agentPort: number
@@ -38,8 +43,8 @@
 
 /** Factor by which the pace must differ from the one told to agents. */
 const paceHysteresis = 1.2
-/** Agents that pass on that an endpoint is leaving, besides its own. */
-const maxLeavingRelays = 2
+/** Agents that pass on what an endpoint stated, besides its own. */
+const maxStatementRelays = 2
 
 export class AgentLinks {
 	private readonly links = new Map<string, AgentLink>()
@@ -90,17 +95,56 @@
 	 * endpoint itself and a few others: one of them may be about to leave as well.
 	 */
 	announceLeaving(endpointId: string, bornAt: number): void {
-		const {engineChoice} = this.options
-		let relays = 0
-		for (const [id, link] of this.links) {
-			if (id !== endpointId) {
-				if (relays >= maxLeavingRelays || !engineChoice.isLinked(id)) continue
-				relays += 1
-			}
+		for (const link of this.listRelays(endpointId)) {
 			link.announceLeaving(endpointId, bornAt)
 		}
 	}
 
+	/**
+	 * Tells the agent of the endpoint which limit it stated and, when it began or
+	 * ended to have one, other gateways, as in `announceLeaving`.
+	 */
+	announceLimit(endpointId: string, bornAt: number, isNew: boolean): void {
+		const notice = this.createLimitNotice(endpointId, bornAt)
+		const links = isNew
+			? this.listRelays(endpointId)
+			: [this.links.get(endpointId)]
+		for (const link of links) link?.announceLimit(notice)
+	}
+
+	/** The link of the endpoint, if it is an engine, and those of a few others. */
+	private listRelays(endpointId: string): AgentLink[] {
+		const relays: AgentLink[] = []
+		for (const [id, link] of this.links) {
+			if (id === endpointId || relays.length >= maxStatementRelays) continue
+			if (this.options.engineChoice.isLinked(id)) relays.push(link)
+		}
+		const own = this.links.get(endpointId)
+		return own === undefined ? relays : [own, ...relays]
+	}
+
+	private createLimitNotice(endpointId: string, bornAt: number): LimitNotice {
+		const {limits, now} = this.options
+		const stated = limits.get(endpointId, bornAt)
+		if (stated?.perSecond === undefined)
+			return create(LimitNoticeSchema, {endpointId, bornAt})
+		const ageMs = Math.round(now() - stated.statedAt)
+		const {perSecond} = stated
+		return create(LimitNoticeSchema, {endpointId, bornAt, perSecond, ageMs})
+	}
+
+	/** Applies what another gateway heard; the endpoint's own agent may not know. */
+	private applyLimit(notice: LimitNotice, relayId: string): void {
+		const {endpointId, bornAt, perSecond, ageMs} = notice
+		const {limits, log, now} = this.options
+		const statedAt = now() - ageMs
+		if (!limits.apply(endpointId, {bornAt, perSecond, statedAt})) return
+		const source = `agent of ${relayId}`
+		log.decide("endpoint.limit", {endpoint: endpointId, perSecond, source})
+		if (endpointId !== relayId)
+			this.links.get(endpointId)?.announceLimit(notice)
+	}
+
 	/**
 	 * Ids of engines whose agents are connected, in an order that all gateways with
 	 * the same engines have for a request, at most `count`.
@@ -200,11 +244,17 @@
 			onLeaving: (endpointId, bornAt) => {
 				fleet.markLeaving(endpointId, bornAt, `agent of ${id}`)
 			},
+			onLimit: notice => {
+				this.applyLimit(notice, id)
+			},
 			onOrigin: answer => {
 				this.options.onOrigin(id, answer)
 			},
 			onUp: () => {
 				log.decide("agent.up", {endpoint: id})
+				const {bornAt} = fleet.getEndpoint(id) ?? endpoint
+				if (this.options.limits.get(id, bornAt) !== undefined)
+					link.announceLimit(this.createLimitNotice(id, bornAt))
 			},
 			onDown: reason => {
 				log.decide("agent.down", {endpoint: id, reason})
--- a/src/gateway/endpointSignals.ts
+++ b/src/gateway/endpointSignals.ts
@@ -62,7 +62,10 @@
 	// A spoilt answer that states no limit doesn't end one.
 	if (perSecond === undefined && !(isOurs && isSigned)) return
 	const statement = {id, bornAt, perSecond, sentAt}
+	const wasLimited = ctx.limits.get(id, bornAt) !== undefined
 	if (!ctx.limits.addAnswer(statement, ctx.now())) return
 	ctx.metrics.countSignal(EndpointSignal.Limit)
 	ctx.log.request("endpoint.limit", requestId, {endpoint: id, perSecond})
+	const isNew = wasLimited !== (perSecond !== undefined)
+	ctx.links.announceLimit(id, bornAt, isNew)
 }
--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/engineSearch.ts
@@ -107,11 +107,12 @@
 		const candidates = ctx.fleet
 			.listReady(request.pool)
 			.filter(
-				({id, build}) =>
-					binding.permits(build) &&
-					!this.refusingEngines.has(id) &&
-					!this.usedEngines.has(id) &&
-					ctx.pauses.isOpen(id, ctx.now())
+				endpoint =>
+					binding.permits(endpoint.build) &&
+					!this.refusingEngines.has(endpoint.id) &&
+					!this.usedEngines.has(endpoint.id) &&
+					ctx.pauses.isOpen(endpoint.id, ctx.now()) &&
+					!this.needsGrant(endpoint)
 			)
 			.map(({id, failureDomain}) => ({
 				id,
@@ -120,6 +121,15 @@
 		return ctx.engines.choose(this.query, candidates, ctx.now())
 	}
 
+	/**
+	 * Whether the engine may only be sent what its agent grants, and the agent is not
+	 * connected: it states a limit, which others may be using up.
+	 */
+	private needsGrant({id, bornAt}: FleetEndpoint): boolean {
+		const {limits, engines} = this.options.ctx
+		return limits.get(id, bornAt) !== undefined && !engines.isLinked(id)
+	}
+
 	private get query(): EngineQuery {
 		const {model, adapter, promptTokens} = this.options.generation
 		return {
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -84,10 +84,12 @@
 		const {log, wire, failureDomain, tls} = options
 		const engines = new EngineChoice()
 		this.fleet = new FleetState(log)
+		const limits = new StatedLimits()
 		const links = new AgentLinks({
 			gateway: options.host,
 			fleet: this.fleet,
 			engineChoice: engines,
+			limits,
 			log,
 			agentPort: options.agentPort,
 			tls,
@@ -104,7 +106,7 @@
 			engines,
 			services: new ServiceChoice(),
 			pauses: new EndpointPauses(),
-			limits: new StatedLimits(),
+			limits,
 			streams,
 			retryBudgets: new RetryBudgets({
 				ratio: options.repeatRatio,
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -8,11 +8,14 @@
  * - At most `maxPendingPrefillMs` of prefill work is granted ahead; a longer prompt
  *   is granted when no other prefill is pending. In a burst of requests the rest
  *   wait here, where they can still be reordered, and not in the engine.
+ * - While the engine states a limit on its requests, grants are spaced by it, and
+ *   requests that would wait too long for their turn are refused.
  */
 import {slotKey} from "../../contract/fleet.js"
 import {countReservedTokens, GrantTable} from "./grantTable.js"
 import type {AdapterDemand} from "./orderPlan.js"
 import {AdapterSlots} from "./adapterSlots.js"
+import {GrantPace, LimitSource} from "./grantPace.js"
 import {PrefixCache} from "./prefixCache.js"
 import {PrefillRate} from "./prefillRate.js"
 import {FirstEventEstimate} from "./firstEventEstimate.js"
@@ -59,6 +62,7 @@
 		this.prefillRate.getPrefillMs(this.countPrefillTokens(request))
 	)
 	private readonly grants = new GrantTable()
+	private readonly pace = new GrantPace()
 	private readonly estimate = new FirstEventEstimate({
 		slots: this.slots,
 		prefillRate: this.prefillRate,
@@ -108,6 +112,7 @@
 			this.releaseGrant(key, now)
 		}
 		this.untrackedRuns = this.grants.countUntrackedRuns(report)
+		this.pace.setLimit(LimitSource.Report, report.requestsPerSecond, now)
 		this.slots.apply(report, now)
 		return isRestart
 	}
@@ -132,6 +137,15 @@
 		return this.schedule(now)
 	}
 
+	/**
+	 * Sets the requests a second that the engine stated in its answers to gateways;
+	 * undefined if it states none. Requests that would now wait too long are refused.
+	 */
+	setRequestLimit(perSecond: number | undefined, now: number): GrantDecision[] {
+		this.pace.setLimit(LimitSource.Answer, perSecond, now)
+		return this.schedule(now)
+	}
+
 	/**
 	 * Queues a request, or refuses it if the engine is down or the expected first
 	 * event is too late. A key that is queued or granted already is ignored.
@@ -148,6 +162,11 @@
 			const reason = GrantRefusalReason.Overloaded
 			return [this.refuse(request, reason, expectedMs, now)]
 		}
+		const limitedMs = expectedMs + this.pace.getWaitMs(now, this.waiting.size)
+		if (now + limitedMs > request.startBy) {
+			const reason = GrantRefusalReason.Limit
+			return [this.refuse(request, reason, limitedMs, now)]
+		}
 		this.waiting.add(request)
 		return this.schedule(now)
 	}
@@ -197,6 +216,7 @@
 	 */
 	schedule(now: number): GrantDecision[] {
 		const decisions: GrantDecision[] = []
+		let queued = 0
 		for (const request of this.waiting.rank(now)) {
 			const baseMs = this.slots.models.getReadyMs(request.model, now) ?? 0
 			const neededMs =
@@ -209,8 +229,16 @@
 				decisions.push(this.refuse(request, reason, neededMs, now))
 				continue
 			}
+			const limitedMs = neededMs + this.pace.getWaitMs(now, queued)
+			if (now + limitedMs > request.startBy) {
+				this.waiting.delete(request.key)
+				const reason = GrantRefusalReason.Limit
+				decisions.push(this.refuse(request, reason, limitedMs, now))
+				continue
+			}
 			const decision = this.tryGrant(request, now)
-			if (decision !== undefined) decisions.push(decision)
+			if (decision === undefined) queued += 1
+			else decisions.push(decision)
 		}
 		return decisions
 	}
@@ -248,7 +276,10 @@
 		const readyMs = slots.models.getFirstReadyMs(now)
 		return {
 			isUsable: this.isAvailable && readyMs !== undefined,
-			waitMs: estimate.getWaitMs(now),
+			waitMs: Math.max(
+				estimate.getWaitMs(now),
+				this.pace.getWaitMs(now, this.waiting.size)
+			),
 			tokensPerSecond: this.prefillRate.tokensPerMs * 1000,
 			freeSlots: estimate.countUnclaimedSlots(),
 			slotStepMs: estimate.getSlotStepMs(),
@@ -266,6 +297,7 @@
 		const prefillTokens = this.countPrefillTokens(request)
 		if (!this.hasCapacity(prefillTokens, countReservedTokens(request)))
 			return undefined
+		if (!this.pace.tryTake(now)) return undefined
 		this.waiting.delete(request.key)
 		this.grants.add(request, prefillTokens, now)
 		this.prefillRate.addGrant(now)
@@ -319,12 +351,21 @@
 		}
 	}
 
-	/** Excess of the expected time over the limit, with jitter against retry bursts. */
+	/**
+	 * A turn of its own while the engine states a limit, else the excess of the
+	 * expected time over the time left, with jitter against retry bursts.
+	 */
 	private getRetryAfterMs(
 		request: GrantRequest,
 		expectedMs: number,
 		now: number
 	): number {
+		const returnMs = this.pace.assignReturn(
+			request.deadline,
+			now,
+			this.waiting.size
+		)
+		if (returnMs !== undefined) return Math.max(minRetryAfterMs, returnMs)
 		const affordableMs = request.startBy - now
 		const excessMs = Math.max(minRetryAfterMs, expectedMs - affordableMs)
 		return excessMs * (1 + this.random())
@@ -342,5 +383,6 @@
 		this.prefillRate.reset()
 		this.prefixCache.clear()
 		this.grants.clear()
+		this.pace.reset()
 	}
 }
--- a/src/policy/grants/types.ts
+++ b/src/policy/grants/types.ts
@@ -39,7 +39,9 @@
 	/** While queued, the request could no longer start by `startBy`. */
 	Deadline = "deadline",
 	/** The engine has not reported yet, or does not answer its agent. */
-	Unavailable = "unavailable"
+	Unavailable = "unavailable",
+	/** The limit that the engine states leaves no turn before `startBy`. */
+	Limit = "limit"
 }
 
 export enum GrantDecisionKind {
@@ -131,6 +133,8 @@
 	incoming: readonly {model: string; adapter: string; version: number}[]
 	/** KV cache capacity, in tokens. */
 	memoryTokens: number
+	/** Limit on its requests that the engine states; undefined if it states none. */
+	requestsPerSecond?: number | undefined
 }
 
 /** The engine's capacity and models, from the configuration. */
--- a/src/policy/limits/statedLimits.ts
+++ b/src/policy/limits/statedLimits.ts
@@ -29,6 +29,9 @@
  */
 export const minPerSecond = 0.1
 
+/** Endpoints remembered; those heard of longest ago are forgotten first. */
+const maxRemembered = 10_000
+
 export class StatedLimits {
 	private readonly limits = new Map<string, StatedLimit>()
 
@@ -55,7 +58,9 @@
 			stated.perSecond === undefined
 				? undefined
 				: Math.max(minPerSecond, stated.perSecond)
+		this.limits.delete(id)
 		this.limits.set(id, {...stated, perSecond})
+		if (this.limits.size > maxRemembered) this.forgetOldest()
 		return known?.perSecond !== perSecond
 	}
 
@@ -65,12 +70,22 @@
 		return known?.perSecond === undefined ? undefined : known
 	}
 
+	/** Ids and limits of the endpoints that have one. */
+	list(): [string, StatedLimit][] {
+		return [...this.limits].filter(([, {perSecond}]) => perSecond !== undefined)
+	}
+
 	retain(ids: ReadonlySet<string>): void {
 		for (const id of this.limits.keys()) {
 			if (!ids.has(id)) this.limits.delete(id)
 		}
 	}
 
+	private forgetOldest(): void {
+		const [oldest] = this.limits.keys()
+		if (oldest !== undefined) this.limits.delete(oldest)
+	}
+
 	private getKnown(id: string, bornAt: number): StatedLimit | undefined {
 		const known = this.limits.get(id)
 		return known?.bornAt === bornAt ? known : undefined
