Keep requests to plain endpoints to the limit that they state

What callers saw: nothing; an endpoint in need of fewer requests got as many as before. Bookings and status checks have no agent that owns the endpoint: each gateway sends by its own choice, so no gateway knows the sum. Cause: as for engines, the limit was not read; and nothing could keep it. Change: for each pool one agent gives permits, the one that holds the pool's lease in the platform's store; any agent names it to a gateway that asks. The lease counts from what each host observed, so no clocks are compared, and allows for lost answers, late writes, returns from a copy and hosts that were paused or suspended. A gateway sends to an endpoint with a limit with a permit only, prefers others, and tries one now and then, since only answers show that a limit has ended. Who gets no permit is refused at once, with a turn of its own to return. Gateways tell each other through agents which endpoints have a limit, also those that start later. Ruled out: a share of the limit for each gateway. Any number of gateways that were idle could use theirs at the same moment, and their number is not known exactly.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -5,6 +5,7 @@
  */
 import {create} from "@bufbuild/protobuf"
 import type * as grpc from "@grpc/grpc-js"
+import {ulid} from "ulid"
 import type {
 	Ask,
 	GatewayMessage,
@@ -32,12 +33,15 @@
 import {EngineLoop} from "./engineLoop.js"
 import type {EnginePort, FencingTokenSource} from "./enginePort.js"
 import {GatewayLinks} from "./gatewayLinks.js"
+import type {LeaseStore} from "./leaseStore.js"
+import {PermitDesk} from "./permitDesk.js"
 
 export interface AgentTaskOptions {
 	/** `ip:port` at which gateways connect. */
 	address: string
 	engine: EnginePort
 	fencingTokens: FencingTokenSource
+	leases: LeaseStore
 	log: DecisionLog
 	tls?: TlsKeys | undefined
 	/** Monotonic milliseconds. */
@@ -66,6 +70,7 @@
 	private readonly origins = new StreamOrigins(maxKnownOrigins)
 	/** Limits of endpoints, as gateways heard them. */
 	private readonly limits = new StatedLimits()
+	private readonly permits: PermitDesk
 	private server: grpc.Server | undefined
 	private readonly loop: EngineLoop
 	private timer: NodeJS.Timeout | undefined
@@ -86,7 +91,19 @@
 				this.sendDecisions(this.scheduler.dropOwner(owner, this.now()))
 			}
 		})
-		const {engine, fencingTokens, log} = options
+		const {engine, fencingTokens, leases, log} = options
+		this.permits = new PermitDesk({
+			leases,
+			owner: ulid(),
+			getEngineId: () => engine.engineId,
+			limits: this.limits,
+			reply: (to, value) => {
+				this.links.send(to, {case: "permit", value})
+			},
+			log,
+			now: this.now,
+			random: options.random ?? Math.random
+		})
 		this.loop = new EngineLoop({
 			engine,
 			fencingTokens,
@@ -118,6 +135,7 @@
 		this.isStopped = true
 		clearTimeout(this.timer)
 		this.loop.stop()
+		this.permits.stop()
 		this.links.close()
 		this.server?.forceShutdown()
 	}
@@ -151,6 +169,8 @@
 			this.loop.requestPlan()
 		} else if (body.case === "leaving") {
 			this.handleLeaving(owner, body.value, now)
+		} else if (body.case === "permitAsk") {
+			this.permits.handleAsk(owner, body.value)
 		} else if (body.case === "limit") {
 			this.handleLimit(owner, body.value, now)
 		} else if (body.case === "findOrigin") {
--- a/src/agent/index.ts
+++ b/src/agent/index.ts
@@ -1,2 +1,3 @@
 export * from "./agentTask.js"
 export * from "./enginePort.js"
+export * from "./leaseStore.js"
--- a/src/gateway/__tests__/agentLink.test.ts
+++ b/src/gateway/__tests__/agentLink.test.ts
@@ -53,6 +53,7 @@
 		onState: () => (states += 1),
 		onLeaving: () => undefined,
 		onLimit: () => undefined,
+		onPermit: () => undefined,
 		onOrigin: () => undefined,
 		onUp: resolveUp,
 		onDown: reason => downs.push(reason)
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -14,6 +14,8 @@
 	HelloSchema,
 	type LimitNotice,
 	type OriginAnswer,
+	type PermitAnswer,
+	type PermitAsk,
 	RefuseReason,
 	type StreamOrigin
 } from "../contract/gen/grants_pb.js"
@@ -69,6 +71,8 @@
 	onLeaving(endpointId: string, bornAt: number): void
 	/** Another gateway heard an endpoint state a limit, or that it states none. */
 	onLimit(notice: LimitNotice): void
+	/** The agent's answer to `askPermit`. */
+	onPermit(answer: PermitAnswer): void
 	/** The agent's answer to `findOrigin`. */
 	onOrigin(answer: OriginAnswer): void
 	onUp(): void
@@ -177,6 +181,12 @@
 		this.send({case: "leaving", value: {$typeName, endpointId, bornAt}})
 	}
 
+	/** Asks the agent for a permit for an endpoint that has no agent. */
+	askPermit(ask: PermitAsk): void {
+		if (this.failAfterPause()) return
+		this.send({case: "permitAsk", value: ask})
+	}
+
 	/** Tells the agent what limit on requests an endpoint stated. */
 	announceLimit(notice: LimitNotice): void {
 		this.send({case: "limit", value: notice})
@@ -301,6 +311,7 @@
 		else if (body.case === "leaving")
 			this.options.onLeaving(body.value.endpointId, body.value.bornAt)
 		else if (body.case === "limit") this.options.onLimit(body.value)
+		else if (body.case === "permit") this.options.onPermit(body.value)
 		else if (body.case === "origin") this.options.onOrigin(body.value)
 		else if (body.case === "grant") {
 			this.applyState(body.value.state)
--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -10,7 +10,8 @@
 	EngineLimitsSchema,
 	type LimitNotice,
 	LimitNoticeSchema,
-	type OriginAnswer
+	type OriginAnswer,
+	type PermitAnswer
 } from "../contract/gen/grants_pb.js"
 import type {TlsKeys} from "../link/tls.js"
 import type {EngineChoice} from "../policy/dispatch/index.js"
@@ -39,6 +40,8 @@
 	now: () => number
 	/** An agent's answer about the origin of a stream. */
 	onOrigin: (endpointId: string, answer: OriginAnswer) => void
+	/** An agent's answer to an ask for a permit. */
+	onPermit: (endpointId: string, answer: PermitAnswer) => void
 }
 
 /** Factor by which the pace must differ from the one told to agents. */
@@ -123,7 +126,7 @@
 		return own === undefined ? relays : [own, ...relays]
 	}
 
-	private createLimitNotice(endpointId: string, bornAt: number): LimitNotice {
+	createLimitNotice(endpointId: string, bornAt: number): LimitNotice {
 		const {limits, now} = this.options
 		const stated = limits.get(endpointId, bornAt)
 		if (stated?.perSecond === undefined)
@@ -157,6 +160,11 @@
 		return rankByRendezvous(requestId, items).slice(0, count)
 	}
 
+	/** Whether the agent of the engine is connected. */
+	isLinked(endpointId: string): boolean {
+		return this.options.engineChoice.isLinked(endpointId)
+	}
+
 	tick(): void {
 		for (const link of this.links.values()) link.tick()
 	}
@@ -250,6 +258,9 @@
 			onOrigin: answer => {
 				this.options.onOrigin(id, answer)
 			},
+			onPermit: answer => {
+				this.options.onPermit(id, answer)
+			},
 			onUp: () => {
 				log.decide("agent.up", {endpoint: id})
 				const {bornAt} = fleet.getEndpoint(id) ?? endpoint
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -10,6 +10,7 @@
 import type {AgentLinks} from "./agentLinks.js"
 import type {FleetState} from "./fleetState.js"
 import type {GatewayMetrics} from "./gatewayMetrics.js"
+import type {Permits} from "./permits.js"
 import type {RetryBudgets} from "./retryBudgets.js"
 import type {StreamDirectory} from "./streamDirectory.js"
 import type {CallerExchange} from "./callerExchange.js"
@@ -23,6 +24,7 @@
 	services: ServiceChoice
 	pauses: EndpointPauses
 	limits: StatedLimits
+	permits: Permits
 	streams: StreamDirectory
 	retryBudgets: RetryBudgets
 	log: DecisionLog
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -19,6 +19,7 @@
 import type {GatewayContext} from "./gatewayContext.js"
 import {GatewayMetrics} from "./gatewayMetrics.js"
 import {GatewayServer} from "./gatewayServer.js"
+import {Permits} from "./permits.js"
 import {RetryBudgets} from "./retryBudgets.js"
 import {StreamDirectory} from "./streamDirectory.js"
 import type {WireCodec} from "./wire.js"
@@ -96,8 +97,13 @@
 			now,
 			onOrigin: (endpointId, answer) => {
 				streams.applyAnswer(endpointId, answer)
+			},
+			onPermit: (endpointId, answer) => {
+				permits.applyAnswer(endpointId, answer)
 			}
 		})
+		const random = options.random ?? Math.random
+		const permits = new Permits({links, limits, now, random})
 		const streams = new StreamDirectory({fleet: this.fleet, links, now})
 		this.ctx = {
 			wire,
@@ -107,6 +113,7 @@
 			services: new ServiceChoice(),
 			pauses: new EndpointPauses(),
 			limits,
+			permits,
 			streams,
 			retryBudgets: new RetryBudgets({
 				ratio: options.repeatRatio,
@@ -119,7 +126,7 @@
 			failureDomain,
 			connectTimeoutMs: options.connectTimeoutMs,
 			now,
-			random: options.random ?? Math.random
+			random
 		}
 		this.fleet.addListener({
 			onEndpoints: () => {
@@ -127,6 +134,7 @@
 				this.ctx.services.retain(ids)
 				this.ctx.pauses.retain(ids)
 				this.ctx.limits.retain(ids)
+				permits.retain(ids)
 			}
 		})
 		const {publishAddress = "", sources = []} = options
--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -2,7 +2,8 @@
  * Serves one request to a plain service. Retries at another endpoint if the
  * request did not run, or if the route permits it to run more than once. If an
  * endpoint is silent, the request is repeated at another one and the first answer
- * counts; the silent endpoint's call stays open until then.
+ * counts; the silent endpoint's call stays open until then. Endpoints that state a
+ * limit are used with a permit only, and after those that state none.
  */
 import {type FleetEndpoint, RouteKind} from "../contract/fleet.js"
 import {CallOutcome, EndpointCall} from "./endpointCall.js"
@@ -18,12 +19,18 @@
  * is sent to another endpoint as well.
  */
 const silenceTimeoutObjectives = 2
+/** Share of the route's objective for which a request may wait for a permit. */
+const maxPermitWaitObjectives = 0.5
 
 export class ServiceTask extends RequestTask {
 	private readonly tried = new Set<string>()
 	private readonly openCalls = new Set<EndpointCall>()
 	private silenceTimer: NodeJS.Timeout | undefined
 	/** Last 5xx response; forwarded unless a retry delivers a response. */
+	/** Cancels the ask for a permit, while there is one. */
+	private cancelPermit: (() => void) | undefined
+	/** When the caller may return for whom no permit was left. */
+	private permitRetryAfterMs: number | undefined
 	private errorResponse: {responseHead: ResponseHead; body: Buffer} | undefined
 
 	protected override dispatch(): void {
@@ -37,8 +44,78 @@
 
 	/** Sends to the next endpoint; `reason` is the response if there is none. */
 	private tryNextEndpoint(reason: string): void {
+		if (this.cancelPermit !== undefined) return
+		const {limits, permits} = this.ctx
+		const isLimited = ({id, bornAt}: FleetEndpoint): boolean =>
+			limits.get(id, bornAt) !== undefined
+		const open = this.listOpenEndpoints()
+		const limited = open.filter(isLimited)
+		const free = open.filter(endpoint => !isLimited(endpoint))
+		const asked =
+			free.length === 0
+				? limited
+				: limited.filter(endpoint => permits.isTrialDue(endpoint))
+		if (asked.length === 0) this.sendToBest(free, reason)
+		else this.askPermit(asked, free, reason)
+	}
+
+	/**
+	 * Asks for a permit to send to one of the endpoints. Without one, sends to one of
+	 * the others, if there are any.
+	 */
+	private askPermit(
+		endpoints: FleetEndpoint[],
+		others: FleetEndpoint[],
+		reason: string
+	): void {
 		const {ctx, request} = this
-		const endpoint = this.pickEndpoint()
+		const finish = (permitted: FleetEndpoint[], detail: string): void => {
+			this.cancelPermit = undefined
+			if (this.isCancelled || !request.exchange.isOpen) return
+			const stillOpen = new Set(this.listOpenEndpoints().map(({id}) => id))
+			this.sendToBest(
+				permitted.filter(({id}) => stillOpen.has(id)),
+				detail
+			)
+		}
+		this.cancelPermit = ctx.permits.ask({
+			pool: request.pool,
+			endpoints,
+			maxWaitMs:
+				others.length > 0
+					? 0
+					: request.route.objectiveMs * maxPermitWaitObjectives,
+			deadline: request.deadline,
+			onPermitted: id => {
+				finish(
+					endpoints.filter(endpoint => endpoint.id === id),
+					reason
+				)
+			},
+			onRefused: retryAfterMs => {
+				ctx.log.request("permit.refused", request.exchange.head.id, {
+					endpoints: endpoints.map(({id}) => id),
+					retryAfterMs
+				})
+				this.permitRetryAfterMs = retryAfterMs
+				finish(others, "over the endpoints' limits")
+			}
+		})
+	}
+
+	/** Sends to the best of the endpoints; `reason` as in `tryNextEndpoint`. */
+	private sendToBest(
+		endpoints: readonly FleetEndpoint[],
+		reason: string
+	): void {
+		const {ctx, request, tried} = this
+		const candidates = endpoints.map(({id, seats, failureDomain}) => ({
+			id,
+			seats,
+			isNear: failureDomain === ctx.failureDomain
+		}))
+		const id = ctx.services.choose(candidates, tried, ctx.now(), ctx.random)
+		const endpoint = id === undefined ? undefined : ctx.fleet.getEndpoint(id)
 		if (endpoint === undefined) {
 			this.endWithoutRetry(reason)
 			return
@@ -50,20 +127,14 @@
 		this.send(endpoint)
 	}
 
-	private pickEndpoint(): FleetEndpoint | undefined {
+	/** Endpoints that the request may still be sent to. */
+	private listOpenEndpoints(): FleetEndpoint[] {
 		const {ctx, request} = this
-		if (this.sends >= maxSends) return undefined
+		if (this.sends >= maxSends) return []
 		const now = ctx.now()
-		const candidates = ctx.fleet
+		return ctx.fleet
 			.listReady(request.pool)
-			.filter(({id}) => ctx.pauses.isOpen(id, now))
-			.map(({id, seats, failureDomain}) => ({
-				id,
-				seats,
-				isNear: failureDomain === ctx.failureDomain
-			}))
-		const id = ctx.services.choose(candidates, this.tried, now, ctx.random)
-		return id === undefined ? undefined : ctx.fleet.getEndpoint(id)
+			.filter(({id}) => !this.tried.has(id) && ctx.pauses.isOpen(id, now))
 	}
 
 	private send(endpoint: FleetEndpoint): void {
@@ -232,7 +303,8 @@
 		else {
 			const spreadMs =
 				Math.max(minRetryAfterMs, route.objectiveMs) * (1 + this.ctx.random())
-			const retryAfterMs = (this.getPauseLeftMs() ?? 0) + spreadMs
+			const retryAfterMs =
+				this.permitRetryAfterMs ?? (this.getPauseLeftMs() ?? 0) + spreadMs
 			exchange.refuse(reason, retryAfterMs, logFields)
 		}
 	}
@@ -265,6 +337,7 @@
 	protected override clearTimers(): void {
 		super.clearTimers()
 		clearTimeout(this.silenceTimer)
+		this.cancelPermit?.()
 	}
 }
 
--- a/src/policy/grants/grantPace.ts
+++ b/src/policy/grants/grantPace.ts
@@ -29,7 +29,7 @@
 		}
 		const lowest = Math.min(...this.limits.values())
 		this.pacer ??= new RequestPacer(lowest, now)
-		this.pacer.setRate(lowest, now)
+		this.pacer.setRate(lowest)
 	}
 
 	reset(): void {
--- a/src/policy/limits/index.ts
+++ b/src/policy/limits/index.ts
@@ -1,3 +1,5 @@
 export * from "./requestPacer.js"
 export * from "./returnSchedule.js"
 export * from "./statedLimits.js"
+export * from "./permitIssuer.js"
+export * from "./permitLease.js"
--- a/src/policy/limits/requestPacer.ts
+++ b/src/policy/limits/requestPacer.ts
@@ -25,9 +25,11 @@
 		return msPerSecond / this.perSecond
 	}
 
-	setRate(perSecond: number, now: number): void {
+	/** Spaces the next request from the last one by the new rate. */
+	setRate(perSecond: number): void {
+		const lastAt = this.nextAt - this.intervalMs
 		this.perSecond = perSecond
-		this.nextAt = Math.min(this.nextAt, now + this.intervalMs)
+		this.nextAt = lastAt + this.intervalMs
 	}
 
 	/** Time until a request may go that is behind `queued` others. */
