Judge in the fault soak that gateways together keep to stated limits

Workers of the soak state limits as a fault of their own set; the requests of all gateways that were told are counted as the users count them. A request that waited for a permit looks again which endpoints have a limit.

--- a/bench/soak/__tests__/soak.test.ts
+++ b/bench/soak/__tests__/soak.test.ts
@@ -31,6 +31,17 @@
 		expect(report.breaches).toEqual([])
 	}, 120_000)
 
+	it("keeps gateways together to the limits that workers state", async () => {
+		const report = await runSoak({
+			seed: 28,
+			durationMs: 15_000,
+			block: 85,
+			callers: 24,
+			faults: FaultSet.Limits
+		})
+		expect(report.breaches).toEqual([])
+	}, 120_000)
+
 	it.each(regressions)(
 		"keeps every promise with seed $seed, which failed once",
 		async ({seed, block}) => {
--- a/bench/soak/__tests__/statements.test.ts
+++ b/bench/soak/__tests__/statements.test.ts
@@ -15,7 +15,8 @@
 	statement: Partial<WorkerArrival> = {}
 ): WorkerArrival {
 	const worker = "desk1 (1)"
-	return {requestId, worker, at, isLeaving: false, pausedUntil: 0, ...statement}
+	const none = {isLeaving: false, pausedUntil: 0, perSecond: 0}
+	return {requestId, worker, at, ...none, ...statement}
 }
 
 describe("judgeStatements", () => {
@@ -33,6 +34,31 @@
 		expect(judgeStatements({...evidence, disturbances})).toEqual([])
 	})
 
+	it("finds more requests of all gateways than a worker takes", () => {
+		const many = Array.from({length: 20}, (_, n) => ({
+			...createRecord(`m${n}`, 3300 + n * 100),
+			gateway: `g${n % 4}`
+		}))
+		const first = many.slice(0, 4).map(({gateway}, n) => ({
+			...createRecord(`f${n}`, 0),
+			gateway
+		}))
+		const arrivals = [...first, ...many].map(({id, sentAt}) =>
+			createArrival(id, sentAt, {perSecond: 2})
+		)
+		const evidence = {records: [...first, ...many], arrivals}
+		expect(judgeStatements({...evidence, disturbances: []})).toEqual([
+			"20 requests to desk1 (1), which takes 2 a second"
+		])
+		const disturbances = [{gateway: "g1", at: 3000}]
+		expect(judgeStatements({...evidence, disturbances})).toEqual([
+			expect.stringContaining("18 requests")
+		])
+		const fewer = arrivals.filter((_, n) => n < 4 || n % 2 === 0)
+		const calm = {...evidence, arrivals: fewer, disturbances: []}
+		expect(judgeStatements(calm)).toEqual([])
+	})
+
 	it("finds more than two requests during a pause", () => {
 		const pausedUntil = 3000
 		const arrivals = [
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -14,7 +14,9 @@
 	/** Those of the earliest soaks, so that a seed stands for the same series. */
 	First = "first",
 	/** Also stores that return from a copy, leaving workers, and pauses. */
-	All = "all"
+	All = "all",
+	/** Also workers that state how many requests a second they take. */
+	Limits = "limits"
 }
 
 /** Picks the next fault of the deployment. */
@@ -23,7 +25,10 @@
 	random: () => number,
 	set: FaultSet
 ): Fault {
-	if (set === FaultSet.All && random() < statementFaultShare) {
+	if (set === FaultSet.Limits && random() < limitFaultShare) {
+		return createLimitFault(deployment, random)
+	}
+	if (set !== FaultSet.First && random() < statementFaultShare) {
 		return pick(listStatementFaults(deployment, random), random)
 	}
 	const faults = [
@@ -213,6 +218,28 @@
 	]
 }
 
+const limitFaultShare = 0.25
+/** A limit holds at least this long, so that it can be judged. */
+const minLimitMs = 6000
+
+function createLimitFault(
+	deployment: SoakDeployment,
+	random: () => number
+): Fault {
+	const {worker} = pick(deployment.sites, random)
+	const perSecond = 0.5 + Math.floor(random() * 8) / 2
+	return {
+		name: `${worker.name} takes ${perSecond} a second`,
+		start: () => {
+			worker.perSecond = perSecond
+		},
+		end: async () => {
+			await sleep(minLimitMs)
+			worker.perSecond = 0
+		}
+	}
+}
+
 function listLinkFaults(
 	deployment: SoakDeployment,
 	random: () => number
--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -45,18 +45,16 @@
 	/** Sends to the next endpoint; `reason` is the response if there is none. */
 	private tryNextEndpoint(reason: string): void {
 		if (this.cancelPermit !== undefined) return
-		const {limits, permits} = this.ctx
-		const isLimited = ({id, bornAt}: FleetEndpoint): boolean =>
-			limits.get(id, bornAt) !== undefined
+		const {permits} = this.ctx
 		const open = this.listOpenEndpoints()
-		const limited = open.filter(isLimited)
-		const free = open.filter(endpoint => !isLimited(endpoint))
+		const limited = open.filter(endpoint => this.isLimited(endpoint))
+		const free = open.filter(endpoint => !this.isLimited(endpoint))
 		const asked =
 			free.length === 0
 				? limited
 				: limited.filter(endpoint => permits.isTrialDue(endpoint))
 		if (asked.length === 0) this.sendToBest(free, reason)
-		else this.askPermit(asked, free, reason)
+		else this.askPermit(asked, free.length > 0, reason)
 	}
 
 	/**
@@ -65,32 +63,27 @@
 	 */
 	private askPermit(
 		endpoints: FleetEndpoint[],
-		others: FleetEndpoint[],
+		hasOthers: boolean,
 		reason: string
 	): void {
 		const {ctx, request} = this
-		const finish = (permitted: FleetEndpoint[], detail: string): void => {
+		const finish = (
+			isUsable: (endpoint: FleetEndpoint) => boolean,
+			detail: string
+		): void => {
 			this.cancelPermit = undefined
 			if (this.isCancelled || !request.exchange.isOpen) return
-			const stillOpen = new Set(this.listOpenEndpoints().map(({id}) => id))
-			this.sendToBest(
-				permitted.filter(({id}) => stillOpen.has(id)),
-				detail
-			)
+			this.sendToBest(this.listOpenEndpoints().filter(isUsable), detail)
 		}
 		this.cancelPermit = ctx.permits.ask({
 			pool: request.pool,
 			endpoints,
-			maxWaitMs:
-				others.length > 0
-					? 0
-					: request.route.objectiveMs * maxPermitWaitObjectives,
+			maxWaitMs: hasOthers
+				? 0
+				: request.route.objectiveMs * maxPermitWaitObjectives,
 			deadline: request.deadline,
 			onPermitted: id => {
-				finish(
-					endpoints.filter(endpoint => endpoint.id === id),
-					reason
-				)
+				finish(endpoint => endpoint.id === id, reason)
 			},
 			onRefused: retryAfterMs => {
 				ctx.log.request("permit.refused", request.exchange.head.id, {
@@ -98,7 +91,10 @@
 					retryAfterMs
 				})
 				this.permitRetryAfterMs = retryAfterMs
-				finish(others, "over the endpoints' limits")
+				finish(
+					endpoint => !this.isLimited(endpoint),
+					"over the endpoints' limits"
+				)
 			}
 		})
 	}
@@ -127,6 +123,10 @@
 		this.send(endpoint)
 	}
 
+	private isLimited({id, bornAt}: FleetEndpoint): boolean {
+		return this.ctx.limits.get(id, bornAt) !== undefined
+	}
+
 	/** Endpoints that the request may still be sent to. */
 	private listOpenEndpoints(): FleetEndpoint[] {
 		const {ctx, request} = this
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -33,6 +33,8 @@
 	isLeaving: boolean
 	/** Time until which the worker wants no requests; 0 if it stated none. */
 	pausedUntil: number
+	/** Requests a second that the worker takes from all; 0 if it stated no limit. */
+	perSecond: number
 }
 
 export interface WorkerRun {
@@ -82,6 +84,8 @@
 	isLeaving = false
 	/** Turns half of the requests away for this long; 0 for none. */
 	pauseMs = 0
+	/** Requests a second that it takes, as its answers state; 0 for any number. */
+	perSecond = 0
 	/**
 	 * Violations, as text: orders that unload an adapter with a reported active
 	 * run, and loads that need more adapters than there are slots.
@@ -167,6 +171,7 @@
 		this.sequence = 0
 		this.highestFence = 0
 		this.isLeaving = false
+		this.perSecond = 0
 		this.bornAt = Date.now()
 	}
 
@@ -202,14 +207,16 @@
 
 	/** Records the arrival of a request; returns true if it is turned away. */
 	private turnsAway(req: IncomingMessage, res: ServerResponse): boolean {
-		const {isLeaving, pauseMs} = this
+		const {isLeaving, pauseMs, perSecond} = this
 		const requestId = String(req.headers["x-request-id"])
 		const at = performance.now()
 		const isPause = pauseMs > 0 && this.options.random() < 0.5
 		const pausedUntil = isPause ? at + pauseMs : 0
 		const worker = `${this.id} (${this.incarnation})`
-		this.arrivals.push({requestId, worker, at, isLeaving, pausedUntil})
+		const stated = {isLeaving, pausedUntil, perSecond}
+		this.arrivals.push({requestId, worker, at, ...stated})
 		if (isLeaving) res.setHeader("Server-Leaving", "1")
+		if (perSecond > 0) res.setHeader("Server-Limit", String(perSecond))
 		if (!isPause) return false
 		res.writeHead(503, {
 			"X-Request-Id": requestId,
