Cut off endpoints that send without end

What callers saw: nothing yet; a gateway kept all bytes of an answer until the request's time-out, so one endpoint in trouble could use up its memory and take all its callers with it. Cause: bodies, unfinished events and interim answers had no limit, and an unfinished event was searched from its start with each chunk. Change: 4 MiB for a body or an event, 8 interim answers; then the connection is closed and the call counts as broken.

--- a/src/gateway/endpointCall.ts
+++ b/src/gateway/endpointCall.ts
@@ -60,6 +60,8 @@
  * only this timeout detects it.
  */
 const defaultConnectTimeoutMs = 400
+/** Interim answers (1xx) before an answer; endpoints send none or one. */
+const maxInterimAnswers = 8
 
 export class EndpointCall {
 	private readonly req: ClientRequest
@@ -69,6 +71,7 @@
 	private receivedHead: ResponseHead | undefined
 	private isConnected = false
 	private isSettled = false
+	private interimAnswers = 0
 	private readonly connectTimer: NodeJS.Timeout
 
 	constructor(options: EndpointCallOptions) {
@@ -109,6 +112,11 @@
 		this.req.on("response", res => {
 			this.receive(res)
 		})
+		this.req.on("information", () => {
+			this.interimAnswers += 1
+			if (this.interimAnswers > maxInterimAnswers)
+				this.reject("interim answers without end")
+		})
 		this.socket.prependListener("end", () => {
 			this.detectResetAtEnd()
 		})
@@ -120,6 +128,11 @@
 		this.settle(CallOutcome.Aborted, "given up")
 	}
 
+	/** Ends the call because what arrives is no usable answer. */
+	reject(detail: string): void {
+		this.settle(CallOutcome.Broken, detail)
+	}
+
 	/** Whether the connection was established, so that the request may have run. */
 	get wasSent(): boolean {
 		return this.isConnected
--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -16,6 +16,8 @@
 
 export class EventSplitter {
 	private buffered: Buffer = Buffer.alloc(0)
+	/** Bytes of `buffered` in which no event ends. */
+	private searchedBytes = 0
 
 	/** Number of bytes received of an event that is not complete. */
 	get pendingBytes(): number {
@@ -28,18 +30,22 @@
 			this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk])
 		const events: StreamEvent[] = []
 		for (;;) {
-			const end = findEventEnd(this.buffered)
-			if (end < 0) return events
+			const end = findEventEnd(this.buffered, this.searchedBytes)
+			if (end < 0) {
+				// The last bytes may be the begin of a blank line.
+				this.searchedBytes = Math.max(0, this.buffered.length - 3)
+				return events
+			}
 			const bytes = this.buffered.subarray(0, end)
 			this.buffered = this.buffered.subarray(end)
+			this.searchedBytes = 0
 			events.push({bytes, id: readId(bytes)})
 		}
 	}
 }
 
-/** Index after the first blank line, or -1 if there is none. */
-function findEventEnd(buffer: Buffer): number {
-	let from = 0
+/** Index after the first blank line at or after `from`, or -1 if there is none. */
+function findEventEnd(buffer: Buffer, from: number): number {
 	for (;;) {
 		const at = buffer.indexOf(lineFeed, from)
 		if (at < 0) return -1
--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -3,6 +3,7 @@
  * complete events, and reports when no stream data arrives in time.
  */
 import type {StreamOrigin} from "../contract/gen/grants_pb.js"
+import {BodyBuffer, maxBufferedBytes} from "./bodyBuffer.js"
 import {type CallOutcome, EndpointCall} from "./endpointCall.js"
 import {applySignals} from "./endpointSignals.js"
 import {EventSplitter, type StreamEvent} from "./eventSplitter.js"
@@ -48,7 +49,7 @@
 	private readonly options: GenerationSendOptions
 	private readonly call: EndpointCall
 	private readonly splitter = new EventSplitter()
-	private readonly chunks: Buffer[] = []
+	private readonly received = new BodyBuffer()
 	private hasFirstEvent = false
 	private silenceTimer: NodeJS.Timeout | undefined
 
@@ -103,7 +104,7 @@
 
 	/** Body of a response that is not a stream of events. */
 	get body(): Buffer {
-		return Buffer.concat(this.chunks)
+		return this.received.toBuffer()
 	}
 
 	/** Whether bytes of an incomplete event remain: the stream was truncated. */
@@ -123,7 +124,7 @@
 		const {responseHead} = this
 		if (responseHead === undefined) return
 		if (responseHead.status !== httpOk) {
-			this.chunks.push(chunk)
+			if (!this.received.tryPush(chunk)) this.call.reject("body without end")
 			return
 		}
 		const {target, request, onEvent} = this.options
@@ -135,6 +136,10 @@
 			}
 			onEvent(this, responseHead, event)
 		}
+		if (this.splitter.pendingBytes > maxBufferedBytes) {
+			this.call.reject("event without end")
+			return
+		}
 		const gapMs = request.route.eventGapMs * eventGapTimeoutFactor
 		this.restartSilenceTimer(Math.max(minEventGapTimeoutMs, gapMs))
 	}
--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -6,6 +6,7 @@
  * limit are used with a permit only, and after those that state none.
  */
 import {type FleetEndpoint, RouteKind} from "../contract/fleet.js"
+import {BodyBuffer} from "./bodyBuffer.js"
 import {CallOutcome, EndpointCall} from "./endpointCall.js"
 import {applySignals} from "./endpointSignals.js"
 import {RequestTask} from "./requestTask.js"
@@ -146,7 +147,7 @@
 		ctx.services.begin(id)
 		const endProbe = ctx.pauses.begin(id)
 		const sentAt = ctx.now()
-		const chunks: Buffer[] = []
+		const received = new BodyBuffer()
 		const call: EndpointCall = new EndpointCall({
 			address: endpoint.address,
 			wire: ctx.wire,
@@ -164,7 +165,7 @@
 					applySignals(ctx, {endpoint, requestId, sentAt}, responseHead)
 				},
 				onData: chunk => {
-					chunks.push(chunk)
+					if (!received.tryPush(chunk)) call.reject("body without end")
 				},
 				onEnd: (outcome, detail) => {
 					this.openCalls.delete(call)
@@ -177,7 +178,7 @@
 						outcome,
 						detail,
 						responseHead,
-						Buffer.concat(chunks)
+						received.toBuffer()
 					)
 				}
 			}
