Look for another engine when a stream sends bytes but no events

What callers saw: nothing in the record; other operators report stalled streams that send a byte now and then and never end. Cause: any byte counted as progress, so a stream that trickled parts of an event, or comments, was held until its deadline and cut then. Change: only events count.

--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -9,6 +9,8 @@
 	bytes: Buffer
 	/** Value of the `id` field; empty when the event has none. */
 	id: string
+	/** Whether it holds comments only, as sent to keep a connection open. */
+	isComment: boolean
 }
 
 const lineFeed = 0x0a
@@ -39,7 +41,7 @@
 			const bytes = this.buffered.subarray(0, end)
 			this.buffered = this.buffered.subarray(end)
 			this.searchedBytes = 0
-			events.push({bytes, id: readId(bytes)})
+			events.push(decodeEvent(bytes))
 		}
 	}
 }
@@ -55,9 +57,9 @@
 	}
 }
 
-function readId(event: Buffer): string {
-	for (const line of event.toString("utf8").split(/\r?\n/)) {
-		if (line.startsWith("id:")) return line.slice("id:".length).trim()
-	}
-	return ""
+function decodeEvent(bytes: Buffer): StreamEvent {
+	const lines = bytes.toString("utf8").split(/\r?\n/)
+	const isComment = lines.every(line => line === "" || line.startsWith(":"))
+	const id = lines.find(line => line.startsWith("id:"))
+	return {bytes, id: id?.slice("id:".length).trim() ?? "", isComment}
 }
--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -1,6 +1,6 @@
 /**
  * One send of a generation request to an engine. Splits the response into
- * complete events, and reports when no stream data arrives in time.
+ * complete events, and reports when no event arrives in time.
  */
 import type {StreamOrigin} from "../contract/gen/grants_pb.js"
 import {BodyBuffer, maxBufferedBytes} from "./bodyBuffer.js"
@@ -24,20 +24,22 @@
 		responseHead: ResponseHead,
 		event: StreamEvent
 	) => void
-	/** Called each time that no stream data has arrived for the limit. */
+	/** Called with each comment after the first event. */
+	onComment: (send: GenerationSend, bytes: Buffer) => void
+	/** Called each time that no event has arrived for the limit. */
 	onSilent: (send: GenerationSend) => void
 	onEnd: (send: GenerationSend, outcome: CallOutcome, detail: string) => void
 }
 
 /**
  * Multiple of the expected time to the first event after which an engine that has
- * sent no stream data counts as silent.
+ * sent no event counts as silent.
  */
 const firstEventTimeoutFactor = 3
 const minFirstEventTimeoutMs = 1200
 /**
- * Multiple of the route's event gap after which a stream without new data counts
- * as silent.
+ * Multiple of the route's event gap after which a stream without a new event counts
+ * as silent, whatever bytes arrive.
  */
 const eventGapTimeoutFactor = 3
 const minEventGapTimeoutMs = 900
@@ -51,6 +53,8 @@
 	private readonly splitter = new EventSplitter()
 	private readonly received = new BodyBuffer()
 	private hasFirstEvent = false
+	/** Comments before the first event; forwarded with it. */
+	private readonly leadingComments = new BodyBuffer()
 	private silenceTimer: NodeJS.Timeout | undefined
 
 	constructor(options: GenerationSendOptions) {
@@ -127,24 +131,37 @@
 			if (!this.received.tryPush(chunk)) this.call.reject("body without end")
 			return
 		}
-		const {target, request, onEvent} = this.options
 		for (const event of this.splitter.push(chunk)) {
-			if (!this.hasFirstEvent) {
-				this.hasFirstEvent = true
-				const notice = this.options.createOriginNotice()
-				target.link?.notifyStarted(target.key, notice)
-			}
-			onEvent(this, responseHead, event)
+			if (event.isComment) this.receiveComment(event.bytes)
+			else this.receiveEvent(responseHead, event)
 		}
-		if (this.splitter.pendingBytes > maxBufferedBytes) {
+		if (this.splitter.pendingBytes > maxBufferedBytes)
 			this.call.reject("event without end")
-			return
+	}
+
+	private receiveComment(bytes: Buffer): void {
+		if (this.hasFirstEvent) this.options.onComment(this, bytes)
+		else if (!this.leadingComments.tryPush(bytes))
+			this.call.reject("comments without end")
+	}
+
+	private receiveEvent(responseHead: ResponseHead, event: StreamEvent): void {
+		const {target, request, onEvent, createOriginNotice} = this.options
+		if (this.hasFirstEvent) onEvent(this, responseHead, event)
+		else {
+			this.hasFirstEvent = true
+			target.link?.notifyStarted(target.key, createOriginNotice())
+			const bytes = Buffer.concat([
+				this.leadingComments.toBuffer(),
+				event.bytes
+			])
+			onEvent(this, responseHead, {...event, bytes})
 		}
 		const gapMs = request.route.eventGapMs * eventGapTimeoutFactor
 		this.restartSilenceTimer(Math.max(minEventGapTimeoutMs, gapMs))
 	}
 
-	/** Restarts the timer that reports when no data arrives in time. */
+	/** Restarts the timer that reports when no event arrives in time. */
 	private restartSilenceTimer(limitMs: number): void {
 		clearTimeout(this.silenceTimer)
 		this.silenceTimer = setTimeout(() => {
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -120,6 +120,9 @@
 			onEvent: (from, responseHead, event) => {
 				this.forwardEvent(from, responseHead, event)
 			},
+			onComment: (from, bytes) => {
+				if (from === this.currentSend) request.exchange.writeEvent(bytes)
+			},
 			onSilent: from => {
 				this.handleSilence(from)
 			},
