Discard grants and permits that a suspended host finds on waking

What callers saw: nothing in the record; other operators report processes that acted on a permission which had run out while they were paused. Cause: links notice a pause by the monotonic clock. It stands still while a host is suspended, so a grant that waited in the socket was used though the agent had dropped the gateway meanwhile. Change: the time that a grant or a permit took is also measured by the time of day, which goes on; if that is over 400 ms more, the permission is given back. A step of the time of day does no more than that, and only to asks that were open. Evidence: the test of a grant failed before (granted) and passes.

--- a/src/agent/permitDesk.ts
+++ b/src/agent/permitDesk.ts
@@ -17,7 +17,7 @@
 	type StatedLimits
 } from "../policy/limits/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
-import {messageOf} from "../utils/common.js"
+import {getSuspendedMs, messageOf, type Moment} from "../utils/index.js"
 import type {LeaseStore} from "./leaseStore.js"
 
 export interface PermitDeskOptions {
@@ -32,7 +32,7 @@
 	log: Pick<DecisionLog, "decide">
 	/** Monotonic milliseconds. */
 	now: () => number
-	/** Time of day in milliseconds, for `hasBeenSuspended` only. */
+	/** Time of day in milliseconds, to notice that the host was suspended. */
 	wallNow?: () => number
 	random: () => number
 }
@@ -62,21 +62,16 @@
 const idleReleaseMs = 10_000
 /** A caller that no holder can be found for returns after this, or up to twice it. */
 const noHolderRetryMs = 500
-/**
- * A step of the time of day against the monotonic clock by more than this counts as
- * a suspension of the host, in which the monotonic clock stands still.
- */
-const suspensionMs = 400
 
 export class PermitDesk {
 	private readonly desks = new Map<string, Desk>()
 	private readonly wallNow: () => number
-	private clockOffset: number
+	private checkedAt: Moment
 	private isStopped = false
 
 	constructor(private readonly options: PermitDeskOptions) {
 		this.wallNow = options.wallNow ?? Date.now
-		this.clockOffset = this.wallNow() - options.now()
+		this.checkedAt = {at: options.now(), wallAt: this.wallNow()}
 	}
 
 	handleAsk(to: string, ask: PermitAsk): void {
@@ -257,12 +252,13 @@
 	 * another process may have taken them. Returns whether it did.
 	 */
 	private dropAfterSuspension(): boolean {
-		const offset = this.wallNow() - this.options.now()
-		const stepMs = offset - this.clockOffset
-		this.clockOffset = offset
-		if (stepMs <= suspensionMs) return false
+		const now = {at: this.options.now(), wallAt: this.wallNow()}
+		const suspendedMs = getSuspendedMs(this.checkedAt, now)
+		this.checkedAt = now
+		if (suspendedMs === 0) return false
 		for (const {lease} of this.desks.values()) lease.drop()
-		this.options.log.decide("clock.stepped", {stepMs: Math.round(stepMs)})
+		const stepMs = Math.round(suspendedMs)
+		this.options.log.decide("clock.stepped", {stepMs})
 		return true
 	}
 }
--- a/src/gateway/__tests__/agentLink.test.ts
+++ b/src/gateway/__tests__/agentLink.test.ts
@@ -30,7 +30,7 @@
 }
 
 /** Starts an agent that sends the test's messages, and a link to it. */
-async function connect(now: () => number): Promise<Connection> {
+async function connect(now: () => number, wallNow = now): Promise<Connection> {
 	const address = `${createLoopbackIp()}:7000`
 	let onAccept: (call: GrantCall) => void = () => undefined
 	const accepted = new Promise<GrantCall>(resolve => {
@@ -47,6 +47,7 @@
 		address,
 		gateway: "test",
 		now,
+		wallNow,
 		getIntervals: () => chooseLinkIntervals(1, 0, grantLinkPace),
 		getLimits: () => undefined,
 		getEngineId: () => "i-1",
@@ -145,6 +146,24 @@
 		expect(downs).toEqual(["this process was paused"])
 	})
 
+	it("discards a grant after a suspension that the monotonic clock misses", async () => {
+		let wallTime = 0
+		const {link, received, sendToGateway} = await connect(
+			() => 0,
+			() => wallTime
+		)
+		const answer = ask(link, "r1")
+		wallTime = 3000
+		sendToGateway({case: "grant", value: createGrant("r1")})
+		expect(await answer).toBe("lost")
+		await vi.waitFor(() => {
+			expect(received).toContain("ended")
+		})
+		const next = ask(link, "r2")
+		sendToGateway({case: "grant", value: createGrant("r2")})
+		expect(await next).toBe("granted")
+	})
+
 	it("sends the same hello only once on a stream", async () => {
 		const {link, received} = await connect(() => 0)
 		for (let n = 0; n < 5; n++) link.sendHello()
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -28,6 +28,7 @@
 	grantLinkTimeoutHeartbeats,
 	type LinkIntervals
 } from "../policy/index.js"
+import {getSuspendedMs, type Moment} from "../utils/index.js"
 
 /** The agent's permission to send one request to its engine. */
 export interface AgentGrant {
@@ -52,6 +53,11 @@
 	onLost(): void
 }
 
+interface PendingAsk {
+	handlers: AskHandlers
+	askedAt: Moment
+}
+
 export type AskBody = Extract<GatewayMessage["body"], {case: "ask"}>["value"]
 
 export interface AgentLinkOptions {
@@ -62,6 +68,8 @@
 	tls?: TlsKeys | undefined
 	/** Monotonic milliseconds. */
 	now: () => number
+	/** Time of day in milliseconds, to notice that the host was suspended. */
+	wallNow?: () => number
 	/** Intervals for the number of links that this gateway has. */
 	getIntervals: () => LinkIntervals
 	getLimits: () => EngineLimits | undefined
@@ -98,7 +106,7 @@
 	private openStream: OpenGrantStream | undefined
 	/** The hello that was sent last on the open stream. */
 	private sentHello: Hello | undefined
-	private readonly pendingAsks = new Map<string, AskHandlers>()
+	private readonly pendingAsks = new Map<string, PendingAsk>()
 	/** Keys of requests that are queued or granted at the agent. */
 	private readonly requests = new Set<string>()
 	/** Time since which a request uses the link. */
@@ -136,7 +144,7 @@
 		}
 		if (this.requests.size === 0) this.activeSince = this.options.now()
 		this.requests.add(ask.key)
-		this.pendingAsks.set(ask.key, handlers)
+		this.pendingAsks.set(ask.key, {handlers, askedAt: this.getMoment()})
 		this.send({case: "ask", value: ask})
 	}
 
@@ -315,21 +323,37 @@
 		else if (body.case === "origin") this.options.onOrigin(body.value)
 		else if (body.case === "grant") {
 			this.applyState(body.value.state)
-			const handlers = this.takePendingAsk(body.value.key)
-			// No handlers: the request was cancelled while the grant was in transit. The
-			// `ended` message makes the agent release the grant.
-			handlers?.onGrant(body.value)
+			this.handleGrant(body.value)
 		} else if (body.case === "refuse") {
 			this.applyState(body.value.state)
 			this.requests.delete(body.value.key)
-			this.takePendingAsk(body.value.key)?.onRefuse(body.value)
+			this.takePendingAsk(body.value.key)?.handlers.onRefuse(body.value)
+		}
+	}
+
+	private handleGrant(grant: AgentGrant & {key: string}): void {
+		const ask = this.takePendingAsk(grant.key)
+		// The request was cancelled while the grant was in transit. The `ended` message
+		// makes the agent release the grant.
+		if (ask === undefined) return
+		if (getSuspendedMs(ask.askedAt, this.getMoment()) === 0) {
+			ask.handlers.onGrant(grant)
+			return
 		}
+		// The agent may have dropped this gateway and its grants meanwhile.
+		this.notifyEnded(grant.key)
+		ask.handlers.onLost()
 	}
 
-	private takePendingAsk(key: string): AskHandlers | undefined {
-		const handlers = this.pendingAsks.get(key)
+	private takePendingAsk(key: string): PendingAsk | undefined {
+		const ask = this.pendingAsks.get(key)
 		this.pendingAsks.delete(key)
-		return handlers
+		return ask
+	}
+
+	private getMoment(): Moment {
+		const {now, wallNow = Date.now} = this.options
+		return {at: now(), wallAt: wallNow()}
 	}
 
 	private send(
@@ -352,6 +376,6 @@
 			this.isUp = false
 			this.options.onDown(reason)
 		}
-		for (const handlers of lostAsks) handlers.onLost()
+		for (const {handlers} of lostAsks) handlers.onLost()
 	}
 }
--- a/src/gateway/permits.ts
+++ b/src/gateway/permits.ts
@@ -10,6 +10,7 @@
 } from "../contract/gen/grants_pb.js"
 import type {FleetEndpoint} from "../contract/fleet.js"
 import type {StatedLimits} from "../policy/limits/index.js"
+import {getSuspendedMs, type Moment} from "../utils/index.js"
 import type {AgentLinks} from "./agentLinks.js"
 
 export interface PermitsOptions {
@@ -39,9 +40,7 @@
 	message: PermitAsk
 	/** Engine whose agent was asked. */
 	agentId: string
-	askedAt: number
-	/** The same by the time of day, which goes on while a host is suspended. */
-	askedAtWall: number
+	askedAt: Moment
 	isRedirected: boolean
 	timer: NodeJS.Timeout
 }
@@ -82,7 +81,7 @@
 	 * ask.
 	 */
 	ask(query: PermitQuery): () => void {
-		const {links, now} = this.options
+		const {links} = this.options
 		const agentId = this.pickAgent(query.pool)
 		const link = agentId === undefined ? undefined : links.get(agentId)
 		if (agentId === undefined || link === undefined) {
@@ -99,14 +98,12 @@
 		const timer = setTimeout(() => {
 			this.handleTimeout(key)
 		}, answerTimeoutMs)
-		const askedAt = now()
-		const askedAtWall = this.wallNow()
+		const askedAt = this.getMoment()
 		this.pending.set(key, {
 			query,
 			message,
 			agentId,
 			askedAt,
-			askedAtWall,
 			isRedirected: false,
 			timer
 		})
@@ -174,14 +171,12 @@
 
 	/** Lets the permit lapse if this process was paused or suspended meanwhile. */
 	private usePermit(
-		{query, askedAt, askedAtWall}: PendingAsk,
+		{query, askedAt}: PendingAsk,
 		endpointId: string,
 		waitMs: number
 	): void {
-		const elapsedMs = Math.max(
-			this.options.now() - askedAt,
-			this.wallNow() - askedAtWall
-		)
+		const now = this.getMoment()
+		const elapsedMs = now.at - askedAt.at + getSuspendedMs(askedAt, now)
 		if (elapsedMs > waitMs + permitGraceMs)
 			query.onRefused(this.getNoAnswerRetryMs())
 		else query.onPermitted(endpointId)
@@ -236,6 +231,10 @@
 		return ask
 	}
 
+	private getMoment(): Moment {
+		return {at: this.options.now(), wallAt: this.wallNow()}
+	}
+
 	private getNoAnswerRetryMs(): number {
 		return noAnswerRetryMs * (1 + this.options.random())
 	}
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,1 +1,2 @@
 export * from "./common.js"
+export * from "./suspension.js"
