Order statements about an endpoint's limit across its incarnations

What callers saw: nothing. A late message about the limit of an earlier incarnation replaced what was known of the present one. Found in reading the change; a test failed before. Notices of limits are now made in one place.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -12,12 +12,9 @@
 	LeavingNotice,
 	LimitNotice
 } from "../contract/gen/grants_pb.js"
-import {
-	LimitNoticeSchema,
-	OriginAnswerSchema,
-	RefuseReason
-} from "../contract/gen/grants_pb.js"
+import {OriginAnswerSchema, RefuseReason} from "../contract/gen/grants_pb.js"
 import {startGrantServer} from "../link/fleetLink.js"
+import {createLimitNotice} from "../link/limitNotice.js"
 import type {TlsKeys} from "../link/tls.js"
 import {
 	GrantDecisionKind,
@@ -225,14 +222,8 @@
 
 	/** Tells a gateway which endpoints have a limit, as after its start. */
 	private sendLimits(owner: string, now: number): void {
-		for (const [endpointId, stated] of this.limits.list()) {
-			const {bornAt, perSecond, statedAt} = stated
-			const ageMs = Math.round(now - statedAt)
-			const init = {endpointId, bornAt, ageMs}
-			const value = create(
-				LimitNoticeSchema,
-				perSecond === undefined ? init : {...init, perSecond}
-			)
+		for (const [id, stated] of this.limits.list()) {
+			const value = createLimitNotice(id, stated.bornAt, stated, now)
 			this.links.send(owner, {case: "limit", value})
 		}
 	}
--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -9,10 +9,10 @@
 	type EngineLimits,
 	EngineLimitsSchema,
 	type LimitNotice,
-	LimitNoticeSchema,
 	type OriginAnswer,
 	type PermitAnswer
 } from "../contract/gen/grants_pb.js"
+import {createLimitNotice} from "../link/limitNotice.js"
 import type {TlsKeys} from "../link/tls.js"
 import type {EngineChoice} from "../policy/dispatch/index.js"
 import type {StatedLimits} from "../policy/limits/index.js"
@@ -108,7 +108,7 @@
 	 * ended to have one, other gateways, as in `announceLeaving`.
 	 */
 	announceLimit(endpointId: string, bornAt: number, isNew: boolean): void {
-		const notice = this.createLimitNotice(endpointId, bornAt)
+		const notice = this.describeLimit(endpointId, bornAt)
 		const links = isNew
 			? this.listRelays(endpointId)
 			: [this.links.get(endpointId)]
@@ -126,14 +126,11 @@
 		return own === undefined ? relays : [own, ...relays]
 	}
 
-	createLimitNotice(endpointId: string, bornAt: number): LimitNotice {
+	/** What to tell an agent of the limit that the endpoint states, if it does. */
+	describeLimit(endpointId: string, bornAt: number): LimitNotice {
 		const {limits, now} = this.options
 		const stated = limits.get(endpointId, bornAt)
-		if (stated?.perSecond === undefined)
-			return create(LimitNoticeSchema, {endpointId, bornAt})
-		const ageMs = Math.round(now() - stated.statedAt)
-		const {perSecond} = stated
-		return create(LimitNoticeSchema, {endpointId, bornAt, perSecond, ageMs})
+		return createLimitNotice(endpointId, bornAt, stated, now())
 	}
 
 	/** Applies what another gateway heard; the endpoint's own agent may not know. */
@@ -265,7 +262,7 @@
 				log.decide("agent.up", {endpoint: id})
 				const {bornAt} = fleet.getEndpoint(id) ?? endpoint
 				if (this.options.limits.get(id, bornAt) !== undefined)
-					link.announceLimit(this.createLimitNotice(id, bornAt))
+					link.announceLimit(this.describeLimit(id, bornAt))
 			},
 			onDown: reason => {
 				log.decide("agent.down", {endpoint: id, reason})
--- a/src/gateway/permits.ts
+++ b/src/gateway/permits.ts
@@ -197,7 +197,11 @@
 	private handleTimeout(key: string): void {
 		const ask = this.take(key)
 		if (ask === undefined) return
-		this.avoided.set(ask.agentId, this.options.now() + avoidMs)
+		const now = this.options.now()
+		for (const [id, until] of this.avoided) {
+			if (now >= until) this.avoided.delete(id)
+		}
+		this.avoided.set(ask.agentId, now + avoidMs)
 		this.holders.delete(ask.query.pool)
 		ask.query.onRefused(this.getNoAnswerRetryMs())
 	}
@@ -217,7 +221,7 @@
 			key,
 			pool: query.pool,
 			limits: query.endpoints.map(({id, bornAt}) =>
-				links.createLimitNotice(id, bornAt)
+				links.describeLimit(id, bornAt)
 			),
 			maxWaitMs: Math.round(query.maxWaitMs),
 			deadlineLeftMs: Math.max(0, Math.round(query.deadline - now()))
--- a/src/policy/limits/__tests__/statedLimits.test.ts
+++ b/src/policy/limits/__tests__/statedLimits.test.ts
@@ -35,6 +35,13 @@
 		expect(limits.get("e1", 1)?.perSecond).toBe(2)
 	})
 
+	it("is not replaced by what is late about an earlier incarnation", () => {
+		const limits = new StatedLimits()
+		limits.addAnswer({...stated, bornAt: 2}, 100)
+		limits.apply("e1", {bornAt: 1, perSecond: 5, statedAt: 50})
+		expect(limits.get("e1", 2)?.perSecond).toBe(2)
+	})
+
 	it("of nothing at all leaves requests that can hear its end", () => {
 		const limits = new StatedLimits()
 		limits.addAnswer({...stated, perSecond: 0}, 100)
--- a/src/policy/limits/statedLimits.ts
+++ b/src/policy/limits/statedLimits.ts
@@ -52,8 +52,10 @@
 	 * whether the endpoint's limit differs from what was known.
 	 */
 	apply(id: string, stated: StatedLimit): boolean {
+		const latest = this.limits.get(id)
+		// Also what is late about an earlier incarnation.
+		if (latest !== undefined && latest.statedAt > stated.statedAt) return false
 		const known = this.getKnown(id, stated.bornAt)
-		if (known !== undefined && known.statedAt > stated.statedAt) return false
 		const perSecond =
 			stated.perSecond === undefined
 				? undefined
