--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -27,11 +27,11 @@
 	private readonly tried = new Set<string>()
 	private readonly openCalls = new Set<EndpointCall>()
 	private silenceTimer: NodeJS.Timeout | undefined
-	/** Last 5xx response; forwarded unless a retry delivers a response. */
 	/** Cancels the ask for a permit, while there is one. */
 	private cancelPermit: (() => void) | undefined
 	/** When the caller may return for whom no permit was left. */
 	private permitRetryAfterMs: number | undefined
+	/** Last 5xx response; forwarded unless a retry delivers a response. */
 	private errorResponse: {responseHead: ResponseHead; body: Buffer} | undefined
 
 	protected override dispatch(): void {
