--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -3,6 +3,7 @@
  * complete events, and reports when no event arrives in time.
  */
 import type {StreamOrigin} from "../contract/gen/grants_pb.js"
+import type {LogFields} from "./callerExchange.js"
 import {BodyBuffer, maxBufferedBytes} from "./bodyBuffer.js"
 import {type CallOutcome, EndpointCall} from "./endpointCall.js"
 import {applySignals} from "./endpointSignals.js"
@@ -15,6 +16,8 @@
 	ctx: GatewayContext
 	request: RoutedRequest
 	target: SendTarget
+	/** Ids of the parts of the prompt that other requests may have as well. */
+	sharedParts: readonly string[]
 	/** Id of the last event delivered, when the generation is resumed. */
 	resumeAfter: string | undefined
 	/** What to tell the granting agent of where the stream began, if that is known. */
@@ -44,6 +47,8 @@
 const eventGapTimeoutFactor = 3
 const minEventGapTimeoutMs = 900
 const httpOk = 200
+/** Bounds the length of a log line. */
+const maxLoggedParts = 16
 
 export class GenerationSend {
 	readonly target: SendTarget
@@ -120,6 +125,15 @@
 		return this.call.wasSent
 	}
 
+	/** For the log line of a send that delivered no event: the parts of its prompt. */
+	get promptFields(): LogFields {
+		if (this.hasFirstEvent) return {}
+		return {
+			parts: this.options.sharedParts.slice(0, maxLoggedParts),
+			hasHead: this.responseHead !== undefined
+		}
+	}
+
 	abort(): void {
 		this.call.abort()
 	}
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -16,7 +16,12 @@
 import {RequestTask} from "./requestTask.js"
 import type {SendTarget} from "./sendTarget.js"
 import {locateStream} from "./streamResumption.js"
-import {type ResponseHead, type GenerationHead, isServerError} from "./wire.js"
+import {
+	type ResponseHead,
+	type GenerationHead,
+	isServerError,
+	listSharedParts
+} from "./wire.js"
 
 /** Limit on sends of one request, including those an engine did not run. */
 const maxSends = 4
@@ -42,7 +47,7 @@
 	constructor(
 		ctx: GatewayContext,
 		request: RoutedRequest,
-		generation: GenerationHead
+		private readonly generation: GenerationHead
 	) {
 		super(ctx, request)
 		this.stream = new CallerStream(ctx, request)
@@ -115,6 +120,7 @@
 			ctx,
 			request,
 			target,
+			sharedParts: listSharedParts(this.generation),
 			resumeAfter: this.stream.lastEventId,
 			createOriginNotice: () => this.stream.createNotice(target),
 			onEvent: (from, responseHead, event) => {
@@ -226,7 +232,8 @@
 			end: outcome,
 			detail,
 			lastEvent: this.stream.lastEventId,
-			elapsedMs: Math.round(ctx.now() - send.sentAt)
+			elapsedMs: Math.round(ctx.now() - send.sentAt),
+			...send.promptFields
 		})
 		const hasNotRun =
 			outcome === CallOutcome.NeverSent ||
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -16,6 +16,14 @@
 	outputTokens: number
 }
 
+/**
+ * Ids of the parts of a prompt that other requests may have as well: all but the
+ * last, which belongs to the request or its session.
+ */
+export function listSharedParts({parts}: GenerationHead): string[] {
+	return [...new Set(parts.slice(0, -1).map(({id}) => id))]
+}
+
 /** What a caller states when it resumes a stream with a new request. */
 export interface Resumption {
 	/**
