--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -10,15 +10,24 @@
 	Ask,
 	GatewayMessage,
 	LeavingNotice,
-	LimitNotice
+	LimitNotice,
+	CrashNotice
 } from "../contract/gen/grants_pb.js"
 import {OriginAnswerSchema, RefuseReason} from "../contract/gen/grants_pb.js"
 import {startGrantServer} from "../link/fleetLink.js"
-import {createLimitNotice} from "../link/limitNotice.js"
 import type {TlsKeys} from "../link/tls.js"
+import {
+	CrashNotices,
+	isNotice,
+	LeavingNotices,
+	LimitNotices,
+	type Notice,
+	NoticeBoard,
+	TrialNotices
+} from "../notices/index.js"
+import {CrashRecords} from "../policy/crashes/index.js"
 import {
 	GrantDecisionKind,
-	LruSet,
 	type GrantRequest,
 	GrantScheduler,
 	type GrantDecision,
@@ -53,8 +62,6 @@
 const activeTickMs = 50
 /** Interval of checking heartbeats while nothing changes. */
 const idleTickMs = 300
-/** Several times the endpoints of a large fleet. */
-const maxKnownLeaving = 10_000
 /** Several times the streams that one engine begins while callers may resume them. */
 const maxKnownOrigins = 20_000
 
@@ -62,11 +69,11 @@
 	private readonly scheduler: GrantScheduler
 	private readonly links: GatewayLinks
 	private readonly now: () => number
-	/** Incarnations of endpoints that are leaving, already passed on. */
-	private readonly knownLeaving = new LruSet(maxKnownLeaving)
 	private readonly origins = new StreamOrigins(maxKnownOrigins)
 	/** Limits of endpoints, as gateways heard them. */
 	private readonly limits = new StatedLimits()
+	/** Facts that gateways told this agent, to be passed on to their others. */
+	private readonly notices: NoticeBoard
 	private readonly permits: PermitDesk
 	private server: grpc.Server | undefined
 	private readonly loop: EngineLoop
@@ -88,6 +95,7 @@
 				this.sendDecisions(this.scheduler.dropOwner(owner, this.now()))
 			}
 		})
+		this.notices = this.createNotices()
 		const {engine, fencingTokens, leases, log} = options
 		this.permits = new PermitDesk({
 			leases,
@@ -164,53 +172,65 @@
 			if (!this.scheduler.slots.announce(model, adapter, version, now)) return
 			this.options.log.decide("version.newer", {model, adapter, version})
 			this.loop.requestPlan()
-		} else if (body.case === "leaving") {
-			this.handleLeaving(owner, body.value, now)
+		} else if (isNotice(body)) {
+			this.passOn(owner, body, now)
 		} else if (body.case === "permitAsk") {
 			this.permits.handleAsk(owner, body.value)
-		} else if (body.case === "limit") {
-			this.handleLimit(owner, body.value, now)
 		} else if (body.case === "findOrigin") {
 			this.answerOrigin(owner, body.value, now)
 		} else if (body.case === "hello") {
 			this.links.setPace(owner, body.value)
-			this.sendLimits(owner, now)
+			for (const notice of this.notices.list(now))
+				this.links.send(owner, notice)
 			if (body.value.limits === undefined) return
 			this.scheduler.setLimits(body.value.limits)
 			this.loop.requestPlan()
 		}
 	}
 
-	/** Passes on that an endpoint is leaving, once for each incarnation. */
-	private handleLeaving(
-		owner: string,
-		notice: LeavingNotice,
-		now: number
-	): void {
-		const {endpointId, bornAt} = notice
-		const incarnation = `${endpointId}@${bornAt}`
-		if (this.knownLeaving.has(incarnation)) return
-		this.knownLeaving.add(incarnation)
-		this.links.sendToOthers(owner, {case: "leaving", value: notice})
+	/** Merges what a gateway noticed, and tells the others what is new. */
+	private passOn(owner: string, notice: Notice, now: number): void {
+		for (const news of this.notices.merge(notice, now, owner)) {
+			// What is known against the notice concerns its sender, too.
+			if (news.value === notice.value) this.links.sendToOthers(owner, news)
+			else this.links.sendToAll(news)
+		}
+	}
+
+	private createNotices(): NoticeBoard {
+		const crashes = new CrashRecords()
+		return new NoticeBoard({
+			leaving: new LeavingNotices(notice => {
+				this.handleLeaving(notice)
+			}),
+			limit: new LimitNotices(this.limits, notice => {
+				this.handleLimit(notice)
+			}),
+			crash: new CrashNotices(crashes, notice => {
+				this.handleCrash(notice)
+			}),
+			trial: new TrialNotices(crashes, () => undefined)
+		})
+	}
+
+	private handleLeaving({endpointId, bornAt}: LeavingNotice): void {
 		if (endpointId !== this.options.engine.engineId) return
 		this.options.log.decide("engine.leaving", {engine: endpointId})
-		this.sendDecisions(this.scheduler.markLeaving(bornAt, now))
+		this.sendDecisions(this.scheduler.markLeaving(bornAt, this.now()))
 	}
 
-	/**
-	 * Applies the limit that an endpoint stated: to the grants if it is the engine's,
-	 * and passes on whether the endpoint has one.
-	 */
-	private handleLimit(owner: string, notice: LimitNotice, now: number): void {
-		const {endpointId, bornAt, perSecond, ageMs} = notice
-		const statedAt = now - ageMs
-		const wasLimited = this.limits.get(endpointId, bornAt) !== undefined
-		if (!this.limits.apply(endpointId, {bornAt, perSecond, statedAt})) return
-		if (wasLimited !== (perSecond !== undefined))
-			this.links.sendToOthers(owner, {case: "limit", value: notice})
+	/** Keeps the grants to the limit if it is the engine's that stated it. */
+	private handleLimit({endpointId, perSecond}: LimitNotice): void {
 		if (endpointId !== this.options.engine.engineId) return
 		this.options.log.decide("engine.limit", {engine: endpointId, perSecond})
-		this.applyEngineLimit(now)
+		this.applyEngineLimit(this.now())
+	}
+
+	/** Finds out at once whether the engine still runs. */
+	private handleCrash({endpointId, bornAt}: CrashNotice): void {
+		if (endpointId !== this.options.engine.engineId) return
+		this.options.log.decide("engine.crashed", {engine: endpointId, bornAt})
+		this.loop.confirmCrash()
 	}
 
 	/** Keeps the grants to the limit that gateways heard from the engine. */
@@ -220,14 +240,6 @@
 		this.sendDecisions(scheduler.setRequestLimit(stated?.perSecond, now))
 	}
 
-	/** Tells a gateway which endpoints have a limit, as after its start. */
-	private sendLimits(owner: string, now: number): void {
-		for (const [id, stated] of this.limits.list()) {
-			const value = createLimitNotice(id, stated.bornAt, stated, now)
-			this.links.send(owner, {case: "limit", value})
-		}
-	}
-
 	/** Tells a gateway where a stream began that its caller resumes. */
 	private answerOrigin(owner: string, requestId: string, now: number): void {
 		const origin = this.origins.find(requestId, now)
--- a/src/agent/engineLoop.ts
+++ b/src/agent/engineLoop.ts
@@ -97,6 +97,18 @@
 		this.endSleep?.()
 	}
 
+	/**
+	 * Reads a report at once, after a gateway noticed that the engine's process ended.
+	 * One report without a response then shows that it did.
+	 */
+	confirmCrash(): void {
+		this.reportFailures = Math.max(
+			this.reportFailures,
+			reportFailuresUntilDown - 1
+		)
+		this.requestReport()
+	}
+
 	private async acquireFencingToken(): Promise<void> {
 		while (!this.isStopped && this.fencingToken === undefined) {
 			try {
--- a/src/agent/gatewayLinks.ts
+++ b/src/agent/gatewayLinks.ts
@@ -126,6 +126,11 @@
 		link.pace = {stateIntervalMs, idleIntervalMs, takesChanges}
 	}
 
+	/** Sends a message to all gateways. */
+	sendToAll(body: AgentMessage["body"]): void {
+		for (const owner of this.links.keys()) this.send(owner, body)
+	}
+
 	/** Sends a message to all gateways but one. */
 	sendToOthers(owner: string, body: AgentMessage["body"]): void {
 		for (const other of this.links.keys()) {
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -12,7 +12,6 @@
 	GatewayMessageSchema,
 	type Hello,
 	HelloSchema,
-	type LimitNotice,
 	type OriginAnswer,
 	type PermitAnswer,
 	type PermitAsk,
@@ -21,6 +20,7 @@
 } from "../contract/gen/grants_pb.js"
 import {type OpenGrantStream, openGrantStream} from "../link/fleetLink.js"
 import type {TlsKeys} from "../link/tls.js"
+import {isNotice, type Notice} from "../notices/index.js"
 import {
 	activeHeartbeatMs,
 	chooseLinkIntervals,
@@ -75,10 +75,8 @@
 	getLimits: () => EngineLimits | undefined
 	getEngineId: () => string
 	onState(state: EngineState): void
-	/** Another gateway heard that an endpoint is leaving. */
-	onLeaving(endpointId: string, bornAt: number): void
-	/** Another gateway heard an endpoint state a limit, or that it states none. */
-	onLimit(notice: LimitNotice): void
+	/** The agent passes on what another gateway noticed. */
+	onNotice(notice: Notice): void
 	/** The agent's answer to `askPermit`. */
 	onPermit(answer: PermitAnswer): void
 	/** The agent's answer to `findOrigin`. */
@@ -183,10 +181,9 @@
 		this.send({case: "version", value: {$typeName, model, adapter, version}})
 	}
 
-	/** Tells the agent that an endpoint, its engine or another one, is leaving. */
-	announceLeaving(endpointId: string, bornAt: number): void {
-		const $typeName = "goldcrestloom.grants.v1.LeavingNotice"
-		this.send({case: "leaving", value: {$typeName, endpointId, bornAt}})
+	/** Tells the agent a fact about an endpoint or a prompt. */
+	announce(notice: Notice): void {
+		this.send(notice)
 	}
 
 	/** Asks the agent for a permit for an endpoint that has no agent. */
@@ -195,11 +192,6 @@
 		this.send({case: "permitAsk", value: ask})
 	}
 
-	/** Tells the agent what limit on requests an endpoint stated. */
-	announceLimit(notice: LimitNotice): void {
-		this.send({case: "limit", value: notice})
-	}
-
 	/**
 	 * Sends the agent the limits that the configuration sets for its engine and the
 	 * pace of this gateway, unless it was told the same on this stream.
@@ -316,9 +308,7 @@
 			this.options.onUp()
 		}
 		if (body.case === "state") this.applyState(body.value)
-		else if (body.case === "leaving")
-			this.options.onLeaving(body.value.endpointId, body.value.bornAt)
-		else if (body.case === "limit") this.options.onLimit(body.value)
+		else if (isNotice(body)) this.options.onNotice(body)
 		else if (body.case === "permit") this.options.onPermit(body.value)
 		else if (body.case === "origin") this.options.onOrigin(body.value)
 		else if (body.case === "grant") {
--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -8,14 +8,17 @@
 import {
 	type EngineLimits,
 	EngineLimitsSchema,
-	type LimitNotice,
 	type OriginAnswer,
 	type PermitAnswer
 } from "../contract/gen/grants_pb.js"
-import {createLimitNotice} from "../link/limitNotice.js"
 import type {TlsKeys} from "../link/tls.js"
+import {
+	getNoticeEndpoint,
+	getNoticeKey,
+	type Notice,
+	type NoticeBoard
+} from "../notices/index.js"
 import type {EngineChoice} from "../policy/dispatch/index.js"
-import type {StatedLimits} from "../policy/limits/index.js"
 import {
 	chooseLinkIntervals,
 	grantLinkPace,
@@ -30,8 +33,8 @@
 	gateway: string
 	fleet: FleetState
 	engineChoice: EngineChoice
-	/** Limits that endpoints state; gets those that other gateways heard. */
-	limits: StatedLimits
+	/** Facts that this gateway knows, which each agent that connects is told. */
+	notices: NoticeBoard
 	log: DecisionLog
 	/** Port at which each agent listens on the host of its engine. */
 	agentPort: number
@@ -46,8 +49,8 @@
 
 /** Factor by which the pace must differ from the one told to agents. */
 const paceHysteresis = 1.2
-/** Agents that pass on what an endpoint stated, besides its own. */
-const maxStatementRelays = 2
+/** Agents that pass on a fact, besides that of the endpoint it is about. */
+const maxNoticeRelays = 2
 
 export class AgentLinks {
 	private readonly links = new Map<string, AgentLink>()
@@ -94,55 +97,31 @@
 	}
 
 	/**
-	 * Tells other gateways that an endpoint is leaving, through the agent of the
-	 * endpoint itself and a few others: one of them may be about to leave as well.
-	 */
-	announceLeaving(endpointId: string, bornAt: number): void {
-		for (const link of this.listRelays(endpointId)) {
-			link.announceLeaving(endpointId, bornAt)
-		}
-	}
-
-	/**
-	 * Tells the agent of the endpoint which limit it stated and, when it began or
-	 * ended to have one, other gateways, as in `announceLeaving`.
+	 * Tells agents a fact, which pass it on to their other gateways: the agent of the
+	 * endpoint that it is about and, unless only that one needs it, a few others. All
+	 * gateways choose the same ones for a fact as long as they have the same links.
 	 */
-	announceLimit(endpointId: string, bornAt: number, isNew: boolean): void {
-		const notice = this.describeLimit(endpointId, bornAt)
-		const links = isNew
-			? this.listRelays(endpointId)
-			: [this.links.get(endpointId)]
-		for (const link of links) link?.announceLimit(notice)
+	announce(notice: Notice, {isForOwnOnly = false} = {}): void {
+		const endpointId = getNoticeEndpoint(notice)
+		const own = endpointId === undefined ? undefined : this.get(endpointId)
+		own?.announce(notice)
+		if (isForOwnOnly) return
+		const ranked = this.rankLinked(getNoticeKey(notice), maxNoticeRelays + 1)
+		const relays = ranked.filter(id => id !== endpointId)
+		for (const id of relays.slice(0, maxNoticeRelays))
+			this.get(id)?.announce(notice)
 	}
 
-	/** The link of the endpoint, if it is an engine, and those of a few others. */
-	private listRelays(endpointId: string): AgentLink[] {
-		const relays: AgentLink[] = []
-		for (const [id, link] of this.links) {
-			if (id === endpointId || relays.length >= maxStatementRelays) continue
-			if (this.options.engineChoice.isLinked(id)) relays.push(link)
+	/** Applies what an agent passed on; the endpoint's own agent may not know. */
+	private receiveNotice(notice: Notice, relayId: string): void {
+		const {notices, now} = this.options
+		const news = notices.merge(notice, now(), `agent of ${relayId}`)
+		for (const item of news) {
+			const isOwn = getNoticeEndpoint(item) === relayId
+			const isPassedOn = item.value === notice.value
+			if (!isPassedOn) this.announce(item)
+			else if (!isOwn) this.announce(item, {isForOwnOnly: true})
 		}
-		const own = this.links.get(endpointId)
-		return own === undefined ? relays : [own, ...relays]
-	}
-
-	/** What to tell an agent of the limit that the endpoint states, if it does. */
-	describeLimit(endpointId: string, bornAt: number): LimitNotice {
-		const {limits, now} = this.options
-		const stated = limits.get(endpointId, bornAt)
-		return createLimitNotice(endpointId, bornAt, stated, now())
-	}
-
-	/** Applies what another gateway heard; the endpoint's own agent may not know. */
-	private applyLimit(notice: LimitNotice, relayId: string): void {
-		const {endpointId, bornAt, perSecond, ageMs} = notice
-		const {limits, log, now} = this.options
-		const statedAt = now() - ageMs
-		if (!limits.apply(endpointId, {bornAt, perSecond, statedAt})) return
-		const source = `agent of ${relayId}`
-		log.decide("endpoint.limit", {endpoint: endpointId, perSecond, source})
-		if (endpointId !== relayId)
-			this.links.get(endpointId)?.announceLimit(notice)
 	}
 
 	/**
@@ -246,11 +225,8 @@
 					link.announceVersion(newest.model, newest.adapter, newest.version)
 				}
 			},
-			onLeaving: (endpointId, bornAt) => {
-				fleet.markLeaving(endpointId, bornAt, `agent of ${id}`)
-			},
-			onLimit: notice => {
-				this.applyLimit(notice, id)
+			onNotice: notice => {
+				this.receiveNotice(notice, id)
 			},
 			onOrigin: answer => {
 				this.options.onOrigin(id, answer)
@@ -260,9 +236,8 @@
 			},
 			onUp: () => {
 				log.decide("agent.up", {endpoint: id})
-				const {bornAt} = fleet.getEndpoint(id) ?? endpoint
-				if (this.options.limits.get(id, bornAt) !== undefined)
-					link.announceLimit(this.describeLimit(id, bornAt))
+				for (const notice of this.options.notices.list(now()))
+					link.announce(notice)
 			},
 			onDown: reason => {
 				log.decide("agent.down", {endpoint: id, reason})
--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -39,6 +39,7 @@
 	Drain = "drain"
 }
 
+const httpInternalError = 500
 const httpServiceUnavailable = 503
 const httpBadGateway = 502
 const httpGatewayTimeout = 504
@@ -129,6 +130,15 @@
 		})
 	}
 
+	/**
+	 * Responds that the request did not run and that repeating it is of no use. It is
+	 * valid and may be served another day, so that no status for invalid requests fits.
+	 */
+	turnAway(reason: string, logFields: LogFields): void {
+		this.respondWithText(httpInternalError, reason, {})
+		this.recordOutcome(RequestOutcome.TurnedAway, {reason, ...logFields})
+	}
+
 	/** Responds that it is not known whether the request ran. */
 	respondUnknown(
 		reason: string,
--- a/src/gateway/endpointSignals.ts
+++ b/src/gateway/endpointSignals.ts
@@ -1,5 +1,8 @@
 /** Applies what an endpoint states about itself in the head of a response. */
+import {create} from "@bufbuild/protobuf"
 import type {FleetEndpoint} from "../contract/fleet.js"
+import {LeavingNoticeSchema} from "../contract/gen/grants_pb.js"
+import {createLimitNotice, type Notice} from "../notices/index.js"
 import {maxPauseMs} from "../policy/dispatch/index.js"
 import type {GatewayContext} from "./gatewayContext.js"
 import {EndpointSignal} from "./gatewayMetrics.js"
@@ -20,14 +23,20 @@
 	const {id, bornAt} = source.endpoint
 	// Another endpoint has the address; its statements are not about this one.
 	if (head.isMisdirected) return
-	if (head.isLeaving && ctx.fleet.markLeaving(id, bornAt, "answer")) {
-		ctx.metrics.countSignal(EndpointSignal.Leaving)
-		ctx.links.announceLeaving(id, bornAt)
-	}
+	if (head.isLeaving) applyLeaving(ctx, id, bornAt)
 	applyPause(ctx, source, head)
 	applyLimit(ctx, source, head)
 }
 
+function applyLeaving(ctx: GatewayContext, id: string, bornAt: number): void {
+	const value = create(LeavingNoticeSchema, {endpointId: id, bornAt})
+	const notice: Notice = {case: "leaving", value}
+	for (const news of ctx.notices.merge(notice, ctx.now(), "answer")) {
+		ctx.metrics.countSignal(EndpointSignal.Leaving)
+		ctx.links.announce(news)
+	}
+}
+
 function applyPause(
 	ctx: GatewayContext,
 	{endpoint: {id}, requestId}: SignalSource,
@@ -66,6 +75,10 @@
 	if (!ctx.limits.addAnswer(statement, ctx.now())) return
 	ctx.metrics.countSignal(EndpointSignal.Limit)
 	ctx.log.request("endpoint.limit", requestId, {endpoint: id, perSecond})
-	const isNew = wasLimited !== (perSecond !== undefined)
-	ctx.links.announceLimit(id, bornAt, isNew)
+	// The endpoint's own agent keeps to the rate; others need only hear that there is
+	// a limit.
+	const isForOwnOnly = wasLimited === (perSecond !== undefined)
+	const stated = ctx.limits.get(id, bornAt)
+	const value = createLimitNotice(id, bornAt, stated, ctx.now())
+	ctx.links.announce({case: "limit", value}, {isForOwnOnly})
 }
--- a/src/gateway/fleetState.ts
+++ b/src/gateway/fleetState.ts
@@ -228,12 +228,17 @@
 	}
 
 	/**
-	 * Stops new requests to an endpoint that stated in an answer that it is leaving.
-	 * Returns false if that was known, or if another incarnation is registered.
+	 * Stops new requests to an endpoint that stated in an answer that it is leaving,
+	 * also if it is not registered yet. Returns false if that was known, or if another
+	 * incarnation is registered.
 	 */
 	markLeaving(id: string, bornAt: number, source: string): boolean {
 		const known = this.endpoints.get(id)
-		if (known?.bornAt !== bornAt) return false
+		if (known === undefined) {
+			this.departures.addStatement(id, bornAt)
+			return true
+		}
+		if (known.bornAt !== bornAt) return false
 		this.departures.addStatement(id, bornAt)
 		if (known.state === EndpointState.Draining) return false
 		this.endpoints.set(id, {...known, state: EndpointState.Draining})
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -6,12 +6,14 @@
 	ServiceChoice
 } from "../policy/dispatch/index.js"
 import type {StatedLimits} from "../policy/limits/index.js"
+import type {NoticeBoard} from "../notices/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
 import type {AgentLinks} from "./agentLinks.js"
 import type {FleetState} from "./fleetState.js"
 import type {GatewayMetrics} from "./gatewayMetrics.js"
 import type {Permits} from "./permits.js"
 import type {RetryBudgets} from "./retryBudgets.js"
+import type {PromptGuard} from "./promptGuard.js"
 import type {StreamDirectory} from "./streamDirectory.js"
 import type {CallerExchange} from "./callerExchange.js"
 import type {WireCodec} from "./wire.js"
@@ -26,6 +28,8 @@
 	limits: StatedLimits
 	permits: Permits
 	streams: StreamDirectory
+	notices: NoticeBoard
+	guard: PromptGuard
 	retryBudgets: RetryBudgets
 	log: DecisionLog
 	metrics: GatewayMetrics
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -10,6 +10,8 @@
 	Answered = "answered",
 	/** The request did not run; the caller was told when to retry. */
 	Refused = "refused",
+	/** The request did not run, and the caller was told not to repeat it. */
+	TurnedAway = "turnedAway",
 	/** The request may have run, and its result is not known. */
 	Unknown = "unknown",
 	/** The endpoint's 5xx response was forwarded. */
@@ -89,6 +91,12 @@
 		labelNames: ["reason"],
 		registers: [this.registry]
 	})
+	/** Parts of prompts with which requests are turned away. */
+	readonly accusedParts = new Gauge({
+		name: "goldcrestloom_accused_prompt_parts",
+		help: "Parts of prompts that are taken to crash engines",
+		registers: [this.registry]
+	})
 	readonly activeRequests = new Gauge({
 		name: "goldcrestloom_active_requests",
 		help: "Requests being served",
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -9,6 +9,14 @@
 	EngineChoice,
 	ServiceChoice
 } from "../policy/dispatch/index.js"
+import {
+	CrashNotices,
+	LeavingNotices,
+	LimitNotices,
+	NoticeBoard,
+	TrialNotices
+} from "../notices/index.js"
+import {CrashRecords} from "../policy/crashes/index.js"
 import {StatedLimits} from "../policy/limits/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
 import {startProbeServer} from "../program/probeServer.js"
@@ -20,6 +28,7 @@
 import {GatewayMetrics} from "./gatewayMetrics.js"
 import {GatewayServer} from "./gatewayServer.js"
 import {Permits} from "./permits.js"
+import {PromptGuard} from "./promptGuard.js"
 import {RetryBudgets} from "./retryBudgets.js"
 import {StreamDirectory} from "./streamDirectory.js"
 import type {WireCodec} from "./wire.js"
@@ -86,11 +95,26 @@
 		const engines = new EngineChoice()
 		this.fleet = new FleetState(log)
 		const limits = new StatedLimits()
+		const crashes = new CrashRecords()
+		const notices = new NoticeBoard({
+			leaving: new LeavingNotices(({endpointId, bornAt}, source) => {
+				this.fleet.markLeaving(endpointId, bornAt, source)
+			}),
+			limit: new LimitNotices(limits, ({endpointId, perSecond}, source) => {
+				log.decide("endpoint.limit", {endpoint: endpointId, perSecond, source})
+			}),
+			crash: new CrashNotices(crashes, (_, source) => {
+				guard.handleNews(source)
+			}),
+			trial: new TrialNotices(crashes, (_, source) => {
+				guard.handleNews(source)
+			})
+		})
 		const links = new AgentLinks({
 			gateway: options.host,
 			fleet: this.fleet,
 			engineChoice: engines,
-			limits,
+			notices,
 			log,
 			agentPort: options.agentPort,
 			tls,
@@ -104,6 +128,15 @@
 		})
 		const random = options.random ?? Math.random
 		const permits = new Permits({links, limits, now, random})
+		const guard = new PromptGuard({
+			records: crashes,
+			notices,
+			links,
+			log,
+			metrics: this.metrics,
+			gateway: options.host,
+			now
+		})
 		const streams = new StreamDirectory({fleet: this.fleet, links, now})
 		this.ctx = {
 			wire,
@@ -115,6 +148,8 @@
 			limits,
 			permits,
 			streams,
+			notices,
+			guard,
 			retryBudgets: new RetryBudgets({
 				ratio: options.repeatRatio,
 				extra: options.repeatExtra,
--- /dev/null
+++ b/src/gateway/generationEnding.ts
@@ -0,0 +1,108 @@
+/**
+ * How a generation ends for its caller: with the complete response of an engine, cut
+ * after its first events, as unknown, or refused because it has not run.
+ */
+import type {LogFields} from "./callerExchange.js"
+import type {CallerStream} from "./callerStream.js"
+import type {RoutedRequest} from "./gatewayContext.js"
+import type {GenerationSend} from "./generationSend.js"
+import type {PromptAdmission} from "./promptAdmission.js"
+import {isServerError, type ResponseHead} from "./wire.js"
+
+export interface GenerationEndingOptions {
+	request: RoutedRequest
+	stream: CallerStream
+	admission: PromptAdmission
+	/** Ends timers, searches and sends of the request. */
+	cancel: () => void
+}
+
+/** What became of the sends of a generation. */
+export interface SendSummary {
+	sends: number
+	/** Whether an engine ran it or may have. */
+	mayHaveRun: boolean
+}
+
+const minRetryAfterMs = 150
+/** Callers return in time to be served within this share of the time they have left. */
+const maxReturnShare = 1 / 3
+const httpOk = 200
+
+export class GenerationEnding {
+	constructor(private readonly options: GenerationEndingOptions) {}
+
+	/**
+	 * Ends the response with a complete one of an engine. Returns false if the send
+	 * counts as failed: a stream without events or with a truncated last event, an
+	 * error status after the caller's stream has begun, or a 5xx while another engine
+	 * may still answer.
+	 */
+	tryComplete(
+		send: GenerationSend,
+		head: ResponseHead,
+		at: {sends: number; isStandby: boolean; mayBeAnswered: boolean}
+	): boolean {
+		const {stream, cancel, request} = this.options
+		const {exchange} = request
+		const logFields = {
+			endpoint: send.target.endpoint.id,
+			sends: at.sends,
+			...stream.getEstimateFields(send.target)
+		}
+		if (head.status === httpOk) {
+			if (send.hasPartialEvent || !exchange.hasStarted) return false
+			// No event: whether the stream is complete is left to the current send.
+			if (at.isStandby) return false
+			cancel()
+			exchange.endStream(logFields)
+			return true
+		}
+		if (exchange.hasStarted) return false
+		if (isServerError(head) && at.mayBeAnswered) return false
+		cancel()
+		exchange.forwardResponse(head, send.body, logFields)
+		return true
+	}
+
+	/** Refuses a request that has not run; the caller may return after the time. */
+	refuse(reason: string, retryAfterMs: number, logFields: LogFields): void {
+		this.options.cancel()
+		this.options.request.exchange.refuse(reason, retryAfterMs, logFields)
+	}
+
+	/** Ends a request whose prompt crashes engines. */
+	turnAway({sends, mayHaveRun}: SendSummary): void {
+		const detail = "prompt crashes engines"
+		const {admission, request, cancel} = this.options
+		const {exchange} = request
+		const logFields = {sends, parts: admission.sharedParts}
+		if (exchange.hasStarted || mayHaveRun) {
+			this.fail(detail, {sends, mayHaveRun}, logFields)
+			return
+		}
+		const {returnMs, leftMs} = admission
+		// Callers repeat what may be repeated after any failure, so that the time counts.
+		if (request.route.isResumable || returnMs < leftMs * maxReturnShare) {
+			this.refuse(detail, returnMs, logFields)
+			return
+		}
+		cancel()
+		exchange.turnAway(detail, logFields)
+	}
+
+	fail(
+		detail: string,
+		{sends, mayHaveRun}: SendSummary,
+		fields: LogFields = {},
+		isTimeout = false
+	): void {
+		const {cancel, request, stream} = this.options
+		const {exchange} = request
+		cancel()
+		const logFields = {sends, ...stream.endFields, ...fields}
+		if (exchange.hasStarted) exchange.abortStream({detail, ...logFields})
+		else if (mayHaveRun) exchange.respondUnknown(detail, logFields, isTimeout)
+		else exchange.refuse(detail, minRetryAfterMs, logFields)
+	}
+}
--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -5,7 +5,7 @@
 import type {StreamOrigin} from "../contract/gen/grants_pb.js"
 import type {LogFields} from "./callerExchange.js"
 import {BodyBuffer, maxBufferedBytes} from "./bodyBuffer.js"
-import {type CallOutcome, EndpointCall} from "./endpointCall.js"
+import {CallOutcome, EndpointCall} from "./endpointCall.js"
 import {applySignals} from "./endpointSignals.js"
 import {EventSplitter, type StreamEvent} from "./eventSplitter.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
@@ -29,6 +29,8 @@
 	) => void
 	/** Called with each comment after the first event. */
 	onComment: (send: GenerationSend, bytes: Buffer) => void
+	/** Called once the engine has gone on after the first event. */
+	onProven: (send: GenerationSend) => void
 	/** Called each time that no event has arrived for the limit. */
 	onSilent: (send: GenerationSend) => void
 	onEnd: (send: GenerationSend, outcome: CallOutcome, detail: string) => void
@@ -49,6 +51,8 @@
 const httpOk = 200
 /** Bounds the length of a log line. */
 const maxLoggedParts = 16
+/** An engine may still write the first event of an answer on which it ends. */
+const eventsUntilProven = 2
 
 export class GenerationSend {
 	readonly target: SendTarget
@@ -57,7 +61,8 @@
 	private readonly call: EndpointCall
 	private readonly splitter = new EventSplitter()
 	private readonly received = new BodyBuffer()
-	private hasFirstEvent = false
+	private eventCount = 0
+	private firstEventAt = 0
 	/** Comments before the first event; forwarded with it. */
 	private readonly leadingComments = new BodyBuffer()
 	private silenceTimer: NodeJS.Timeout | undefined
@@ -125,12 +130,32 @@
 		return this.call.wasSent
 	}
 
+	/** Whether no event has arrived. */
+	get isUnanswered(): boolean {
+		return this.eventCount === 0
+	}
+
+	/** Whether the engine has gone on after the first event. */
+	get isProven(): boolean {
+		return this.eventCount >= eventsUntilProven
+	}
+
+	/** Time of the first event. */
+	get answeredAt(): number {
+		return this.firstEventAt
+	}
+
+	/** Whether the head of an answer has arrived. */
+	get hasBegun(): boolean {
+		return this.responseHead?.status === httpOk
+	}
+
 	/** For the log line of a send that delivered no event: the parts of its prompt. */
 	get promptFields(): LogFields {
-		if (this.hasFirstEvent) return {}
+		if (!this.isUnanswered) return {}
 		return {
 			parts: this.options.sharedParts.slice(0, maxLoggedParts),
-			hasHead: this.responseHead !== undefined
+			hasBegun: this.hasBegun
 		}
 	}
 
@@ -154,16 +179,17 @@
 	}
 
 	private receiveComment(bytes: Buffer): void {
-		if (this.hasFirstEvent) this.options.onComment(this, bytes)
+		if (!this.isUnanswered) this.options.onComment(this, bytes)
 		else if (!this.leadingComments.tryPush(bytes))
 			this.call.reject("comments without end")
 	}
 
 	private receiveEvent(responseHead: ResponseHead, event: StreamEvent): void {
 		const {target, request, onEvent, createOriginNotice} = this.options
-		if (this.hasFirstEvent) onEvent(this, responseHead, event)
+		this.eventCount += 1
+		if (this.eventCount > 1) onEvent(this, responseHead, event)
 		else {
-			this.hasFirstEvent = true
+			this.firstEventAt = this.options.ctx.now()
 			target.link?.notifyStarted(target.key, createOriginNotice())
 			const bytes = Buffer.concat([
 				this.leadingComments.toBuffer(),
@@ -171,6 +197,7 @@
 			])
 			onEvent(this, responseHead, {...event, bytes})
 		}
+		if (this.eventCount === eventsUntilProven) this.options.onProven(this)
 		const gapMs = request.route.eventGapMs * eventGapTimeoutFactor
 		this.restartSilenceTimer(Math.max(minEventGapTimeoutMs, gapMs))
 	}
@@ -184,3 +211,17 @@
 		}, limitMs)
 	}
 }
+
+/** Records success or failure of the engine for later ratings. */
+export function recordEngineResult(
+	{engines, now}: GatewayContext,
+	{target, responseHead}: GenerationSend,
+	outcome: CallOutcome
+): void {
+	// No failure: the engine evicted the adapter or has restarted.
+	if (responseHead?.isMisdirected === true) return
+	const {id} = target.endpoint
+	if (outcome === CallOutcome.Complete && responseHead?.status === httpOk)
+		engines.addSuccess(id, now())
+	else engines.addFailure(id, now())
+}
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -6,51 +6,71 @@
  * the caller's stream ends only when no call is left.
  */
 import {getStartLimits, type StartLimits} from "../policy/dispatch/index.js"
-import type {LogFields} from "./callerExchange.js"
 import {CallerStream} from "./callerStream.js"
 import {CallOutcome} from "./endpointCall.js"
 import {EngineSearch, type SearchRefusal} from "./engineSearch.js"
+import {LaterSearch} from "./laterSearch.js"
 import type {StreamEvent} from "./eventSplitter.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
-import {GenerationSend} from "./generationSend.js"
+import {GenerationEnding} from "./generationEnding.js"
+import {GenerationSend, recordEngineResult} from "./generationSend.js"
+import {PromptAdmission} from "./promptAdmission.js"
 import {RequestTask} from "./requestTask.js"
+import {SendPair} from "./sendPair.js"
 import type {SendTarget} from "./sendTarget.js"
 import {locateStream} from "./streamResumption.js"
 import {
 	type ResponseHead,
 	type GenerationHead,
-	isServerError,
 	listSharedParts
 } from "./wire.js"
 
 /** Limit on sends of one request, including those an engine did not run. */
 const maxSends = 4
-const minRetryAfterMs = 150
-/** Pause between two searches for an engine to go on with a stream. */
-const searchIntervalMs = 250
-const httpOk = 200
+const suspectedPrompt = "prompt may have crashed an engine"
 
 export class GenerationTask extends RequestTask {
 	private readonly search: EngineSearch
 	private readonly stream: CallerStream
-	/** The send whose events the caller receives. */
-	private currentSend: GenerationSend | undefined
-	/** A send to another engine while the current one is silent. */
-	private standbySend: GenerationSend | undefined
-	/**
-	 * Time until which a stream without an open call must go on, since a later event
-	 * is of no use; undefined until one was lost, and again after an event.
-	 */
-	private resumeBy: number | undefined
-	private searchTimer: NodeJS.Timeout | undefined
+	private readonly admission: PromptAdmission
+	private readonly open = new SendPair()
+	private readonly ending: GenerationEnding
+	private readonly later: LaterSearch
+	private endWatch: (() => void) | undefined
 
 	constructor(
 		ctx: GatewayContext,
 		request: RoutedRequest,
-		private readonly generation: GenerationHead
+		generation: GenerationHead
 	) {
 		super(ctx, request)
 		this.stream = new CallerStream(ctx, request)
+		this.admission = new PromptAdmission({
+			guard: ctx.guard,
+			requestId: request.exchange.head.id,
+			sharedParts: listSharedParts(generation),
+			deadline: request.deadline,
+			now: ctx.now,
+			random: ctx.random
+		})
+		this.ending = new GenerationEnding({
+			request,
+			stream: this.stream,
+			admission: this.admission,
+			cancel: () => {
+				this.cancel()
+			}
+		})
+		this.later = new LaterSearch({
+			getStartBy: () => this.startLimits.startBy,
+			onSearch: () => {
+				this.search.startOver()
+			},
+			onTooLate: () => {
+				this.ending.fail(suspectedPrompt, this)
+			},
+			now: ctx.now
+		})
 		this.search = new EngineSearch({
 			ctx,
 			request,
@@ -67,6 +87,13 @@
 	protected override dispatch(): void {
 		const {ctx, request, stream} = this
 		const {resumption} = request.exchange.head
+		if (this.admission.isTurnedAway) {
+			this.ending.turnAway(this)
+			return
+		}
+		this.endWatch = ctx.guard.watch(() => {
+			this.handleSuspicion()
+		})
 		if (resumption === undefined) {
 			this.search.start()
 			return
@@ -80,7 +107,7 @@
 				if (!this.isCancelled) this.search.start()
 			},
 			onRefused: reason => {
-				if (!this.isCancelled) this.failRequest(reason, {})
+				if (!this.isCancelled) this.ending.fail(reason, this)
 			}
 		})
 	}
@@ -98,16 +125,21 @@
 			deadline,
 			objectiveMs: route.objectiveMs,
 			eventGapMs: route.eventGapMs,
-			mayHaveRun: this.mayHaveRun || this.currentSend !== undefined,
+			mayHaveRun: this.mayHaveRun || this.open.current !== undefined,
 			hasStarted: exchange.hasStarted
 		})
-		const {resumeBy = limits.startBy} = this
-		return {...limits, startBy: Math.min(limits.startBy, resumeBy)}
+		return {...limits, startBy: this.later.limit(limits.startBy)}
 	}
 
 	/** Returns false if no repeat is left for it. */
 	private send(target: SendTarget): boolean {
 		const {ctx, request} = this
+		if (!this.admission.tryAdmit()) {
+			target.link?.notifyEnded(target.key)
+			if (this.admission.isHeld) this.hold(suspectedPrompt)
+			else this.handleSuspicion()
+			return false
+		}
 		if (this.sends > 0 && !ctx.retryBudgets.tryRetry(request.pool)) {
 			target.link?.notifyEnded(target.key)
 			this.endWithoutSend("no repeats left")
@@ -120,14 +152,17 @@
 			ctx,
 			request,
 			target,
-			sharedParts: listSharedParts(this.generation),
+			sharedParts: this.admission.sharedParts,
 			resumeAfter: this.stream.lastEventId,
 			createOriginNotice: () => this.stream.createNotice(target),
 			onEvent: (from, responseHead, event) => {
 				this.forwardEvent(from, responseHead, event)
 			},
 			onComment: (from, bytes) => {
-				if (from === this.currentSend) request.exchange.writeEvent(bytes)
+				if (from === this.open.current) request.exchange.writeEvent(bytes)
+			},
+			onProven: from => {
+				this.admission.noteAnswer(from.answeredAt)
 			},
 			onSilent: from => {
 				this.handleSilence(from)
@@ -137,8 +172,7 @@
 				this.handleSendEnd(from, outcome, detail)
 			}
 		})
-		if (this.currentSend === undefined) this.currentSend = send
-		else this.standbySend = send
+		this.open.add(send)
 		return true
 	}
 
@@ -147,10 +181,12 @@
 		responseHead: ResponseHead,
 		event: StreamEvent
 	): void {
-		if (send === this.currentSend) this.dropStandby()
-		else this.takeOver()
+		if (send === this.open.current) {
+			this.search.cancel()
+			this.open.dropStandby()
+		} else this.open.takeOver()
 		this.stream.forward(send.target, responseHead, event)
-		this.resumeBy = undefined
+		this.later.noteEvent()
 	}
 
 	/**
@@ -159,7 +195,7 @@
 	 */
 	private handleSilence(send: GenerationSend): void {
 		const {ctx, request} = this
-		if (this.isCancelled || send !== this.currentSend) return
+		if (this.isCancelled || send !== this.open.current) return
 		if (this.isSeekingStandby) return
 		if (!this.canResume(1) || this.sends >= maxSends) return
 		const {id} = send.target.endpoint
@@ -173,27 +209,7 @@
 	}
 
 	private get isSeekingStandby(): boolean {
-		return this.search.isPending || this.standbySend !== undefined
-	}
-
-	/** Goes on with the standby send, which has delivered an event. */
-	private takeOver(): void {
-		const silent = this.currentSend
-		this.promoteStandby()
-		silent?.abort()
-	}
-
-	private promoteStandby(): void {
-		this.currentSend = this.standbySend
-		this.standbySend = undefined
-	}
-
-	/** Cancels the standby send, or the search for one: the engine has gone on. */
-	private dropStandby(): void {
-		this.search.cancel()
-		const standby = this.standbySend
-		this.standbySend = undefined
-		standby?.abort()
+		return this.search.isPending || this.open.hasStandby
 	}
 
 	/**
@@ -217,14 +233,14 @@
 		ctx.metrics.countSend(request.pool, outcome)
 		ctx.engines.end(id)
 		target.link?.notifyEnded(target.key, responseHead?.isMisdirected ?? false)
-		const isStandby = send === this.standbySend
-		if (isStandby) this.standbySend = undefined
-		else if (send === this.currentSend) this.promoteStandby()
+		const isStandby = this.open.remove(send)
 		if (this.isCancelled || !exchange.isOpen) return
-		if (outcome !== CallOutcome.Aborted)
-			this.recordResult(id, outcome, responseHead)
+		if (outcome !== CallOutcome.Aborted) recordEngineResult(ctx, send, outcome)
 		if (outcome === CallOutcome.Complete && responseHead !== undefined) {
-			if (this.tryComplete(send, responseHead, isStandby)) return
+			this.noteShortAnswer(send)
+			const mayBeAnswered = this.open.current !== undefined || this.canResume(1)
+			const at = {sends: this.sends, isStandby, mayBeAnswered}
+			if (this.ending.tryComplete(send, responseHead, at)) return
 			detail = `status ${responseHead.status}`
 		}
 		ctx.log.request("send.failed", exchange.head.id, {
@@ -244,144 +260,118 @@
 			this.runs += 1
 			this.mayHaveRun = true
 		}
-		if (outcome === CallOutcome.Aborted || this.search.isPending) return
+		if (outcome === CallOutcome.Aborted) return
+		const isBroken = outcome === CallOutcome.Broken || send.hasBegun
+		if (hasNotRun || !isBroken || send.isProven) {
+			this.goOn(detail, hasNotRun, isStandby)
+			return
+		}
+		void this.admission.noteBreak(send).then(() => {
+			this.dropSuspects()
+			this.goOn(detail, hasNotRun, isStandby)
+		})
+	}
+
+	/** Sends the request again after a failed send, or ends it. */
+	private goOn(detail: string, hasNotRun: boolean, isStandby: boolean): void {
+		if (this.isCancelled || !this.request.exchange.isOpen) return
+		if (this.search.isPending) return
 		// The standby send was promoted.
-		if (this.currentSend !== undefined && !isStandby) return
+		if (this.open.current !== undefined && !isStandby) return
 		const canRetry =
-			(hasNotRun && !this.mayHaveRun && this.currentSend === undefined) ||
-			this.canResume(this.currentSend === undefined ? 0 : 1)
+			(hasNotRun && !this.mayHaveRun && this.open.current === undefined) ||
+			this.canResume(this.open.current === undefined ? 0 : 1)
 		if (!canRetry || this.sends >= maxSends) this.endWithoutSend(detail)
+		else if (this.admission.isHeld) this.hold(detail)
 		else this.search.start()
 	}
 
+	/** An answer of a single event proves as much as one that goes on. */
+	private noteShortAnswer(send: GenerationSend): void {
+		const isWhole = !send.isUnanswered && !send.hasPartialEvent
+		if (isWhole && !send.isProven) this.admission.noteAnswer(send.answeredAt)
+	}
+
 	/**
-	 * Ends the caller's response with a complete response of the engine. Returns
-	 * false if the send counts as failed: a stream without events or with a truncated
-	 * last event, an error status after the caller's stream has begun, or a 5xx while
-	 * another engine may still answer.
+	 * Gives up sends without events when a prompt that crashes engines, or may have
+	 * crashed one, is still on its way into another engine.
 	 */
-	private tryComplete(
-		send: GenerationSend,
-		responseHead: ResponseHead,
-		isStandby: boolean
-	): boolean {
-		const {exchange} = this.request
-		const logFields = {
-			endpoint: send.target.endpoint.id,
-			sends: this.sends,
-			...this.stream.getEstimateFields(send.target)
-		}
-		if (responseHead.status === httpOk) {
-			if (send.hasPartialEvent || !exchange.hasStarted) return false
-			// No event: whether the stream is complete is left to the current send.
-			if (isStandby) return false
-			this.cancel()
-			exchange.endStream(logFields)
-			return true
-		}
-		const mayBeAnswered = this.currentSend !== undefined || this.canResume(1)
-		if (exchange.hasStarted) return false
-		if (isServerError(responseHead) && mayBeAnswered) return false
-		this.cancel()
-		exchange.forwardResponse(responseHead, send.body, logFields)
-		return true
+	private dropSuspects(): void {
+		const {isHeld, isTurnedAway} = this.admission
+		if (!isHeld && !isTurnedAway) return
+		this.search.cancel()
+		this.open.dropUnanswered()
 	}
 
-	/** Records success or failure of the engine for later ratings. */
-	private recordResult(
-		id: string,
-		outcome: CallOutcome,
-		responseHead: ResponseHead | undefined
-	): void {
-		const {engines, now} = this.ctx
-		// No failure: the engine evicted the adapter or has restarted.
-		if (responseHead?.isMisdirected === true) return
-		if (outcome === CallOutcome.Complete && responseHead?.status === httpOk) {
-			engines.addSuccess(id, now())
-		} else engines.addFailure(id, now())
+	/** Acts on what became known of the parts of the prompt. */
+	private handleSuspicion(): void {
+		const {admission, request} = this
+		if (this.isCancelled || !request.exchange.isOpen) return
+		if (admission.isTurnedAway) {
+			this.dropSuspects()
+			if (this.open.current === undefined) this.ending.turnAway(this)
+		} else if (!admission.isHeld) this.later.release()
+	}
+
+	/** Waits until the parts of the prompt were answered elsewhere, while that is of use. */
+	private hold(detail: string): void {
+		const {ctx, request, admission, later} = this
+		if (this.open.current !== undefined) {
+			this.endWithoutSend(detail)
+			return
+		}
+		const {sharedParts: parts} = admission
+		ctx.log.request("send.held", request.exchange.head.id, {parts, detail})
+		later.hold()
 	}
 
 	/** Ends a request for which no engine is left that could start in time. */
 	private endWithoutEngine(refusal: SearchRefusal): void {
-		if (this.mayHaveRun || this.currentSend !== undefined) {
-			if (!this.searchLater()) this.endWithoutSend("no engine to go on at")
+		if (this.mayHaveRun || this.open.current !== undefined) {
+			const mayGoOn =
+				this.open.current === undefined &&
+				this.request.exchange.hasStarted &&
+				this.canResume(0)
+			if (mayGoOn && this.later.trySchedule()) return
+			this.endWithoutSend("no engine to go on at")
 			return
 		}
-		this.clearTimers()
 		const {reason, retryAfterMs, expectedMs, asks} = refusal
 		const pauseLeftMs = this.getPauseLeftMs() ?? 0
-		this.request.exchange.refuse(reason, pauseLeftMs + retryAfterMs, {
+		this.ending.refuse(reason, pauseLeftMs + retryAfterMs, {
 			expectedMs,
 			asks,
 			sends: this.sends
 		})
 	}
 
-	/**
-	 * Searches again soon for an engine to go on with a stream that has begun and has
-	 * no open call. Returns false when it is too late for that.
-	 */
-	private searchLater(): boolean {
-		if (this.currentSend !== undefined) return false
-		if (!this.request.exchange.hasStarted || !this.canResume(0)) return false
-		this.resumeBy ??= this.startLimits.startBy
-		if (this.ctx.now() + searchIntervalMs >= this.resumeBy) return false
-		this.searchTimer = setTimeout(() => {
-			this.search.startOver()
-		}, searchIntervalMs)
-		return true
-	}
-
 	/** Ends a request that can't be sent again, unless a call is still open. */
 	private endWithoutSend(detail: string): void {
-		if (this.currentSend === undefined) {
-			this.failRequest(detail, {})
+		if (this.open.current === undefined) {
+			this.ending.fail(detail, this)
 			return
 		}
-		const {ctx, request, currentSend} = this
+		const {ctx, request, open} = this
 		ctx.log.request("send.kept", request.exchange.head.id, {
-			endpoint: currentSend.target.endpoint.id,
+			endpoint: open.current?.target.endpoint.id,
 			detail
 		})
 	}
 
-	private failRequest(
-		detail: string,
-		fields: LogFields,
-		isTimeout = false
-	): void {
-		this.clearTimers()
-		const {exchange} = this.request
-		const logFields = {
-			sends: this.sends,
-			...this.stream.endFields,
-			...fields
-		}
-		if (exchange.hasStarted) exchange.abortStream({detail, ...logFields})
-		else if (this.mayHaveRun)
-			exchange.respondUnknown(detail, logFields, isTimeout)
-		else exchange.refuse(detail, minRetryAfterMs, logFields)
-	}
-
 	protected override handleDeadline(): void {
-		if (this.currentSend?.wasSent === true) this.mayHaveRun = true
-		if (this.standbySend?.wasSent === true) this.mayHaveRun = true
-		this.cancel()
-		this.failRequest("deadline", this.deadlineFields, true)
+		if (this.open.wasSent) this.mayHaveRun = true
+		this.ending.fail("deadline", this, this.deadlineFields, true)
 	}
 
 	protected override clearTimers(): void {
 		super.clearTimers()
-		clearTimeout(this.searchTimer)
+		this.later.clear()
+		this.endWatch?.()
 	}
 
 	protected override cancel(): void {
 		super.cancel()
 		this.search.cancel()
-		// The end of the current send would make the standby send the current one.
-		const sends = [this.currentSend, this.standbySend]
-		this.currentSend = undefined
-		this.standbySend = undefined
-		for (const send of sends) send?.abort()
+		this.open.dropAll()
 	}
 }
--- a/src/gateway/permits.ts
+++ b/src/gateway/permits.ts
@@ -9,6 +9,7 @@
 	PermitAskSchema
 } from "../contract/gen/grants_pb.js"
 import type {FleetEndpoint} from "../contract/fleet.js"
+import {createLimitNotice} from "../notices/index.js"
 import type {StatedLimits} from "../policy/limits/index.js"
 import {getSuspendedMs, type Moment} from "../utils/index.js"
 import type {AgentLinks} from "./agentLinks.js"
@@ -216,12 +217,12 @@
 	}
 
 	private createMessage(key: string, query: PermitQuery): PermitAsk {
-		const {links, now} = this.options
+		const {limits, now} = this.options
 		return create(PermitAskSchema, {
 			key,
 			pool: query.pool,
 			limits: query.endpoints.map(({id, bornAt}) =>
-				links.describeLimit(id, bornAt)
+				createLimitNotice(id, bornAt, limits.get(id, bornAt), now())
 			),
 			maxWaitMs: Math.round(query.maxWaitMs),
 			deadlineLeftMs: Math.max(0, Math.round(query.deadline - now()))
--- /dev/null
+++ b/src/gateway/promptGuard.ts
@@ -0,0 +1,158 @@
+/**
+ * Keeps prompts from engines that they would crash: finds out whether an engine
+ * ended while a prompt was unanswered, shares that with the other hosts, and judges
+ * each prompt by what all hosts saw.
+ */
+import {
+	createCrashNotice,
+	createTrialNotice,
+	type Notice,
+	type NoticeBoard
+} from "../notices/index.js"
+import {
+	type CrashRecords,
+	hasSuspect,
+	judgePrompt,
+	listAccusedParts,
+	type PromptJudgement
+} from "../policy/crashes/index.js"
+import {hashString} from "../policy/index.js"
+import type {DecisionLog} from "../program/decisionLog.js"
+import type {AgentLinks} from "./agentLinks.js"
+import {ProbeResult, probeAddress} from "./connectionProbe.js"
+import type {GatewayMetrics} from "./gatewayMetrics.js"
+import type {SendTarget} from "./sendTarget.js"
+
+export interface PromptGuardOptions {
+	records: CrashRecords
+	notices: NoticeBoard
+	links: AgentLinks
+	log: DecisionLog
+	metrics: GatewayMetrics
+	/** Host name of this gateway, the source of what it notices. */
+	gateway: string
+	/** Monotonic milliseconds. */
+	now: () => number
+}
+
+/** A send that ended without an answer. */
+export interface BrokenSend {
+	requestId: string
+	target: SendTarget
+	sharedParts: readonly string[]
+	/** Whether the head of an answer had arrived. */
+	hasBegun: boolean
+}
+
+/** Several round trips between failure domains. */
+const probeTimeoutMs = 150
+/** Time in which a gateway tells the others of its trial, several times over. */
+const trialSpreadMs = 50
+const maxTrialSpreadMs = 5000
+const maxHash = 0xffffffff
+
+export class PromptGuard {
+	private readonly listeners = new Set<() => void>()
+	private accused: ReadonlySet<string> = new Set()
+
+	constructor(private readonly options: PromptGuardOptions) {}
+
+	judge(sharedParts: readonly string[]): PromptJudgement {
+		const {records, now} = this.options
+		const {trialOffsetMs} = this
+		return judgePrompt(records, sharedParts, {now: now(), trialOffsetMs})
+	}
+
+	/** Spreads the gateways so that one has told the others before the next begins. */
+	private get trialOffsetMs(): number {
+		const {links, gateway} = this.options
+		const windowMs = links.gatewayCount * trialSpreadMs
+		const share = hashString(gateway) / maxHash
+		return Math.min(maxTrialSpreadMs, windowMs) * share
+	}
+
+	/** Whether one of the parts is the best explanation of a crash. */
+	hasSuspect(sharedParts: readonly string[]): boolean {
+		return hasSuspect(this.options.records, sharedParts)
+	}
+
+	/** Tells all hosts that a request tries whether the parts still crash engines. */
+	beginTrial(requestId: string, parts: readonly string[]): void {
+		const {log, now} = this.options
+		log.request("part.trial", requestId, {parts})
+		const value = createTrialNotice(parts, now(), now())
+		this.publish({case: "trial", value})
+	}
+
+	/** Records that an engine answers a prompt, since `at`. */
+	addAnswer(sharedParts: readonly string[], at: number): void {
+		const {records, links, gateway, now} = this.options
+		const reports = records.addAnswer(sharedParts, at, now())
+		if (reports.length === 0) return
+		this.handleNews(gateway)
+		for (const report of reports) {
+			const value = createCrashNotice(report, now())
+			links.announce({case: "crash", value})
+		}
+	}
+
+	/**
+	 * Finds out whether the engine of a send ended, and if so tells all hosts. Returns
+	 * whether it did.
+	 */
+	async checkCrash(send: BrokenSend): Promise<boolean> {
+		const {log, now} = this.options
+		const {requestId, target, sharedParts, hasBegun} = send
+		const {id, address} = target.endpoint
+		const at = now()
+		const result = await probeAddress(address, probeTimeoutMs)
+		if (result !== ProbeResult.Refused) return false
+		log.request("engine.crashed", requestId, {
+			endpoint: id,
+			bornAt: target.bornAt,
+			parts: sharedParts,
+			hasBegun
+		})
+		const report = {
+			endpointId: id,
+			bornAt: target.bornAt,
+			at,
+			begunParts: hasBegun ? sharedParts : [],
+			waitingParts: hasBegun ? [] : sharedParts,
+			answeredParts: []
+		}
+		this.publish({case: "crash", value: createCrashNotice(report, now())})
+		return true
+	}
+
+	/** Calls back when suspicions have changed; returns how to end that. */
+	watch(listener: () => void): () => void {
+		this.listeners.add(listener)
+		return () => {
+			this.listeners.delete(listener)
+		}
+	}
+
+	/** Called when crashes, answers or trials became known, here or at another host. */
+	handleNews(source: string): void {
+		const {records, log, metrics} = this.options
+		const accused = new Set(listAccusedParts(records))
+		for (const part of accused) {
+			if (this.accused.has(part)) continue
+			const [charge] = records.listCharges(part)
+			log.decide("part.accused", {part, ...charge, source})
+		}
+		for (const part of this.accused) {
+			if (!accused.has(part)) log.decide("part.cleared", {part, source})
+		}
+		this.accused = accused
+		metrics.accusedParts.set(accused.size)
+		for (const listener of [...this.listeners]) listener()
+	}
+
+	private publish(notice: Notice): void {
+		const {notices, links, gateway, now} = this.options
+		for (const news of notices.merge(notice, now(), gateway))
+			links.announce(news)
+	}
+}
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -7,10 +7,10 @@
 
 export abstract class RequestTask {
 	/** Sends to endpoints, including those that the endpoint did not run. */
-	protected sends = 0
+	sends = 0
 	/** Sends that an endpoint ran or may have run. */
 	protected runs = 0
-	protected mayHaveRun = false
+	mayHaveRun = false
 	protected isCancelled = false
 	private readonly timer: NodeJS.Timeout
 
--- /dev/null
+++ b/src/notices/index.ts
@@ -0,0 +1,5 @@
+export * from "./crashNotices.js"
+export * from "./leavingNotices.js"
+export * from "./limitNotices.js"
+export * from "./notice.js"
+export * from "./noticeBoard.js"
--- /dev/null
+++ b/src/policy/crashes/crashRecords.ts
@@ -0,0 +1,258 @@
+/**
+ * What a host knows of engines that crashed while prompts were unanswered, merged
+ * from all hosts: the order in which reports arrive, and how often, changes nothing.
+ *
+ * - Reports of one crash add up. Parts of answers that had begun go before those of
+ *   prompts that waited, because an engine crashes as it begins to write.
+ * - A part that was answered after a crash did not cause it, for good.
+ * - Of the trials of a part the latest counts.
+ */
+import {type Charge, listCharges} from "./charges.js"
+
+interface CrashIdentity {
+	endpointId: string
+	/** Start time of the incarnation that ended, Unix milliseconds; 0 when unknown. */
+	bornAt: number
+	/** Time at which the first host noticed. */
+	at: number
+}
+
+/** What one host saw of a crash, or what is known of it. */
+export interface CrashReport extends CrashIdentity {
+	/** Shared parts of prompts on which an answer had begun, without events so far. */
+	begunParts: readonly string[]
+	/** Shared parts of prompts that were sent and not begun. */
+	waitingParts: readonly string[]
+	/** Those of either that were answered after the crash. */
+	answeredParts: readonly string[]
+}
+
+export interface MergedCrash {
+	/** Whether hosts that know what was known before must hear the report. */
+	isNews: boolean
+	/** What this host knows against the report, which others must hear. */
+	correction: CrashReport | undefined
+}
+
+interface CrashRecord extends CrashIdentity {
+	readonly begun: Set<string>
+	readonly waiting: Set<string>
+	readonly answered: Set<string>
+}
+
+/** Several times the crashes that may matter at a time; the oldest are dropped. */
+const maxCrashes = 256
+/** Bounds what one crash takes; an engine runs some 64 prompts of a few parts each. */
+const maxPartsPerCrash = 256
+/** An engine that has crashed takes longer than this to crash again. */
+const sameCrashMs = 1000
+/** Answered parts remembered, for reports of crashes that arrive after the answer. */
+const maxAnswers = 10_000
+const maxTrials = 1000
+/** What hosts take for the time of one trial differs by less. */
+const sameTrialMs = 500
+/** A crash that is older is charged to nobody. Several times the longest time between
+ * two trials. */
+const crashLifetimeMs = 2 * 60 * 60 * 1000
+
+export class CrashRecords {
+	/** The one that was reported first at the begin. */
+	private crashes: CrashRecord[] = []
+	/** Time of the last answer, by part; the one answered last at the end. */
+	private readonly answers = new Map<string, number>()
+	/** Time of the last trial, by part. */
+	private readonly trials = new Map<string, number>()
+	private chargesByPart: ReadonlyMap<string, readonly Charge[]> = new Map()
+
+	/** Charges against a part, each with the parts that it can't be told from. */
+	listCharges(part: string): readonly Charge[] {
+		return this.chargesByPart.get(part) ?? []
+	}
+
+	listChargedParts(): string[] {
+		return [...this.chargesByPart.keys()]
+	}
+
+	getTrialAt(part: string): number {
+		return this.trials.get(part) ?? Number.NEGATIVE_INFINITY
+	}
+
+	mergeCrash(report: CrashReport, now: number): MergedCrash {
+		if (now - report.at > crashLifetimeMs)
+			return {isNews: false, correction: undefined}
+		const known = this.crashes.find(record => isSameCrash(record, report))
+		const record = known ?? createRecord(report)
+		if (known === undefined) this.crashes.push(record)
+		record.at = Math.min(record.at, report.at)
+		const {begunParts, waitingParts, answeredParts} = report
+		const counts = [
+			addParts(record.begun, begunParts),
+			addParts(record.waiting, waitingParts),
+			addParts(record.answered, answeredParts)
+		]
+		const isNews = known === undefined || counts.some(count => count > 0)
+		const refuted = this.listAnsweredSince(record)
+		addParts(record.answered, refuted)
+		if (this.crashes.length > maxCrashes) this.dropCrash()
+		if (isNews || refuted.length > 0) this.update(now)
+		const correction =
+			refuted.length === 0 ? undefined : createAnswerReport(record, refuted)
+		return {isNews, correction}
+	}
+
+	/**
+	 * Records that an engine answered prompts with these parts. Returns what others
+	 * must hear: the crashes that the parts did not cause.
+	 */
+	addAnswer(parts: readonly string[], at: number, now: number): CrashReport[] {
+		for (const part of parts) {
+			const known = this.answers.get(part) ?? Number.NEGATIVE_INFINITY
+			this.answers.delete(part)
+			this.answers.set(part, Math.max(known, at))
+			dropOldest(this.answers, maxAnswers)
+		}
+		if (!parts.some(part => this.isOpen(part))) return []
+		const reports: CrashReport[] = []
+		for (const record of this.crashes) {
+			if (at <= record.at) continue
+			const cleared = parts.filter(part => isOpenIn(record, part))
+			if (cleared.length === 0) continue
+			addParts(record.answered, cleared)
+			reports.push(createAnswerReport(record, cleared))
+		}
+		if (reports.length > 0) this.update(now)
+		return reports
+	}
+
+	/** Records a trial of a part. Returns whether it is another one than is known. */
+	addTrial(part: string, at: number): boolean {
+		if (at <= this.getTrialAt(part) + sameTrialMs) return false
+		this.trials.delete(part)
+		this.trials.set(part, at)
+		dropOldest(this.trials, maxTrials)
+		return true
+	}
+
+	/** Crashes with parts that have not been answered since. */
+	listOpen(): CrashReport[] {
+		return this.crashes
+			.filter(record => listSuspects(record).size > 0)
+			.map(({endpointId, bornAt, at, begun, waiting, answered}) => ({
+				endpointId,
+				bornAt,
+				at,
+				begunParts: [...begun],
+				waitingParts: [...waiting],
+				answeredParts: [...answered]
+			}))
+	}
+
+	listTrials(): [string, number][] {
+		return [...this.trials]
+	}
+
+	/** Forgets crashes that are too old to matter. */
+	expire(now: number): void {
+		const count = this.crashes.length
+		this.crashes = this.crashes.filter(({at}) => now - at <= crashLifetimeMs)
+		if (this.crashes.length < count) this.update(now)
+	}
+
+	private isOpen(part: string): boolean {
+		return this.crashes.some(record => isOpenIn(record, part))
+	}
+
+	private listAnsweredSince(record: CrashRecord): string[] {
+		const parts = [...record.begun, ...record.waiting]
+		return parts.filter(part => {
+			const answeredAt = this.answers.get(part) ?? Number.NEGATIVE_INFINITY
+			return isOpenIn(record, part) && answeredAt > record.at
+		})
+	}
+
+	/** Drops the oldest crash that is charged to nobody, else the oldest. */
+	private dropCrash(): void {
+		const settled = this.crashes.findIndex(
+			record => listSuspects(record).size === 0
+		)
+		this.crashes.splice(Math.max(0, settled), 1)
+	}
+
+	private update(now: number): void {
+		const open = this.crashes
+			.filter(({at}) => now - at <= crashLifetimeMs)
+			.map(record => ({at: record.at, suspects: listSuspects(record)}))
+			.filter(({suspects}) => suspects.size > 0)
+		const byPart = new Map<string, Charge[]>()
+		for (const charge of listCharges(open)) {
+			for (const part of charge.parts) {
+				const known = byPart.get(part)
+				if (known === undefined) byPart.set(part, [charge])
+				else known.push(charge)
+			}
+		}
+		this.chargesByPart = byPart
+	}
+}
+
+/**
+ * Whether two reports are about the same crash: of the same incarnation or, as hosts
+ * may not know the start time or only an earlier one, of the same moment.
+ */
+function isSameCrash(a: CrashIdentity, b: CrashIdentity): boolean {
+	if (a.endpointId !== b.endpointId) return false
+	if (a.bornAt !== 0 && a.bornAt === b.bornAt) return true
+	return Math.abs(a.at - b.at) < sameCrashMs
+}
+
+function createRecord({endpointId, bornAt, at}: CrashIdentity): CrashRecord {
+	return {
+		endpointId,
+		bornAt,
+		at,
+		begun: new Set(),
+		waiting: new Set(),
+		answered: new Set()
+	}
+}
+
+function createAnswerReport(
+	{endpointId, bornAt, at}: CrashIdentity,
+	answeredParts: readonly string[]
+): CrashReport {
+	return {
+		endpointId,
+		bornAt,
+		at,
+		begunParts: [],
+		waitingParts: [],
+		answeredParts
+	}
+}
+
+function isOpenIn(record: CrashRecord, part: string): boolean {
+	const {begun, waiting, answered} = record
+	return (begun.has(part) || waiting.has(part)) && !answered.has(part)
+}
+
+/** Parts that may have caused the crash, as far as is known. */
+function listSuspects({begun, waiting, answered}: CrashRecord): Set<string> {
+	const open = [...begun].filter(part => !answered.has(part))
+	if (open.length > 0) return new Set(open)
+	return new Set([...waiting].filter(part => !answered.has(part)))
+}
+
+/** Returns how many parts were not there before. */
+function addParts(parts: Set<string>, added: readonly string[]): number {
+	const count = parts.size
+	for (const part of added) {
+		if (parts.size < maxPartsPerCrash) parts.add(part)
+	}
+	return parts.size - count
+}
+
+function dropOldest(entries: Map<string, unknown>, capacity: number): void {
+	if (entries.size <= capacity) return
+	const [oldest] = entries.keys()
+	if (oldest !== undefined) entries.delete(oldest)
+}
--- /dev/null
+++ b/src/policy/crashes/index.ts
@@ -0,0 +1,3 @@
+export * from "./charges.js"
+export * from "./crashRecords.js"
+export * from "./promptVerdict.js"
