Weigh how a part was at a crash before it is charged

Cause: two crashes counted alike whether an answer had begun on the part, as it has on what crashes an engine, or its request was just on its way; and engines that crashed together counted as if the part had been at all.

A crash at which no answer had begun counts half, and one of several at a moment only its share.

--- a/src/policy/crashes/charges.ts
+++ b/src/policy/crashes/charges.ts
@@ -1,13 +1,18 @@
 /**
  * Which parts of prompts explain the crashes of engines. Of the parts that were at a
- * crash and not answered since, those that were at most crashes are charged with it;
+ * crash and not answered since, those with the most evidence are charged with it;
  * what another part explains better is charged with nothing.
  */
 
-/** A crash with the parts that were not answered since. */
+/** A crash with the parts that were not answered since, if there are any. */
 export interface OpenCrash {
 	at: number
 	suspects: ReadonlySet<string>
+	/**
+	 * Whether an answer had begun on the suspects, as it has on what crashes an engine.
+	 * Else they were on their way, as any part may be when an engine ends.
+	 */
+	hasBegun: boolean
 }
 
 /** Parts of which one has caused a crash, and nothing tells them apart. */
@@ -15,42 +20,77 @@
 	parts: readonly string[]
 	/** Crashes at which each of the parts was; those at one moment count once. */
 	crashes: number
+	/** As `crashes`, less where no answer had begun or other engines crashed as well. */
+	evidence: number
 	lastCrashAt: number
 }
 
+interface Tally {
+	crashes: number
+	evidence: number
+}
+
 /** Engines that crash within this time have a common cause, such as a lost rack. */
 const commonCauseMs = 100
+/** What a crash counts at which no answer had begun on the part. */
+const waitingEvidence = 0.5
 
 export function listCharges(open: readonly OpenCrash[]): Charge[] {
 	const crashes = [...open].sort((a, b) => a.at - b.at)
-	const counts = countMoments(crashes)
+	const tallies = tallyMoments(crashes)
 	const charges = new Map<string, Charge>()
 	for (const {at, suspects} of crashes) {
-		const ranked = Array.from(suspects, part => counts.get(part) ?? 0)
-		const most = Math.max(...ranked)
-		const parts = [...suspects]
-			.filter(part => counts.get(part) === most)
-			.sort((a, b) => (a < b ? -1 : 1))
-		charges.set(parts.join(" "), {parts, crashes: most, lastCrashAt: at})
+		if (suspects.size === 0) continue
+		const parts = [...suspects].sort((a, b) => (a < b ? -1 : 1))
+		const getEvidence = (part: string): number =>
+			tallies.get(part)?.evidence ?? 0
+		const evidence = Math.max(...parts.map(getEvidence))
+		const leaders = parts.filter(part => getEvidence(part) === evidence)
+		const counts = leaders.map(part => tallies.get(part)?.crashes ?? 0)
+		charges.set(leaders.join(" "), {
+			parts: leaders,
+			crashes: Math.max(...counts),
+			evidence,
+			lastCrashAt: at
+		})
 	}
 	return [...charges.values()]
 }
 
-/** Counts, for each part, the moments of crashes in which it is a suspect. */
-function countMoments(crashes: readonly OpenCrash[]): Map<string, number> {
-	const counts = new Map<string, number>()
-	let momentAt = Number.NEGATIVE_INFINITY
-	let counted = new Set<string>()
-	for (const {at, suspects} of crashes) {
-		if (at - momentAt > commonCauseMs) {
-			momentAt = at
-			counted = new Set()
-		}
-		for (const part of suspects) {
-			if (counted.has(part)) continue
-			counted.add(part)
-			counts.set(part, (counts.get(part) ?? 0) + 1)
+/** Adds up, for each part, the moments of crashes in which it is a suspect. */
+function tallyMoments(crashes: readonly OpenCrash[]): Map<string, Tally> {
+	const tallies = new Map<string, Tally>()
+	for (const moment of groupMoments(crashes)) {
+		const parts = new Set(moment.flatMap(({suspects}) => [...suspects]))
+		for (const part of parts) {
+			const known = tallies.get(part) ?? {crashes: 0, evidence: 0}
+			const weights = moment
+				.filter(({suspects}) => suspects.has(part))
+				.map(({hasBegun}) => (hasBegun ? 1 : waitingEvidence))
+			// A part that was at one of several engines doesn't explain the others.
+			const sum = weights.reduce((total, weight) => total + weight, 0)
+			tallies.set(part, {
+				crashes: known.crashes + 1,
+				evidence: round(known.evidence + sum / moment.length)
+			})
 		}
 	}
-	return counts
+	return tallies
+}
+
+/** Makes equal evidence compare as equal. */
+function round(evidence: number): number {
+	return Math.round(evidence * 1e6) / 1e6
+}
+
+function groupMoments(crashes: readonly OpenCrash[]): OpenCrash[][] {
+	const moments: OpenCrash[][] = []
+	for (const crash of crashes) {
+		const moment = moments.at(-1)
+		const startedAt = moment?.[0]?.at ?? Number.NEGATIVE_INFINITY
+		if (moment === undefined || crash.at - startedAt > commonCauseMs)
+			moments.push([crash])
+		else moment.push(crash)
+	}
+	return moments
 }
--- a/src/policy/crashes/crashRecords.ts
+++ b/src/policy/crashes/crashRecords.ts
@@ -7,7 +7,7 @@
  * - A part that was answered after a crash did not cause it, for good.
  * - Of the trials of a part the latest counts.
  */
-import {type Charge, listCharges} from "./charges.js"
+import {type Charge, listCharges, type OpenCrash} from "./charges.js"
 
 interface CrashIdentity {
 	endpointId: string
@@ -136,7 +136,7 @@
 	/** Crashes with parts that have not been answered since. */
 	listOpen(): CrashReport[] {
 		return this.crashes
-			.filter(record => listSuspects(record).size > 0)
+			.filter(record => findSuspects(record).suspects.size > 0)
 			.map(({endpointId, bornAt, at, begun, waiting, answered}) => ({
 				endpointId,
 				bornAt,
@@ -173,7 +173,7 @@
 	/** Drops the oldest crash that is charged to nobody, else the oldest. */
 	private dropCrash(): void {
 		const settled = this.crashes.findIndex(
-			record => listSuspects(record).size === 0
+			record => findSuspects(record).suspects.size === 0
 		)
 		this.crashes.splice(Math.max(0, settled), 1)
 	}
@@ -181,8 +181,7 @@
 	private update(now: number): void {
 		const open = this.crashes
 			.filter(({at}) => now - at <= crashLifetimeMs)
-			.map(record => ({at: record.at, suspects: listSuspects(record)}))
-			.filter(({suspects}) => suspects.size > 0)
+			.map(record => ({at: record.at, ...findSuspects(record)}))
 		const byPart = new Map<string, Charge[]>()
 		for (const charge of listCharges(open)) {
 			for (const part of charge.parts) {
@@ -236,10 +235,15 @@
 }
 
 /** Parts that may have caused the crash, as far as is known. */
-function listSuspects({begun, waiting, answered}: CrashRecord): Set<string> {
+function findSuspects({
+	begun,
+	waiting,
+	answered
+}: CrashRecord): Omit<OpenCrash, "at"> {
 	const open = [...begun].filter(part => !answered.has(part))
-	if (open.length > 0) return new Set(open)
-	return new Set([...waiting].filter(part => !answered.has(part)))
+	if (open.length > 0) return {suspects: new Set(open), hasBegun: true}
+	const others = [...waiting].filter(part => !answered.has(part))
+	return {suspects: new Set(others), hasBegun: false}
 }
 
 /** Returns how many parts were not there before. */
--- a/src/policy/crashes/promptVerdict.ts
+++ b/src/policy/crashes/promptVerdict.ts
@@ -28,7 +28,7 @@
 }
 
 /** A part that was at one crash was most likely there by chance. */
-const crashesUntilAccused = 2
+const evidenceUntilAccused = 2
 /** Time from the second crash of a part to its trial; doubled with each crash since. */
 const firstTrialDelayMs = 2000
 const maxTrialDelayMs = 10 * 60 * 1000
@@ -73,15 +73,15 @@
 	return parts.some(part => records.listCharges(part).length > 0)
 }
 
-function isAccusation({crashes}: Charge): boolean {
-	return crashes >= crashesUntilAccused
+function isAccusation({evidence}: Charge): boolean {
+	return evidence >= evidenceUntilAccused
 }
 
 function getTrialDueAt(
 	records: CrashRecords,
 	{parts, crashes, lastCrashAt}: Charge
 ): number {
-	const doublings = crashes - crashesUntilAccused
+	const doublings = Math.max(0, crashes - evidenceUntilAccused)
 	const delayMs = Math.min(maxTrialDelayMs, firstTrialDelayMs * 2 ** doublings)
 	const triedAt = Math.max(...parts.map(part => records.getTrialAt(part)))
 	return Math.max(lastCrashAt + delayMs, triedAt + trialTimeoutMs)
