Learn what other hosts noticed before a gateway that starts or wakes sends

A gateway whose agents had not connected yet sent without a grant, and knew of no crash: after a start and, for half a second, after each pause of its process. It now waits up to 500 ms for the first agent, which tells it all notices before anything else, and connects again at once when it finds that it was paused.

Also found by a test without agents: whether an answer had begun was lost on the way to the records (a getter that a spread doesn't copy), so that four crashes were needed in place of two. Old crashes are now dropped with time also where nothing happens.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -72,6 +72,7 @@
 	private readonly origins = new StreamOrigins(maxKnownOrigins)
 	/** Limits of endpoints, as gateways heard them. */
 	private readonly limits = new StatedLimits()
+	private readonly crashes = new CrashRecords()
 	/** Facts that gateways told this agent, to be passed on to their others. */
 	private readonly notices: NoticeBoard
 	private readonly permits: PermitDesk
@@ -198,7 +199,7 @@
 	}
 
 	private createNotices(): NoticeBoard {
-		const crashes = new CrashRecords()
+		const {crashes} = this
 		return new NoticeBoard({
 			leaving: new LeavingNotices(notice => {
 				this.handleLeaving(notice)
@@ -319,6 +320,7 @@
 		if (this.scheduler.waitingCount > 0) {
 			this.sendDecisions(this.scheduler.schedule(this.now()))
 		}
+		this.crashes.expire(this.now())
 		const {slots} = this.scheduler
 		const hasUnsent = this.links.publishState(
 			this.scheduler.getView(this.now()),
--- a/src/gateway/__tests__/agentLink.test.ts
+++ b/src/gateway/__tests__/agentLink.test.ts
@@ -24,6 +24,8 @@
 	downs: string[]
 	/** Number of states that arrived. */
 	readonly states: number
+	/** Number of connections that the agent accepted. */
+	readonly calls: number
 	/** Cases of the messages that the agent received. */
 	received: (string | undefined)[]
 	sendToGateway: (body: AgentMessage["body"]) => void
@@ -36,7 +38,14 @@
 	const accepted = new Promise<GrantCall>(resolve => {
 		onAccept = resolve
 	})
-	const server = await startGrantServer({address, onCall: onAccept})
+	let calls = 0
+	const server = await startGrantServer({
+		address,
+		onCall: call => {
+			calls += 1
+			onAccept(call)
+		}
+	})
 	const downs: string[] = []
 	let states = 0
 	let resolveUp: () => void = () => undefined
@@ -78,6 +87,9 @@
 		get states() {
 			return states
 		},
+		get calls() {
+			return calls
+		},
 		sendToGateway
 	}
 }
@@ -126,6 +138,17 @@
 }
 
 describe("AgentLink", () => {
+	it("connects again at once after a pause of this process", async () => {
+		let time = 0
+		const connection = await connect(() => time)
+		time = 5000
+		connection.link.tick()
+		expect(connection.downs).toEqual(["this process was paused"])
+		await vi.waitFor(() => {
+			expect(connection.calls).toBe(2)
+		})
+	})
+
 	it("passes a grant to the request that asked for it", async () => {
 		const {link, sendToGateway} = await connect(() => 0)
 		const answer = ask(link, "r1")
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -96,6 +96,8 @@
  * a state within 650 ms if it can't respond.
  */
 const askSilenceMs = 1100
+/** Why a link failed that this process did not keep alive. */
+export const pausedReason = "this process was paused"
 /** Timeout for the agent's first message on a new stream. */
 const firstMessageTimeoutMs = 1000
 const reconnectDelayMs = 500
@@ -265,7 +267,9 @@
 		if (!this.isUp) return false
 		const maxGapMs = this.heartbeatMs * maxSendGapHeartbeats
 		if (this.options.now() - this.lastSentAt <= maxGapMs) return false
-		this.fail("this process was paused")
+		this.fail(pausedReason)
+		// Other hosts may have noticed much meanwhile.
+		if (!this.isClosed) this.connect()
 		return true
 	}
 
--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -25,7 +25,7 @@
 	rankByRendezvous
 } from "../policy/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
-import {AgentLink} from "./agentLink.js"
+import {AgentLink, pausedReason} from "./agentLink.js"
 import type {FleetState} from "./fleetState.js"
 
 export interface AgentLinksOptions {
@@ -47,6 +47,8 @@
 	onPermit: (endpointId: string, answer: PermitAnswer) => void
 }
 
+/** Time in which an agent that can be reached connects and tells what it knows. */
+const catchUpMs = 500
 /** Factor by which the pace must differ from the one told to agents. */
 const paceHysteresis = 1.2
 /** Agents that pass on a fact, besides that of the endpoint it is about. */
@@ -61,6 +63,8 @@
 	private readonly enginePools = new Set<string>()
 	/** Gateways connected to the agent whose state arrived last, this one included. */
 	private reportedGateways = 1
+	/** Time until which agents are waited for, see `isCatchingUp`. */
+	private catchUpBy = Number.NEGATIVE_INFINITY
 	private intervals = chooseLinkIntervals(0, 0, grantLinkPace)
 
 	constructor(private readonly options: AgentLinksOptions) {
@@ -136,6 +140,15 @@
 		return rankByRendezvous(requestId, items).slice(0, count)
 	}
 
+	/**
+	 * Whether this process has just started or was paused, so that agents are about to
+	 * tell it what other hosts noticed.
+	 */
+	get isCatchingUp(): boolean {
+		if (this.options.now() >= this.catchUpBy) return false
+		return ![...this.links.keys()].some(id => this.isLinked(id))
+	}
+
 	/** Whether the agent of the engine is connected. */
 	isLinked(endpointId: string): boolean {
 		return this.options.engineChoice.isLinked(endpointId)
@@ -168,6 +181,7 @@
 			link.close()
 			this.links.delete(id)
 		}
+		if (this.links.size === 0 && engines.size > 0) this.beginCatchUp()
 		for (const [id, endpoint] of engines) {
 			if (!this.links.has(id)) this.links.set(id, this.createLink(endpoint))
 			if (!engineChoice.isLinked(id)) {
@@ -178,6 +192,10 @@
 		this.updateIntervals()
 	}
 
+	private beginCatchUp(): void {
+		this.catchUpBy = this.options.now() + catchUpMs
+	}
+
 	/** Tells the agents a new pace when the number of engines has changed much. */
 	private updateIntervals(): void {
 		const next = chooseLinkIntervals(this.links.size, 0, grantLinkPace)
@@ -240,6 +258,7 @@
 					link.announce(notice)
 			},
 			onDown: reason => {
+				if (reason === pausedReason) this.beginCatchUp()
 				log.decide("agent.down", {endpoint: id, reason})
 				engineChoice.dropView(id)
 			}
--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/engineSearch.ts
@@ -41,6 +41,8 @@
 /** Engines asked for a grant, one after the other, before a refusal. */
 const maxGrantAsks = 2
 const minRetryAfterMs = 150
+/** Interval at which a search waits for the first agent to connect. */
+const catchUpIntervalMs = 20
 
 export class EngineSearch {
 	private readonly refusingEngines = new Set<string>()
@@ -52,13 +54,14 @@
 	private asks = 0
 	/** Number of the last grant request, part of its key. */
 	private lastAsk = 0
+	private catchUpTimer: NodeJS.Timeout | undefined
 	private pendingAsk: {link: AgentLink; key: string} | undefined
 
 	constructor(private readonly options: EngineSearchOptions) {}
 
-	/** Whether an agent has yet to respond. */
+	/** Whether an agent has yet to respond, or to connect. */
 	get isPending(): boolean {
-		return this.pendingAsk !== undefined
+		return this.pendingAsk !== undefined || this.catchUpTimer !== undefined
 	}
 
 	/** Searches among the engines that neither refused nor were sent the request. */
@@ -80,6 +83,8 @@
 	}
 
 	cancel(): void {
+		clearTimeout(this.catchUpTimer)
+		this.catchUpTimer = undefined
 		this.pendingAsk?.link.notifyEnded(this.pendingAsk.key)
 		this.pendingAsk = undefined
 	}
@@ -96,6 +101,13 @@
 			onNone(this.describeFailure(best, refusal))
 			return
 		}
+		if (!best.isLinked && ctx.links.isCatchingUp) {
+			this.catchUpTimer = setTimeout(() => {
+				this.catchUpTimer = undefined
+				this.tryNextEngine()
+			}, catchUpIntervalMs)
+			return
+		}
 		const link = ctx.links.get(best.id)
 		if (best.isLinked && link !== undefined) this.askAgent(endpoint, link, best)
 		else this.useWithoutGrant(endpoint, best)
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -81,6 +81,7 @@
 	readonly fleet: FleetState
 	readonly metrics = new GatewayMetrics()
 	private readonly ctx: GatewayContext
+	private readonly crashes = new CrashRecords()
 	private readonly server: GatewayServer
 	private readonly servers: Server[] = []
 	private readonly publisher: FleetPublisher | undefined
@@ -95,7 +96,7 @@
 		const engines = new EngineChoice()
 		this.fleet = new FleetState(log)
 		const limits = new StatedLimits()
-		const crashes = new CrashRecords()
+		const {crashes} = this
 		const notices = new NoticeBoard({
 			leaving: new LeavingNotices(({endpointId, bornAt}, source) => {
 				this.fleet.markLeaving(endpointId, bornAt, source)
@@ -234,5 +235,6 @@
 		this.follower.tick()
 		retryBudgets.setGateways(links.gatewayCount)
 		this.fleet.settleRegistrations(now())
+		this.crashes.expire(now())
 	}
 }
--- a/src/gateway/promptAdmission.ts
+++ b/src/gateway/promptAdmission.ts
@@ -69,12 +69,13 @@
 	}
 
 	/** Finds out whether the engine ended with which a send broke off. */
-	async noteBreak(
-		send: Pick<BrokenSend, "target" | "hasBegun">
-	): Promise<void> {
+	async noteBreak({
+		target,
+		hasBegun
+	}: Pick<BrokenSend, "target" | "hasBegun">): Promise<void> {
 		const {guard, requestId, sharedParts} = this.options
-		const isCrash = await guard.checkCrash({requestId, sharedParts, ...send})
-		if (isCrash) this.hasCrashed = true
+		const send = {requestId, target, sharedParts, hasBegun}
+		if (await guard.checkCrash(send)) this.hasCrashed = true
 	}
 
 	noteAnswer(at: number): void {
