Take no answer of a service for complete whose connection was reset

An answer may have neither a length nor chunks and end with its connection. It now uses the call that the platform's store and the agents use, which moves to src/link and tells a reset from an end the way calls of the gateway do; so the store's and the engine's answers are read alike.

--- a/src/gateway/endpointCall.ts
+++ b/src/gateway/endpointCall.ts
@@ -10,6 +10,7 @@
 import {type ClientRequest, request as httpRequest} from "node:http"
 import type {IncomingMessage} from "node:http"
 import {connect, type Socket} from "node:net"
+import {findReset, isFramed} from "../link/connectionEnd.js"
 import type {ResponseHead, RequestHead, WireCodec} from "./wire.js"
 
 /** How a call to an endpoint ended. */
@@ -168,16 +169,12 @@
 		})
 	}
 
-	/**
-	 * libuv reports a regular end of the connection instead of a reset if bytes
-	 * were still unread. A response without a length ends with the connection, so
-	 * it counts as complete only if the connection can still be written to.
-	 */
+	/** A response that ends with its connection is complete unless that was reset. */
 	private detectResetAtEnd(): void {
-		if (this.isSettled || this.res === undefined || isFramed(this.res)) return
-		this.socket.write("\r\n")
-		const {errored} = this.socket
-		if (errored !== null) this.settle(CallOutcome.Broken, errored.message)
+		if (this.isSettled || this.res === undefined) return
+		if (isFramed(this.res.headers)) return
+		const reset = findReset(this.socket)
+		if (reset !== undefined) this.settle(CallOutcome.Broken, reset.message)
 	}
 
 	/**
@@ -208,10 +205,3 @@
 		return this.receivedHead
 	}
 }
-
-function isFramed({headers}: IncomingMessage): boolean {
-	return (
-		headers["content-length"] !== undefined ||
-		headers["transfer-encoding"] !== undefined
-	)
-}
--- a/platform/httpCall.ts
+++ b/src/link/httpCall.ts
@@ -1,12 +1,14 @@
-/** Sends one HTTP request with an optional JSON body and a timeout. */
+/** Sends one HTTP request with an optional body and a timeout. */
 import {
 	type Agent,
 	type IncomingHttpHeaders,
+	type IncomingMessage,
 	request as httpRequest
 } from "node:http"
+import {findReset, isFramed} from "./connectionEnd.js"
 
 export interface HttpCallOptions {
-	/** `ip:port`. */
+	/** `host:port`. */
 	address: string
 	agent: Agent
 	method: string
@@ -19,6 +21,8 @@
 	requestId?: string
 	/** Serialized as JSON; no body when undefined. */
 	body?: unknown
+	/** Body as it is sent, in place of `body`. */
+	payload?: Uint8Array | undefined
 	/** Limit for the whole call, until the last byte of the response. */
 	timeoutMs: number
 }
@@ -26,7 +30,7 @@
 export interface HttpResponse {
 	status: number
 	headers: IncomingHttpHeaders
-	text: string
+	body: Buffer
 }
 
 /**
@@ -35,27 +39,38 @@
  * call reuses it.
  */
 export function callHttp(options: HttpCallOptions): Promise<HttpResponse> {
-	const {address, agent, method, path, body, timeoutMs} = options
+	const {address, agent, method, path, timeoutMs} = options
 	const [host, port] = address.split(":")
-	const payload = body === undefined ? undefined : JSON.stringify(body)
+	const payload = encodePayload(options)
 	const headers = {...options.headers}
 	if (options.requestId !== undefined)
 		headers["X-Request-Id"] = options.requestId
-	if (payload !== undefined) {
-		headers["Content-Type"] = "application/json"
-		headers["Content-Length"] = String(Buffer.byteLength(payload))
-	}
+	if (payload !== undefined)
+		headers["Content-Length"] = String(payload.byteLength)
+	if (options.body !== undefined) headers["Content-Type"] = "application/json"
 	return new Promise((resolve, reject) => {
 		const req = httpRequest({host, port, method, path, headers, agent})
 		const timer = setTimeout(() => {
 			req.destroy(new Error("no complete response within the timeout"))
 		}, timeoutMs)
-		const fail = (err: Error): void => {
+		let received: IncomingMessage | undefined
+		const failIfReset = (): void => {
+			if (received === undefined || isFramed(received.headers)) return
+			const reset = findReset(req.socket ?? received.socket)
+			if (reset !== undefined) fail(reset)
+		}
+		const finish = (): void => {
 			clearTimeout(timer)
+			req.socket?.removeListener("end", failIfReset)
+		}
+		const fail = (err: Error): void => {
+			finish()
 			reject(err)
 		}
+		req.on("socket", socket => socket.prependListener("end", failIfReset))
 		req.on("error", fail)
 		req.on("response", res => {
+			received = res
 			const echoedId = res.headers["x-request-id"]
 			if (echoedId !== undefined && echoedId !== options.requestId) {
 				req.destroy(new Error("response to another request"))
@@ -65,11 +80,19 @@
 			res.on("data", (chunk: Buffer) => chunks.push(chunk))
 			res.on("error", fail)
 			res.on("end", () => {
-				clearTimeout(timer)
-				const text = Buffer.concat(chunks).toString("utf8")
-				resolve({status: res.statusCode ?? 0, headers: res.headers, text})
+				finish()
+				const status = res.statusCode ?? 0
+				resolve({status, headers: res.headers, body: Buffer.concat(chunks)})
 			})
 		})
 		req.end(payload)
 	})
 }
+
+function encodePayload({
+	body,
+	payload
+}: HttpCallOptions): Uint8Array | undefined {
+	if (payload !== undefined) return payload
+	return body === undefined ? undefined : Buffer.from(JSON.stringify(body))
+}
--- a/src/link/serviceClient.ts
+++ b/src/link/serviceClient.ts
@@ -1,7 +1,8 @@
 /** HTTP client of one plain service. It never retries a call. */
-import {Agent, request} from "undici"
+import {Agent} from "node:http"
 import {Step, StepError} from "../contract/errors.js"
 import {messageOf} from "../utils/common.js"
+import {callHttp} from "./httpCall.js"
 
 export interface ServiceCall {
 	requestId: string
@@ -50,28 +51,32 @@
 	constructor(url: string, fence: number) {
 		this.url = url.replace(/\/$/, "")
 		this.fence = fence
-		this.agent = new Agent({connections: null, pipelining: 1})
+		this.agent = new Agent({keepAlive: true})
 	}
 
 	async call(call: ServiceCall): Promise<ServiceAnswer> {
 		const timeoutMs = Math.max(1, Math.round(call.deadline - Date.now()))
 		try {
-			const res = await request(this.url + call.path, {
-				method: call.method as "GET" | "POST" | "PUT" | "DELETE",
-				dispatcher: this.agent,
-				signal: AbortSignal.timeout(timeoutMs),
+			const url = new URL(this.url + call.path)
+			const res = await callHttp({
+				address: url.host,
+				agent: this.agent,
+				method: call.method,
+				path: url.pathname + url.search,
 				headers: this.buildHeaders(call),
-				body: call.body.length > 0 ? call.body : null
+				requestId: call.requestId,
+				payload: call.body.length > 0 ? call.body : undefined,
+				timeoutMs
 			})
-			const bytes = new Uint8Array(await res.body.arrayBuffer())
-			this.throwIfRejected(res.statusCode, res.headers)
+			const bytes = new Uint8Array(res.body)
+			this.throwIfRejected(res.status, res.headers)
 			if (bytes.length > maxAnswerBytes) {
 				const reason = `answer of ${bytes.length} bytes exceeds ${maxAnswerBytes}`
 				throw new ServiceError(this.url, false, reason)
 			}
 			const type = res.headers["content-type"]
 			return {
-				status: res.statusCode,
+				status: res.status,
 				contentType: typeof type === "string" ? type : "",
 				body: bytes
 			}
@@ -81,13 +86,13 @@
 		}
 	}
 
-	async close(): Promise<void> {
-		await this.agent.destroy()
+	close(): Promise<void> {
+		this.agent.destroy()
+		return Promise.resolve()
 	}
 
 	private buildHeaders(call: ServiceCall): Record<string, string> {
 		const headers: Record<string, string> = {
-			"x-request-id": call.requestId,
 			"x-fencing-number": String(this.fence)
 		}
 		if (call.contentType !== "") headers["content-type"] = call.contentType
