Ask the agent whether its engine has ended

A gateway told a crash from a lost answer by a connection to the engine's address. The agent beside the engine knows better: it reads a report at once and compares the start time, so that also an engine that is back already counts. An agent takes a refused connection for the engine's end at once, in place of after two failed reports.

--- a/src/agent/__tests__/engineLoop.test.ts
+++ b/src/agent/__tests__/engineLoop.test.ts
@@ -12,10 +12,11 @@
 	createRequest,
 	limits
 } from "../../policy/grants/__tests__/fixtures.js"
+import {Step} from "../../contract/errors.js"
 import {DecisionLog} from "../../program/decisionLog.js"
 import {sleep} from "../../utils/common.js"
 import {EngineLoop} from "../engineLoop.js"
-import {EnginePort, FencingTokenSource} from "../enginePort.js"
+import {EngineGoneError, EnginePort, FencingTokenSource} from "../enginePort.js"
 
 const loops: EngineLoop[] = []
 
@@ -33,6 +34,9 @@
 	bornAt = 1
 	highestToken = 0
 	isSilent = false
+	isGone = false
+	/** Holds back the next report, which is what the engine says now. */
+	holdReport: Promise<void> | undefined
 
 	override get engineId(): string {
 		return "i-1"
@@ -41,15 +45,19 @@
 	override report(): Promise<EngineReport> {
 		this.reports += 1
 		if (this.isSilent) return Promise.reject(new Error("no answer"))
-		const {runIds} = this
+		if (this.isGone) {
+			const err = new EngineGoneError("refused", {step: Step.Load})
+			return Promise.reject(err)
+		}
+		const {runIds, bornAt, holdReport = Promise.resolve()} = this
 		const running = runIds.length
-		return Promise.resolve(
-			createReport(["a1", "a2"], {
-				running,
-				runIds: [...runIds],
-				bornAt: this.bornAt
-			})
-		)
+		const report = createReport(["a1", "a2"], {
+			running,
+			runIds: [...runIds],
+			bornAt
+		})
+		this.holdReport = undefined
+		return holdReport.then(() => report)
 	}
 
 	override order(order: EngineOrder, token: number): Promise<OrderOutcome> {
@@ -165,3 +173,36 @@
 		expect(engine.reports - before).toBeLessThanOrEqual(2)
 	})
 })
+
+describe("a check whether the engine has ended", () => {
+	it("tells an engine that runs from one that is gone or has started anew", async () => {
+		const engine = new ScriptedEngine()
+		const {loop} = await startLoop(engine)
+		expect(await loop.check(1)).toBe(false)
+		engine.isGone = true
+		expect(await loop.check(1)).toBe(true)
+		engine.isGone = false
+		engine.bornAt = 2
+		expect(await loop.check(1)).toBe(true)
+		expect(await loop.check(2)).toBe(false)
+	})
+
+	it("does not go by an engine that is silent", async () => {
+		const engine = new ScriptedEngine()
+		const {loop} = await startLoop(engine)
+		engine.isSilent = true
+		expect(await loop.check(1)).toBe(false)
+	})
+
+	it("does not go by a report that was requested before", async () => {
+		const engine = new ScriptedEngine()
+		let release: () => void = () => undefined
+		engine.holdReport = new Promise(resolve => (release = resolve))
+		const {loop} = await startLoop(engine)
+		await sleep(5)
+		const check = loop.check(1)
+		engine.isGone = true
+		release()
+		expect(await check).toBe(true)
+	})
+})
--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -13,7 +13,11 @@
 	LimitNotice,
 	CrashNotice
 } from "../contract/gen/grants_pb.js"
-import {OriginAnswerSchema, RefuseReason} from "../contract/gen/grants_pb.js"
+import {
+	EngineCheckSchema,
+	OriginAnswerSchema,
+	RefuseReason
+} from "../contract/gen/grants_pb.js"
 import {startGrantServer} from "../link/fleetLink.js"
 import type {TlsKeys} from "../link/tls.js"
 import {
@@ -177,6 +181,8 @@
 			this.passOn(owner, body, now)
 		} else if (body.case === "permitAsk") {
 			this.permits.handleAsk(owner, body.value)
+		} else if (body.case === "check") {
+			void this.answerCheck(owner, body.value.bornAt)
 		} else if (body.case === "findOrigin") {
 			this.answerOrigin(owner, body.value, now)
 		} else if (body.case === "hello") {
@@ -231,7 +237,7 @@
 	private handleCrash({endpointId, bornAt}: CrashNotice): void {
 		if (endpointId !== this.options.engine.engineId) return
 		this.options.log.decide("engine.crashed", {engine: endpointId, bornAt})
-		this.loop.confirmCrash()
+		this.loop.requestReport()
 	}
 
 	/** Keeps the grants to the limit that gateways heard from the engine. */
@@ -241,6 +247,13 @@
 		this.sendDecisions(scheduler.setRequestLimit(stated?.perSecond, now))
 	}
 
+	/** Tells a gateway whether an incarnation of the engine has ended. */
+	private async answerCheck(owner: string, bornAt: number): Promise<void> {
+		const hasEnded = await this.loop.check(bornAt)
+		const value = create(EngineCheckSchema, {bornAt, hasEnded})
+		this.links.send(owner, {case: "check", value})
+	}
+
 	/** Tells a gateway where a stream began that its caller resumes. */
 	private answerOrigin(owner: string, requestId: string, now: number): void {
 		const origin = this.origins.find(requestId, now)
--- a/src/agent/engineLoop.ts
+++ b/src/agent/engineLoop.ts
@@ -13,7 +13,11 @@
 } from "../policy/grants/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
 import {messageOf, sleep} from "../utils/common.js"
-import type {EnginePort, FencingTokenSource} from "./enginePort.js"
+import {
+	EngineGoneError,
+	type EnginePort,
+	type FencingTokenSource
+} from "./enginePort.js"
 
 export interface EngineLoopOptions {
 	engine: EnginePort
@@ -49,6 +53,12 @@
 const reportFailuresUntilDown = 2
 const fencingTokenRetryIntervalMs = 500
 
+interface EngineCheck {
+	bornAt: number
+	askedAt: number
+	resolve: (hasEnded: boolean) => void
+}
+
 export class EngineLoop {
 	/** Fencing token of this agent's orders; undefined until acquired. */
 	private fencingToken: number | undefined
@@ -61,6 +71,8 @@
 	private isUp = false
 	private isStopped = false
 	private endSleep: (() => void) | undefined
+	/** Incarnations of which it is to be found out whether they have ended. */
+	private checks: EngineCheck[] = []
 
 	constructor(private readonly options: EngineLoopOptions) {}
 
@@ -97,16 +109,24 @@
 		this.endSleep?.()
 	}
 
-	/**
-	 * Reads a report at once, after a gateway noticed that the engine's process ended.
-	 * One report without a response then shows that it did.
-	 */
-	confirmCrash(): void {
-		this.reportFailures = Math.max(
-			this.reportFailures,
-			reportFailuresUntilDown - 1
-		)
-		this.requestReport()
+	/** Finds out by a report whether an incarnation of the engine has ended. */
+	check(bornAt: number): Promise<boolean> {
+		return new Promise(resolve => {
+			this.checks.push({bornAt, askedAt: this.options.now(), resolve})
+			this.requestReport()
+		})
+	}
+
+	/** Ends the checks with what a report shows that was requested after them. */
+	private endChecks(
+		requestedAt: number,
+		hasEnded: (bornAt: number) => boolean
+	): void {
+		const checks = this.checks
+		this.checks = checks.filter(({askedAt}) => askedAt > requestedAt)
+		for (const check of checks) {
+			if (!this.checks.includes(check)) check.resolve(hasEnded(check.bornAt))
+		}
 	}
 
 	private async acquireFencingToken(): Promise<void> {
@@ -153,6 +173,7 @@
 		try {
 			const report = await engine.report()
 			this.reportRequestedAt = askedAt
+			this.endChecks(askedAt, bornAt => report.bornAt !== bornAt)
 			this.reportFailures = 0
 			if (!this.isUp) {
 				this.isUp = true
@@ -173,8 +194,13 @@
 				this.options.scheduler.schedule(this.options.now())
 			)
 		} catch (err) {
-			this.reportFailures += 1
+			const isGone = err instanceof EngineGoneError
+			this.reportFailures += isGone ? reportFailuresUntilDown : 1
 			this.nextReportAt = this.options.now() + reportRetryIntervalMs
+			// A reset of the connection that was kept says nothing yet.
+			if (!isGone && this.checks.length > 0 && this.reportFailures === 1)
+				this.nextReportAt = 0
+			else this.endChecks(askedAt, () => isGone)
 			if (this.reportFailures < reportFailuresUntilDown || !this.isUp) return
 			this.isUp = false
 			log.decide("engine.down", {error: messageOf(err)})
@@ -196,6 +222,7 @@
 
 	private getNextReportAt(): number {
 		const now = this.options.now()
+		if (this.checks.length > 0) return now
 		const {slots} = this.options.scheduler
 		if (this.options.scheduler.hasUnconfirmedRuns)
 			return now + unconfirmedRunsReportIntervalMs
--- a/src/agent/enginePort.ts
+++ b/src/agent/enginePort.ts
@@ -1,10 +1,14 @@
 /** Interfaces through which the agent calls its engine and the platform. */
+import {StepError} from "../contract/errors.js"
 import type {
 	EngineOrder,
 	EngineReport,
 	OrderOutcome
 } from "../policy/grants/index.js"
 
+/** No process listens at the engine's address. */
+export class EngineGoneError extends StepError {}
+
 /** Reads the state of the engine on the agent's host and sends it orders. */
 export abstract class EnginePort {
 	/**
@@ -13,7 +17,10 @@
 	 */
 	abstract get engineId(): string
 
-	/** Requests a report; rejects when the engine does not respond. */
+	/**
+	 * Requests a report; rejects when the engine does not respond, with
+	 * `EngineGoneError` if it is certain that its process has ended.
+	 */
 	abstract report(): Promise<EngineReport>
 
 	/**
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -6,6 +6,7 @@
 import {create, equals} from "@bufbuild/protobuf"
 import {
 	type AgentMessage,
+	EngineCheckSchema,
 	type EngineLimits,
 	type EngineState,
 	type GatewayMessage,
@@ -53,6 +54,9 @@
 	onLost(): void
 }
 
+/** Called with whether the engine has ended; undefined if that is not known. */
+export type CheckHandler = (hasEnded: boolean | undefined) => void
+
 interface PendingAsk {
 	handlers: AskHandlers
 	askedAt: Moment
@@ -107,6 +111,8 @@
 	/** The hello that was sent last on the open stream. */
 	private sentHello: Hello | undefined
 	private readonly pendingAsks = new Map<string, PendingAsk>()
+	/** Who waits to hear whether an incarnation has ended, by its start time. */
+	private readonly pendingChecks = new Map<number, CheckHandler[]>()
 	/** Keys of requests that are queued or granted at the agent. */
 	private readonly requests = new Set<string>()
 	/** Time since which a request uses the link. */
@@ -183,6 +189,28 @@
 		this.send({case: "version", value: {$typeName, model, adapter, version}})
 	}
 
+	/**
+	 * Asks the agent whether an incarnation of its engine has ended. Calls back with
+	 * undefined if the link fails first.
+	 */
+	checkEngine(bornAt: number, onAnswer: CheckHandler): void {
+		if (!this.isUp) {
+			onAnswer(undefined)
+			return
+		}
+		const waiting = this.pendingChecks.get(bornAt) ?? []
+		this.pendingChecks.set(bornAt, [...waiting, onAnswer])
+		if (waiting.length > 0) return
+		const value = create(EngineCheckSchema, {bornAt})
+		this.send({case: "check", value})
+	}
+
+	private endCheck(bornAt: number, hasEnded: boolean | undefined): void {
+		const waiting = this.pendingChecks.get(bornAt) ?? []
+		this.pendingChecks.delete(bornAt)
+		for (const onAnswer of waiting) onAnswer(hasEnded)
+	}
+
 	/** Tells the agent a fact about an endpoint or a prompt. */
 	announce(notice: Notice): void {
 		this.send(notice)
@@ -313,6 +341,8 @@
 		}
 		if (body.case === "state") this.applyState(body.value)
 		else if (isNotice(body)) this.options.onNotice(body)
+		else if (body.case === "check")
+			this.endCheck(body.value.bornAt, body.value.hasEnded)
 		else if (body.case === "permit") this.options.onPermit(body.value)
 		else if (body.case === "origin") this.options.onOrigin(body.value)
 		else if (body.case === "grant") {
@@ -363,6 +393,8 @@
 		this.openStream?.close()
 		this.openStream = undefined
 		this.reconnectAt = this.options.now() + reconnectDelayMs
+		for (const bornAt of [...this.pendingChecks.keys()])
+			this.endCheck(bornAt, undefined)
 		const lostAsks = [...this.pendingAsks.values()]
 		this.pendingAsks.clear()
 		this.requests.clear()
--- a/src/gateway/promptGuard.ts
+++ b/src/gateway/promptGuard.ts
@@ -46,6 +46,8 @@
 
 /** Several round trips between failure domains. */
 const probeTimeoutMs = 150
+/** Several times the time of a call to an agent in another failure domain. */
+const answerTimeoutMs = 150
 /** Time in which a gateway tells the others of its trial, several times over. */
 const trialSpreadMs = 50
 const maxTrialSpreadMs = 5000
@@ -103,10 +105,9 @@
 	async checkCrash(send: BrokenSend): Promise<boolean> {
 		const {log, now} = this.options
 		const {requestId, target, sharedParts, hasBegun} = send
-		const {id, address} = target.endpoint
+		const {id} = target.endpoint
 		const at = now()
-		const result = await probeAddress(address, probeTimeoutMs)
-		if (result !== ProbeResult.Refused) return false
+		if (!(await this.hasEnded(target))) return false
 		log.request("engine.crashed", requestId, {
 			endpoint: id,
 			bornAt: target.bornAt,
@@ -125,6 +126,24 @@
 		return true
 	}
 
+	/** Asks the engine's agent, or without one finds out by a connection. */
+	private async hasEnded({endpoint, bornAt}: SendTarget): Promise<boolean> {
+		const link = bornAt === 0 ? undefined : this.options.links.get(endpoint.id)
+		const answer = await new Promise<boolean | undefined>(resolve => {
+			if (link === undefined) {
+				resolve(undefined)
+				return
+			}
+			link.checkEngine(bornAt, resolve)
+			setTimeout(() => {
+				resolve(undefined)
+			}, answerTimeoutMs)
+		})
+		if (answer !== undefined) return answer
+		const result = await probeAddress(endpoint.address, probeTimeoutMs)
+		return result === ProbeResult.Refused
+	}
+
 	/** Calls back when suspicions have changed; returns how to end that. */
 	watch(listener: () => void): () => void {
 		this.listeners.add(listener)
