Soak prompts that crash engines

The fault soak has a set with a part of a prompt that crashes each engine until the faults end, beside all other faults, and judges that at most three requests with it reach engines from 3 s after the fifth crash on.

--- a/bench/soak/__tests__/soak.test.ts
+++ b/bench/soak/__tests__/soak.test.ts
@@ -42,6 +42,17 @@
 		expect(report.breaches).toEqual([])
 	}, 120_000)
 
+	it("keeps prompts from engines that they would crash", async () => {
+		const report = await runSoak({
+			seed: 31,
+			durationMs: 15_000,
+			block: 86,
+			callers: 24,
+			faults: FaultSet.Prompts
+		})
+		expect(report.breaches).toEqual([])
+	}, 120_000)
+
 	it.each(regressions)(
 		"keeps every promise with seed $seed, which failed once",
 		async ({seed, block}) => {
--- a/bench/soak/__tests__/statements.test.ts
+++ b/bench/soak/__tests__/statements.test.ts
@@ -1,7 +1,17 @@
 import {describe, expect, it} from "vitest"
 import type {WorkerArrival} from "../../../standins/fleet/index.js"
 import {CallEnd, type CallRecord} from "../callers.js"
-import {judgeStatements} from "../statements.js"
+import {
+	judgeStatements as judge,
+	type StatementEvidence
+} from "../statements.js"
+
+function judgeStatements(
+	evidence: Omit<StatementEvidence, "deadlyCrashes">,
+	deadlyCrashes: number[] = []
+): string[] {
+	return judge({...evidence, deadlyCrashes})
+}
 
 function createRecord(id: string, sentAt: number): CallRecord {
 	const gateway = "g1"
@@ -15,7 +25,12 @@
 	statement: Partial<WorkerArrival> = {}
 ): WorkerArrival {
 	const worker = "desk1 (1)"
-	const none = {isLeaving: false, pausedUntil: 0, perSecond: 0}
+	const none = {
+		isLeaving: false,
+		pausedUntil: 0,
+		perSecond: 0,
+		isDeadly: false
+	}
 	return {requestId, worker, at, ...none, ...statement}
 }
 
@@ -74,4 +89,21 @@
 			"3 requests to desk1 (1) during its pause"
 		])
 	})
+
+	it("finds prompts that reach workers after they crashed five", () => {
+		const crashes = [0, 100, 200, 300, 400]
+		const late = Array.from({length: 6}, (_, n) =>
+			createRecord(`d${n}`, 3300 + n * 100)
+		)
+		const arrivals = late.map(({id, sentAt}) =>
+			createArrival(id, sentAt, {isDeadly: true})
+		)
+		const evidence = {records: late, arrivals, disturbances: []}
+		expect(judgeStatements(evidence, crashes)).toEqual([
+			"4 requests with a part that had crashed five engines"
+		])
+		expect(judgeStatements(evidence, crashes.slice(1))).toEqual([])
+		const disturbances = [{gateway: "g1", at: 3000}]
+		expect(judgeStatements({...evidence, disturbances}, crashes)).toEqual([])
+	})
 })
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -35,7 +35,7 @@
 type End = (how: CallEnd, status: number, last?: LastEvent) => void
 
 const kinds = ["draft", "draft", "book", "status"]
-const adapterCount = 9
+export const adapterCount = 9
 const eventCount = 6
 /** Well beyond the longest time-out of a route. */
 const patienceMs = 8000
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -4,6 +4,7 @@
 import {join} from "node:path"
 import {FleetStore, FleetWorker} from "../../standins/fleet/index.js"
 import {type Relay, startRelay} from "../../standins/relay.js"
+import {sleep} from "../../src/utils/common.js"
 import {ChildProcess} from "../deployment/childProcess.js"
 import type {Disturbance} from "./statements.js"
 
@@ -18,6 +19,8 @@
 const zones = ["a", "b"]
 const heartbeatMs = 500
 const graceMs = 4000
+/** Time after which an engine that crashed for a prompt is back. */
+const restartMs = 1500
 
 /** A worker with the relays that stand for its links. */
 export interface WorkerSite {
@@ -44,9 +47,14 @@
 	readonly sites: WorkerSite[] = []
 	/** Kills, stops, freezes and starts of gateways. */
 	readonly disturbances: Disturbance[] = []
+	/** Parts of prompts that crash engines. */
+	readonly deadlyParts = new Set<string>()
+	/** Times at which engines crashed for such a part. */
+	readonly deadlyCrashes: number[] = []
 	configVersion = 0
 	private readonly dir = mkdtempSync(join(tmpdir(), "goldcrestloom-soak-"))
 	private readonly timers: NodeJS.Timeout[] = []
+	private isStopped = false
 
 	private constructor(
 		readonly store: FleetStore,
@@ -157,6 +165,7 @@
 	}
 
 	async stop(): Promise<void> {
+		this.isStopped = true
 		for (const timer of this.timers) clearInterval(timer)
 		const children = [
 			...this.gateways.map(({process}) => process),
@@ -210,6 +219,8 @@
 			agent: undefined
 		}
 		this.sites.push(site)
+		worker.deadlyParts = this.deadlyParts
+		worker.onDeadly = () => void this.crashForPrompt(site)
 		if (isEngine) {
 			const agentIp = `127.${block}.3.${index}`
 			const target = `${agentIp}:9100`
@@ -226,6 +237,24 @@
 		this.writeEntry(site)
 	}
 
+	private isUp(worker: FleetWorker): boolean {
+		return worker.isUp
+	}
+
+	private async crashForPrompt(site: WorkerSite): Promise<void> {
+		const {worker} = site
+		if (!worker.isUp) return
+		const oldId = worker.id
+		this.deadlyCrashes.push(performance.now())
+		await worker.crash(false)
+		this.store.remove("servers", oldId)
+		await sleep(restartMs)
+		if (this.isStopped) return
+		// Another fault may have started it meanwhile.
+		if (!this.isUp(worker)) await worker.start()
+		this.writeEntry(site)
+	}
+
 	private async addGateway(index: number): Promise<void> {
 		const ip = `127.${this.block}.4.${index}`
 		const storeLink = await startRelay({
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -1,6 +1,7 @@
 /** A seeded series of faults, which may overlap, and their ends. */
 import {Cut} from "../../standins/relay.js"
 import {sleep} from "../../src/utils/common.js"
+import {adapterCount} from "./callers.js"
 import type {SoakDeployment} from "./deployment.js"
 
 export interface Fault {
@@ -16,7 +17,9 @@
 	/** Also stores that return from a copy, leaving workers, and pauses. */
 	All = "all",
 	/** Also workers that state how many requests a second they take. */
-	Limits = "limits"
+	Limits = "limits",
+	/** Also parts of prompts that crash engines until the faults end. */
+	Prompts = "prompts"
 }
 
 /** Picks the next fault of the deployment. */
@@ -25,7 +28,11 @@
 	random: () => number,
 	set: FaultSet
 ): Fault {
-	if (set === FaultSet.Limits && random() < limitFaultShare) {
+	if (set === FaultSet.Prompts && deployment.deadlyParts.size === 0) {
+		return createPromptFault(deployment, random)
+	}
+	const hasLimits = set === FaultSet.Limits || set === FaultSet.Prompts
+	if (hasLimits && random() < limitFaultShare) {
 		return createLimitFault(deployment, random)
 	}
 	if (set !== FaultSet.First && random() < statementFaultShare) {
@@ -240,6 +247,21 @@
 	}
 }
 
+/** A part that several callers share; it is sound again when all faults end. */
+function createPromptFault(
+	deployment: SoakDeployment,
+	random: () => number
+): Fault {
+	const part = `p${Math.floor(random() * adapterCount)}`
+	return {
+		name: `prompts with ${part} crash engines`,
+		start: () => {
+			deployment.deadlyParts.add(part)
+		},
+		end: () => undefined
+	}
+}
+
 function listLinkFaults(
 	deployment: SoakDeployment,
 	random: () => number
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -31,7 +31,7 @@
 				desks: Number(options.desks)
 			},
 			callers: Number(options.callers),
-			faults: FaultSet.Limits,
+			faults: FaultSet.Prompts,
 			block: Number(options.block),
 			onProgress: text => {
 				if (options.verbose === true) console.log(`  ${text}`)
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -67,7 +67,8 @@
 			...judgeStatements({
 				records,
 				arrivals: deployment.sites.flatMap(({worker}) => worker.arrivals),
-				disturbances: deployment.disturbances
+				disturbances: deployment.disturbances,
+				deadlyCrashes: deployment.deadlyCrashes
 			})
 		]
 		if (recovered < minRecovered) {
@@ -101,6 +102,7 @@
 		await sleep(random() * maxPauseMs)
 	}
 	await Promise.all(running)
+	deployment.deadlyParts.clear()
 	for (const {process} of deployment.gateways) {
 		if (!process.isRunning) process.start()
 	}
--- a/bench/soak/statements.ts
+++ b/bench/soak/statements.ts
@@ -16,6 +16,8 @@
 	records: readonly CallRecord[]
 	arrivals: readonly WorkerArrival[]
 	disturbances: readonly Disturbance[]
+	/** Times at which engines crashed for a part of a prompt. */
+	deadlyCrashes: readonly number[]
 }
 
 const drainMs = 2000
@@ -38,7 +40,8 @@
 export function judgeStatements({
 	records,
 	arrivals,
-	disturbances
+	disturbances,
+	deadlyCrashes
 }: StatementEvidence): string[] {
 	const byId = new Map(records.map(record => [record.id, record]))
 	const byPair = new Map<string, Traced[]>()
@@ -61,7 +64,8 @@
 		]),
 		...[...byWorker.values()].flatMap(traced =>
 			judgeLimits(traced, disturbances)
-		)
+		),
+		...judgePrompts([...byWorker.values()].flat(), deadlyCrashes, isExcused)
 	]
 }
 
@@ -71,6 +75,29 @@
 	else known.push(item)
 }
 
+/** Crashes after which a part of a prompt is known, and time from the last of them. */
+const crashesUntilKnown = 5
+const promptNoticeMs = 3000
+/** Requests with a known part that may reach workers. */
+const maxKnownDeadly = 3
+
+function judgePrompts(
+	traced: readonly Traced[],
+	crashes: readonly number[],
+	isExcused: IsExcused
+): string[] {
+	const fifthAt = crashes[crashesUntilKnown - 1]
+	if (fifthAt === undefined) return []
+	const late = traced.filter(
+		({isDeadly, gateway, at}) =>
+			isDeadly &&
+			at > fifthAt + promptNoticeMs &&
+			!isExcused(gateway, at - promptNoticeMs)
+	)
+	if (late.length <= maxKnownDeadly) return []
+	return [`${late.length} requests with a part that had crashed five engines`]
+}
+
 type IsExcused = (gateway: string, since: number) => boolean
 
 function judgeLeaving(
--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/engineSearch.ts
@@ -102,6 +102,7 @@
 			return
 		}
 		if (!best.isLinked && ctx.links.isCatchingUp) {
+			clearTimeout(this.catchUpTimer)
 			this.catchUpTimer = setTimeout(() => {
 				this.catchUpTimer = undefined
 				this.tryNextEngine()
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -35,6 +35,8 @@
 	pausedUntil: number
 	/** Requests a second that the worker takes from all; 0 if it stated no limit. */
 	perSecond: number
+	/** Whether the request would crash the worker. */
+	isDeadly: boolean
 }
 
 export interface WorkerRun {
@@ -80,6 +82,10 @@
 export class FleetWorker {
 	readonly runs: WorkerRun[] = []
 	readonly arrivals: WorkerArrival[] = []
+	/** Parts of prompts on which the worker ends before it writes an event. */
+	deadlyParts: ReadonlySet<string> = new Set()
+	/** Called when it is to end. */
+	onDeadly: () => void = () => undefined
 	/** States in every answer that it is leaving, until it crashes. */
 	isLeaving = false
 	/** Turns half of the requests away for this long; 0 for none. */
@@ -213,7 +219,8 @@
 		const isPause = pauseMs > 0 && this.options.random() < 0.5
 		const pausedUntil = isPause ? at + pauseMs : 0
 		const worker = `${this.id} (${this.incarnation})`
-		const stated = {isLeaving, pausedUntil, perSecond}
+		const isDeadly = this.isDeadly(req)
+		const stated = {isLeaving, pausedUntil, perSecond, isDeadly}
 		this.arrivals.push({requestId, worker, at, ...stated})
 		if (isLeaving) res.setHeader("Server-Leaving", "1")
 		if (perSecond > 0) res.setHeader("Server-Limit", String(perSecond))
@@ -371,6 +378,7 @@
 		}
 		const {version} = loaded
 		const {build} = this
+		const isDeadly = this.isDeadly(req)
 		this.recordRun(requestId, `${adapter}@${version}`, false)
 		res.writeHead(200, this.createHead(requestId))
 		const run: ActiveRun = {requestId, adapter, isReported: false}
@@ -380,7 +388,8 @@
 			// Every event is one write, so a reset can cut the stream after any event.
 			const isCut =
 				this.options.random() < this.answerLossRatio / eventsPerStream
-			if (isCut) res.socket?.resetAndDestroy()
+			if (isDeadly) this.onDeadly()
+			else if (isCut) res.socket?.resetAndDestroy()
 			else if (next > eventsPerStream) res.end()
 			else res.write(`id: ${next}\ndata: ${requestId} ${next} ${build}\n\n`)
 			next += 1
@@ -392,6 +401,11 @@
 		})
 	}
 
+	private isDeadly(req: IncomingMessage): boolean {
+		const parts = String(req.headers["x-prompt-prefix"]).split(",")
+		return parts.some(part => this.deadlyParts.has(part.split(":")[0] ?? ""))
+	}
+
 	private recordRun(
 		requestId: string,
 		adapter: string,
