Accuse a part sooner that takes down all of few engines

Two causes, from the gateways' logs. Where the head of an answer doesn't arrive before the crash, a sound stream that had got one event on the same engine counted as begun, and so as the better explanation, until its part was answered. And a part at all of three engines, which crash together, counts half at each moment, so that four were needed.

A send with an event is now evidence of the weaker kind. A part is also accused after five engines if it was at all that crashed with them and nobody answered it for a second, and its trials wait by the number of engines, not of moments.

--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -145,11 +145,16 @@
 		return this.firstEventAt
 	}
 
-	/** Whether the head of an answer has arrived. */
-	get hasBegun(): boolean {
+	/** Whether the head of a stream has arrived. */
+	get isStream(): boolean {
 		return this.responseHead?.status === httpOk
 	}
 
+	/** Whether that has, and no event: the engine was about to write its first one. */
+	get hasBegun(): boolean {
+		return this.isStream && this.isUnanswered
+	}
+
 	/** For the log line of a send that delivered no event: the parts of its prompt. */
 	get promptFields(): LogFields {
 		if (!this.isUnanswered) return {}
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -261,7 +261,7 @@
 			this.mayHaveRun = true
 		}
 		if (outcome === CallOutcome.Aborted) return
-		const isBroken = outcome === CallOutcome.Broken || send.hasBegun
+		const isBroken = outcome === CallOutcome.Broken || send.isStream
 		if (hasNotRun || !isBroken || send.isProven) {
 			this.goOn(detail, hasNotRun, isStandby)
 			return
--- a/src/gateway/promptGuard.ts
+++ b/src/gateway/promptGuard.ts
@@ -1,7 +1,7 @@
 /**
  * Keeps prompts from engines that they would crash: finds out whether an engine
- * ended while a prompt was unanswered, shares that with the other hosts, and judges
- * each prompt by what all hosts saw.
+ * ended while a prompt was unanswered, tells the other hosts, and judges each prompt
+ * by what all hosts saw.
  */
 import {
 	createCrashNotice,
@@ -40,7 +40,7 @@
 	requestId: string
 	target: SendTarget
 	sharedParts: readonly string[]
-	/** Whether the head of an answer had arrived. */
+	/** Whether the head of an answer had arrived, and no event. */
 	hasBegun: boolean
 }
 
--- a/src/policy/crashes/charges.ts
+++ b/src/policy/crashes/charges.ts
@@ -20,16 +20,33 @@
 	parts: readonly string[]
 	/** Crashes at which each of the parts was; those at one moment count once. */
 	crashes: number
+	/** Engines that each of the parts was at when they crashed. */
+	engines: number
+	/** Whether no engine without the parts crashed at these moments. */
+	isAtAll: boolean
 	/** As `crashes`, less where no answer had begun or other engines crashed as well. */
 	evidence: number
+	firstCrashAt: number
 	lastCrashAt: number
 }
 
 interface Tally {
 	crashes: number
+	engines: number
+	/** Engines that crashed at these moments, with the part or without. */
+	enginesInAll: number
+	firstCrashAt: number
 	evidence: number
 }
 
+const emptyTally: Tally = {
+	crashes: 0,
+	engines: 0,
+	enginesInAll: 0,
+	firstCrashAt: Number.POSITIVE_INFINITY,
+	evidence: 0
+}
+
 /** Engines that crash within this time have a common cause, such as a lost rack. */
 const commonCauseMs = 100
 /** What a crash counts at which no answer had begun on the part. */
@@ -46,10 +63,13 @@
 			tallies.get(part)?.evidence ?? 0
 		const evidence = Math.max(...parts.map(getEvidence))
 		const leaders = parts.filter(part => getEvidence(part) === evidence)
-		const counts = leaders.map(part => tallies.get(part)?.crashes ?? 0)
+		const leading = leaders.flatMap(part => tallies.get(part) ?? [])
 		charges.set(leaders.join(" "), {
 			parts: leaders,
-			crashes: Math.max(...counts),
+			crashes: Math.max(...leading.map(tally => tally.crashes)),
+			engines: Math.min(...leading.map(tally => tally.engines)),
+			isAtAll: leading.every(tally => tally.engines === tally.enginesInAll),
+			firstCrashAt: Math.min(...leading.map(tally => tally.firstCrashAt)),
 			evidence,
 			lastCrashAt: at
 		})
@@ -63,14 +83,18 @@
 	for (const moment of groupMoments(crashes)) {
 		const parts = new Set(moment.flatMap(({suspects}) => [...suspects]))
 		for (const part of parts) {
-			const known = tallies.get(part) ?? {crashes: 0, evidence: 0}
-			const weights = moment
-				.filter(({suspects}) => suspects.has(part))
-				.map(({hasBegun}) => (hasBegun ? 1 : waitingEvidence))
+			const known = tallies.get(part) ?? emptyTally
+			const withPart = moment.filter(({suspects}) => suspects.has(part))
+			const weights = withPart.map(({hasBegun}) =>
+				hasBegun ? 1 : waitingEvidence
+			)
 			// A part that was at one of several engines doesn't explain the others.
 			const sum = weights.reduce((total, weight) => total + weight, 0)
 			tallies.set(part, {
 				crashes: known.crashes + 1,
+				engines: known.engines + withPart.length,
+				enginesInAll: known.enginesInAll + moment.length,
+				firstCrashAt: Math.min(known.firstCrashAt, withPart[0]?.at ?? 0),
 				evidence: round(known.evidence + sum / moment.length)
 			})
 		}
--- a/src/policy/crashes/promptVerdict.ts
+++ b/src/policy/crashes/promptVerdict.ts
@@ -29,6 +29,13 @@
 
 /** A part that was at one crash was most likely there by chance. */
 const evidenceUntilAccused = 2
+/**
+ * A part that comes often takes down several engines at a time, as other causes do. It
+ * is accused after so many, if it was at all that crashed with them and nobody
+ * answered it for a time in which the parts of sound callers are.
+ */
+const enginesUntilAccused = 5
+const unansweredMs = 1000
 /** Time from the second crash of a part to its trial; doubled with each crash since. */
 const firstTrialDelayMs = 2000
 const maxTrialDelayMs = 10 * 60 * 1000
@@ -73,15 +80,18 @@
 	return parts.some(part => records.listCharges(part).length > 0)
 }
 
-function isAccusation({evidence}: Charge): boolean {
-	return evidence >= evidenceUntilAccused
+function isAccusation(charge: Charge): boolean {
+	const {evidence, engines, isAtAll, firstCrashAt, lastCrashAt} = charge
+	if (evidence >= evidenceUntilAccused) return true
+	const isUnanswered = lastCrashAt - firstCrashAt >= unansweredMs
+	return isAtAll && isUnanswered && engines >= enginesUntilAccused
 }
 
 function getTrialDueAt(
 	records: CrashRecords,
-	{parts, crashes, lastCrashAt}: Charge
+	{parts, engines, lastCrashAt}: Charge
 ): number {
-	const doublings = Math.max(0, crashes - evidenceUntilAccused)
+	const doublings = Math.max(0, engines - evidenceUntilAccused)
 	const delayMs = Math.min(maxTrialDelayMs, firstTrialDelayMs * 2 ** doublings)
 	const triedAt = Math.max(...parts.map(part => records.getTrialAt(part)))
 	return Math.max(lastCrashAt + delayMs, triedAt + trialTimeoutMs)
