Log when an engine that a send broke off at has not ended

Read again as a newcomer: whether a broken send counts as a crash decides if the request waits, and the answer "no" left no line. It now does, with what showed it: the agent, or the connection and its result, so that an agent that didn't answer is seen as well.

--- a/src/gateway/promptGuard.ts
+++ b/src/gateway/promptGuard.ts
@@ -44,6 +44,12 @@
 	hasBegun: boolean
 }
 
+/** Whether an engine has ended, and what showed it, for the log. */
+interface EngineEnd {
+	hasEnded: boolean
+	shownBy: string
+}
+
 /** Several round trips between failure domains. */
 const probeTimeoutMs = 150
 /** Several times the time of a call to an agent in another failure domain. */
@@ -107,12 +113,17 @@
 		const {requestId, target, sharedParts, hasBegun} = send
 		const {id} = target.endpoint
 		const at = now()
-		if (!(await this.hasEnded(target))) return false
+		const {hasEnded, shownBy} = await this.findEnd(target)
+		if (!hasEnded) {
+			log.request("engine.notEnded", requestId, {endpoint: id, shownBy})
+			return false
+		}
 		log.request("engine.crashed", requestId, {
 			endpoint: id,
 			bornAt: target.bornAt,
 			parts: sharedParts,
-			hasBegun
+			hasBegun,
+			shownBy
 		})
 		const report = {
 			endpointId: id,
@@ -127,7 +138,7 @@
 	}
 
 	/** Asks the engine's agent, or without one finds out by a connection. */
-	private async hasEnded({endpoint, bornAt}: SendTarget): Promise<boolean> {
+	private async findEnd({endpoint, bornAt}: SendTarget): Promise<EngineEnd> {
 		const link = bornAt === 0 ? undefined : this.options.links.get(endpoint.id)
 		const answer = await new Promise<boolean | undefined>(resolve => {
 			if (link === undefined) {
@@ -139,9 +150,10 @@
 				resolve(undefined)
 			}, answerTimeoutMs)
 		})
-		if (answer !== undefined) return answer
+		if (answer !== undefined) return {hasEnded: answer, shownBy: "agent"}
 		const result = await probeAddress(endpoint.address, probeTimeoutMs)
-		return result === ProbeResult.Refused
+		const hasEnded = result === ProbeResult.Refused
+		return {hasEnded, shownBy: `connection ${result}`}
 	}
 
 	/** Calls back when suspicions have changed; returns how to end that. */
