--- a/src/contract/fleet.ts
+++ b/src/contract/fleet.ts
@@ -35,6 +35,35 @@
 	maxAttempts: number
 	/** Whether another endpoint may continue a generation that broke off. */
 	isResumable: boolean
+	/** Whether callers need no key. */
+	isPublic: boolean
+}
+
+/** What a quota counts. */
+export enum QuotaUnit {
+	Requests = "requests",
+	/** Tokens of the prompt and the longest answer that the caller takes. */
+	Tokens = "tokens"
+}
+
+/** How much a Member may ask of all gateways together. */
+export interface MemberQuota {
+	unit: QuotaUnit
+	perSecond: number
+	/** What may be used at once after a time without requests. */
+	burst: number
+	/** What a request counts that states no tokens. */
+	plainTokens: number
+}
+
+/** An organisation whose callers identify themselves with one of its keys. */
+export interface Member {
+	name: string
+	keys: readonly string[]
+	/** Goes before the priority of the route; undefined if it has none. */
+	priority: number | undefined
+	/** Undefined if its requests are not limited. */
+	quota: MemberQuota | undefined
 }
 
 export interface EngineModel {
@@ -90,6 +119,8 @@
 	routes: readonly ForwardRoute[]
 	pools: readonly EndpointPool[]
 	limits: CallerLimits
+	/** Undefined if callers need no keys. */
+	members: readonly Member[] | undefined
 }
 
 export enum EndpointState {
--- a/src/gateway/__tests__/fleetState.test.ts
+++ b/src/gateway/__tests__/fleetState.test.ts
@@ -31,7 +31,7 @@
 		headerTimeoutMs: 1,
 		idleTimeoutMs: 1
 	}
-	return {version, routes: [], pools: [], limits}
+	return {version, routes: [], pools: [], limits, members: undefined}
 }
 
 function createEndpoint(
--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/engineSearch.ts
@@ -264,6 +264,7 @@
 		const {model, adapter, promptTokens, outputTokens} = generation
 		const now = ctx.now()
 		const {objectiveAt, startBy} = getStartLimits()
+		const memberPriority = request.member?.priority
 		return {
 			$typeName: "goldcrestloom.grants.v1.Ask",
 			key,
@@ -280,7 +281,11 @@
 			priority: Math.max(0, request.route.priority),
 			objectiveLeftMs: Math.round(objectiveAt - now),
 			startByLeftMs: Math.round(startBy - now),
-			deadlineLeftMs: Math.round(request.deadline - now)
+			deadlineLeftMs: Math.round(request.deadline - now),
+			member: request.member?.name ?? "",
+			...(memberPriority === undefined ? {} : {memberPriority}),
+			quotaUse: 0,
+			expectedOutputTokens: 0
 		}
 	}
 
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -1,5 +1,5 @@
 /** The dependencies that a gateway passes to each of its request tasks. */
-import type {ForwardRoute} from "../contract/fleet.js"
+import type {ForwardRoute, Member} from "../contract/fleet.js"
 import type {
 	EndpointPauses,
 	EngineChoice,
@@ -50,6 +50,8 @@
 export interface RoutedRequest {
 	exchange: CallerExchange
 	route: ForwardRoute
+	/** Whose request it is; undefined if the caller has shown no key. */
+	member: Member | undefined
 	/** Pool that serves it, drawn at random by the weights of the route's pools. */
 	pool: string
 	body: Buffer
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -219,6 +219,7 @@
 		const request = {
 			exchange,
 			route,
+			member: undefined,
 			pool,
 			body,
 			arrivedAt,
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -13,7 +13,10 @@
 	adapter: string
 	parts: readonly PromptPart[]
 	promptTokens: number
+	/** Longest answer that the caller takes; 0 if it states none. */
 	outputTokens: number
+	/** The caller's estimate of the answer's length; right at the median at best. */
+	lengthHint: number | undefined
 }
 
 /**
@@ -50,6 +53,8 @@
 	generation: GenerationHead | undefined
 	/** Set if the caller resumes a stream. */
 	resumption: Resumption | undefined
+	/** Key by which the caller identifies its Member; must not be logged. */
+	credential: string | undefined
 }
 
 /** Values that the gateway encodes into the headers of a forwarded request. */
@@ -110,6 +115,8 @@
 	running: number
 	waiting: number
 	seats: number
+	/** How long work takes there now, 1 as usual; undefined if not stated. */
+	pace: number | undefined
 }
 
 /** A malformed request; the gateway itself responds with this status and text. */
