Ask the agent of a removed engine whether the engine has ended

The store had removed the crashed engine's registration before the gateway looked into the broken send. With the registration went the link to the agent, the only one that could tell, and what stands in front of the engine still accepted connections, so that the probe showed nothing. Of nine crashes five were logged as engine.notEnded. No send had been decided before the part was known.

A link whose engine is no longer registered now stays for two seconds, for checks only: its asks fail at once as before.

--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -265,6 +265,17 @@
 		this.send({case: "heartbeat", value: true})
 	}
 
+	/**
+	 * Fails the asks that wait, as their engine is no longer registered. The link goes
+	 * on until it is closed, so that checks of the engine are answered.
+	 */
+	retire(): void {
+		const lostAsks = [...this.pendingAsks.values()]
+		this.pendingAsks.clear()
+		this.requests.clear()
+		for (const {handlers} of lostAsks) handlers.onLost()
+	}
+
 	close(): void {
 		this.isClosed = true
 		this.fail("closed")
--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -51,11 +51,22 @@
 const catchUpMs = 500
 /** Factor by which the pace must differ from the one told to agents. */
 const paceHysteresis = 1.2
+/**
+ * Time for which the agent of an engine that is no longer registered can be asked
+ * about it. The registration of an engine that crashes may go before the gateway
+ * has noticed that its sends broke off.
+ */
+const retiredLinkMs = 2000
 /** Agents that pass on a fact, besides that of the endpoint it is about. */
 const maxNoticeRelays = 2
 
 export class AgentLinks {
 	private readonly links = new Map<string, AgentLink>()
+	/** Links to agents of engines that are no longer registered. */
+	private readonly retired = new Map<
+		string,
+		{link: AgentLink; closeAt: number}
+	>()
 	/**
 	 * Pools of engines. A pool that a configuration no longer has stays, because its
 	 * requests may still run or wait.
@@ -100,6 +111,11 @@
 		return this.links.get(endpointId)
 	}
 
+	/** The link that can tell whether the engine has ended, also if it was removed. */
+	getForCheck(endpointId: string): AgentLink | undefined {
+		return this.links.get(endpointId) ?? this.retired.get(endpointId)?.link
+	}
+
 	/**
 	 * Tells agents a fact, which pass it on to their other gateways: the agent of the
 	 * endpoint that it is about and, unless only that one needs it, a few others. All
@@ -156,11 +172,34 @@
 
 	tick(): void {
 		for (const link of this.links.values()) link.tick()
+		const now = this.options.now()
+		for (const [id, {link, closeAt}] of this.retired) {
+			if (now >= closeAt) this.closeRetired(id)
+			else link.tick()
+		}
 	}
 
 	close(): void {
 		for (const link of this.links.values()) link.close()
 		this.links.clear()
+		for (const id of [...this.retired.keys()]) this.closeRetired(id)
+	}
+
+	private closeRetired(id: string): void {
+		const link = this.retired.get(id)?.link
+		this.retired.delete(id)
+		link?.close()
+	}
+
+	/** Ends the use of a link whose engine is no longer registered. */
+	private retire(id: string, link: AgentLink): void {
+		const {engineChoice, log, now} = this.options
+		this.links.delete(id)
+		this.closeRetired(id)
+		this.retired.set(id, {link, closeAt: now() + retiredLinkMs})
+		engineChoice.dropView(id)
+		log.decide("agent.down", {endpoint: id, reason: "engine removed"})
+		link.retire()
 	}
 
 	/**
@@ -178,6 +217,10 @@
 		for (const [id, link] of this.links) {
 			const address = this.getAgentAddress(engines.get(id))
 			if (address === link.address) continue
+			if (address === undefined) {
+				this.retire(id, link)
+				continue
+			}
 			link.close()
 			this.links.delete(id)
 		}
@@ -226,6 +269,7 @@
 			getIntervals: () => this.intervals,
 			getLimits: () => this.getLimits(pool),
 			onState: state => {
+				if (this.links.get(id) !== link) return
 				this.reportedGateways = Math.max(1, state.gateways)
 				engineChoice.applyView(id, {
 					isUsable: state.usable,
@@ -244,7 +288,7 @@
 				}
 			},
 			onNotice: notice => {
-				this.receiveNotice(notice, id)
+				if (this.links.get(id) === link) this.receiveNotice(notice, id)
 			},
 			onOrigin: answer => {
 				this.options.onOrigin(id, answer)
@@ -253,11 +297,13 @@
 				this.options.onPermit(id, answer)
 			},
 			onUp: () => {
+				if (this.retired.get(id)?.link === link) return
 				log.decide("agent.up", {endpoint: id})
 				for (const notice of this.options.notices.list(now()))
 					link.announce(notice)
 			},
 			onDown: reason => {
+				if (this.links.get(id) !== link) return
 				if (reason === pausedReason) this.beginCatchUp()
 				log.decide("agent.down", {endpoint: id, reason})
 				engineChoice.dropView(id)
--- a/src/gateway/promptGuard.ts
+++ b/src/gateway/promptGuard.ts
@@ -139,7 +139,8 @@
 
 	/** Asks the engine's agent, or without one finds out by a connection. */
 	private async findEnd({endpoint, bornAt}: SendTarget): Promise<EngineEnd> {
-		const link = bornAt === 0 ? undefined : this.options.links.get(endpoint.id)
+		const link =
+			bornAt === 0 ? undefined : this.options.links.getForCheck(endpoint.id)
 		const answer = await new Promise<boolean | undefined>(resolve => {
 			if (link === undefined) {
 				resolve(undefined)
