Require callers' keys where the configuration has Members

Callers would see: where config/main contains tenants, a request to a route that is not public and states no known key in X-Credential is answered with 401 before its body is read. Endpoints would see the Member's name in X-Tenant on the first send, repeats, sends beside a silent engine and continuations, and neither the key nor a caller's own X-Tenant; engines see the Member's priority in X-Request-Priority if it has one, else the route's.

Cause: the gateway read Members from the configuration and ignored them, and copied both headers to endpoints.

Change: FleetState maps keys to Members once per configuration. CallerAccess (src/gateway/identity) identifies a request on arrival and checks it again right before each send, and at once when a configuration comes into force. A request whose key is gone ends with 401 if it has not run, else as unknown; a call that is open goes on.

--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -154,9 +154,9 @@
 	}
 
 	/** Responds to an invalid request, which the caller must correct. */
-	reject(status: number, reason: string): void {
+	reject(status: number, reason: string, logFields: LogFields = {}): void {
 		this.respondWithText(status, reason, {})
-		this.recordOutcome(RequestOutcome.Rejected, {status, reason})
+		this.recordOutcome(RequestOutcome.Rejected, {status, reason, ...logFields})
 	}
 
 	private writeHead(
--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/engineSearch.ts
@@ -283,7 +283,9 @@
 			startByLeftMs: Math.round(startBy - now),
 			deadlineLeftMs: Math.round(request.deadline - now),
 			member: request.member?.name ?? "",
-			...(memberPriority === undefined ? {} : {memberPriority}),
+			...(memberPriority === undefined
+				? {}
+				: {memberPriority: Math.max(0, Math.round(memberPriority))}),
 			quotaUse: 0,
 			expectedOutputTokens: 0
 		}
--- a/src/gateway/fleetState.ts
+++ b/src/gateway/fleetState.ts
@@ -11,7 +11,8 @@
 	EndpointState,
 	type FleetConfig,
 	type FleetEndpoint,
-	type ForwardRoute
+	type ForwardRoute,
+	type Member
 } from "../contract/fleet.js"
 import {
 	compareRevisions,
@@ -39,6 +40,7 @@
 	private configInForce: FleetConfig | undefined
 	private readonly routesByHost = new Map<string, ForwardRoute[]>()
 	private readonly pools = new Map<string, EndpointPool>()
+	private readonly membersByKey = new Map<string, Member>()
 	private readonly endpoints = new Map<string, FleetEndpoint>()
 	private readonly departures = new Departures()
 	/**
@@ -107,12 +109,27 @@
 			routes.sort((a, b) => b.pathPrefix.length - a.pathPrefix.length)
 		}
 		for (const pool of config.pools) this.pools.set(pool.name, pool)
-		const {version, routes} = config
-		this.log.decide("config.inForce", {version, routes: routes.length, source})
+		this.indexMembers(config.members ?? [])
+		const {version, routes, members = []} = config
+		this.log.decide("config.inForce", {
+			version,
+			routes: routes.length,
+			members: members.length,
+			source
+		})
 		for (const listener of this.listeners) listener.onConfig?.(config)
 		return true
 	}
 
+	/** Whether callers need a key on routes that aren't public. */
+	get hasMembers(): boolean {
+		return (this.configInForce?.members?.length ?? 0) > 0
+	}
+
+	findMember(key: string): Member | undefined {
+		return this.membersByKey.get(key)
+	}
+
 	/** The route of the host whose path prefix is the longest that matches. */
 	findRoute(host: string, path: string): ForwardRoute | undefined {
 		const routes = this.routesByHost.get(host) ?? []
@@ -283,6 +300,18 @@
 		return [...this.versions.values()]
 	}
 
+	private indexMembers(members: readonly Member[]): void {
+		this.membersByKey.clear()
+		for (const member of members) {
+			for (const key of member.keys) {
+				// An empty header counts as no key. Of two Members with one key, the first
+				// has it.
+				if (key === "" || this.membersByKey.has(key)) continue
+				this.membersByKey.set(key, member)
+			}
+		}
+	}
+
 	private putEndpoint(endpoint: FleetEndpoint, now: number): void {
 		const {id, pool, address, build} = endpoint
 		const known = this.endpoints.get(id)
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -10,6 +10,7 @@
 import type {DecisionLog} from "../program/decisionLog.js"
 import type {AgentLinks} from "./agentLinks.js"
 import type {FleetState} from "./fleetState.js"
+import type {CallerAccess} from "./identity/index.js"
 import type {GatewayMetrics} from "./gatewayMetrics.js"
 import type {Permits} from "./permits.js"
 import type {RetryBudgets} from "./retryBudgets.js"
@@ -21,6 +22,7 @@
 export interface GatewayContext {
 	wire: WireCodec
 	fleet: FleetState
+	access: CallerAccess
 	links: AgentLinks
 	engines: EngineChoice
 	services: ServiceChoice
@@ -50,7 +52,7 @@
 export interface RoutedRequest {
 	exchange: CallerExchange
 	route: ForwardRoute
-	/** Whose request it is; undefined if the caller has shown no key. */
+	/** Whose request it is; undefined if the caller has stated no known key. */
 	member: Member | undefined
 	/** Pool that serves it, drawn at random by the weights of the route's pools. */
 	pool: string
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -79,6 +79,12 @@
 		labelNames: ["signal"],
 		registers: [this.registry]
 	})
+	private readonly denials = new Counter({
+		name: "goldcrestloom_denied_requests_total",
+		help: "Decisions not to accept or not to send a request because of its key",
+		labelNames: ["reason"],
+		registers: [this.registry]
+	})
 	private readonly dependencyLosses = new Counter({
 		name: "goldcrestloom_dependency_losses_total",
 		help: "Losses of a dependency",
@@ -115,6 +121,10 @@
 		this.signals.inc({signal})
 	}
 
+	countDenial(reason: string): void {
+		this.denials.inc({reason})
+	}
+
 	countLoss(dependency: string): void {
 		this.dependencyLosses.inc({dependency})
 	}
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -11,6 +11,7 @@
 import type {Socket} from "node:net"
 import {
 	type ForwardRoute,
+	type Member,
 	type PoolShare,
 	RouteKind
 } from "../contract/fleet.js"
@@ -18,6 +19,7 @@
 import {CallerExchange, CloseReason} from "./callerExchange.js"
 import {DeadlineSource, type GatewayContext} from "./gatewayContext.js"
 import {GenerationTask} from "./generationTask.js"
+import {respondDenial} from "./identity/index.js"
 import {ServiceTask} from "./serviceTask.js"
 import {RejectedRequestError, type RequestHead} from "./wire.js"
 
@@ -178,6 +180,11 @@
 			exchange.reject(httpNotFound, "no route")
 			return
 		}
+		const {member, denial} = ctx.access.identify(head, route)
+		if (denial !== undefined) {
+			respondDenial(exchange, denial)
+			return
+		}
 		const {maxHeaderBytes, maxBodyBytes} = fleet.config.limits
 		if (sumHeaderBytes(req) > maxHeaderBytes) {
 			exchange.reject(httpHeadersTooLarge, "headers are too large")
@@ -190,13 +197,14 @@
 				exchange.reject(httpTooLarge, "body is too large")
 				return
 			}
-			this.startTask(exchange, route, body, arrivedAt)
+			this.startTask(exchange, route, member, body, arrivedAt)
 		})
 	}
 
 	private startTask(
 		exchange: CallerExchange,
 		route: ForwardRoute,
+		member: Member | undefined,
 		body: Buffer,
 		arrivedAt: number
 	): void {
@@ -219,7 +227,7 @@
 		const request = {
 			exchange,
 			route,
-			member: undefined,
+			member,
 			pool,
 			body,
 			arrivedAt,
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -27,6 +27,7 @@
 import type {GatewayContext} from "./gatewayContext.js"
 import {GatewayMetrics} from "./gatewayMetrics.js"
 import {GatewayServer} from "./gatewayServer.js"
+import {CallerAccess} from "./identity/index.js"
 import {Permits} from "./permits.js"
 import {PromptGuard} from "./promptGuard.js"
 import {RetryBudgets} from "./retryBudgets.js"
@@ -142,6 +143,7 @@
 		this.ctx = {
 			wire,
 			fleet: this.fleet,
+			access: new CallerAccess({fleet: this.fleet, log, metrics: this.metrics}),
 			links,
 			engines,
 			services: new ServiceChoice(),
--- a/src/gateway/generationEnding.ts
+++ b/src/gateway/generationEnding.ts
@@ -7,6 +7,7 @@
 import type {RoutedRequest} from "./gatewayContext.js"
 import type {GenerationSend} from "./generationSend.js"
 import type {PromptAdmission} from "./promptAdmission.js"
+import {type Denial, respondDenial} from "./identity/index.js"
 import {isServerError, type ResponseHead} from "./wire.js"
 
 export interface GenerationEndingOptions {
@@ -91,6 +92,18 @@
 		exchange.turnAway(detail, logFields)
 	}
 
+	/** Ends a request that may not be sent because of its key. */
+	deny(denial: Denial, summary: SendSummary): void {
+		const {request, cancel} = this.options
+		const {exchange} = request
+		if (exchange.hasStarted || summary.mayHaveRun) {
+			this.fail(denial.reason, summary)
+			return
+		}
+		cancel()
+		respondDenial(exchange, denial, {sends: summary.sends})
+	}
+
 	fail(
 		detail: string,
 		{sends, mayHaveRun}: SendSummary,
--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -69,7 +69,7 @@
 
 	constructor(options: GenerationSendOptions) {
 		const {ctx, request, target, resumeAfter} = options
-		const {exchange, route, body, deadline} = request
+		const {exchange, body, deadline} = request
 		this.options = options
 		this.target = target
 		this.sentAt = ctx.now()
@@ -83,8 +83,8 @@
 				leftMs: deadline - ctx.now(),
 				bodyBytes: body.length,
 				adapterVersion: target.version,
-				priority: route.priority,
-				resumeAfter
+				resumeAfter,
+				...ctx.access.describeCaller(request)
 			}),
 			body,
 			handlers: {
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -14,6 +14,7 @@
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
 import {GenerationEnding} from "./generationEnding.js"
 import {GenerationSend, recordEngineResult} from "./generationSend.js"
+import type {Denial} from "./identity/index.js"
 import {PromptAdmission} from "./promptAdmission.js"
 import {RequestTask} from "./requestTask.js"
 import {SendPair} from "./sendPair.js"
@@ -134,6 +135,10 @@
 	/** Returns false if no repeat is left for it. */
 	private send(target: SendTarget): boolean {
 		const {ctx, request} = this
+		if (!this.tryAccess()) {
+			target.link?.notifyEnded(target.key)
+			return false
+		}
 		if (!this.admission.tryAdmit()) {
 			target.link?.notifyEnded(target.key)
 			if (this.admission.isHeld) this.hold(suspectedPrompt)
@@ -358,6 +363,15 @@
 		})
 	}
 
+	protected override handleDenial(denial: Denial): void {
+		if (this.hasOpenCall) this.endWithoutSend(denial.reason)
+		else this.ending.deny(denial, this)
+	}
+
+	protected override get hasOpenCall(): boolean {
+		return this.open.current !== undefined
+	}
+
 	protected override handleDeadline(): void {
 		if (this.open.wasSent) this.mayHaveRun = true
 		this.ending.fail("deadline", this, this.deadlineFields, true)
--- /dev/null
+++ b/src/gateway/identity/index.ts
@@ -0,0 +1,2 @@
+export * from "./callerAccess.js"
+export * from "./denial.js"
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -4,6 +4,7 @@
  */
 import type {LogFields} from "./callerExchange.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
+import type {Denial} from "./identity/index.js"
 
 export abstract class RequestTask {
 	/** Sends to endpoints, including those that the endpoint did not run. */
@@ -13,6 +14,7 @@
 	mayHaveRun = false
 	protected isCancelled = false
 	private readonly timer: NodeJS.Timeout
+	private readonly endAccessWatch: () => void
 
 	constructor(
 		protected readonly ctx: GatewayContext,
@@ -28,6 +30,9 @@
 		request.exchange.onDisconnect = () => {
 			this.handleDisconnect()
 		}
+		this.endAccessWatch = ctx.access.watch(() => {
+			this.recheckAccess()
+		})
 	}
 
 	start(): void {
@@ -40,6 +45,15 @@
 	/** Called when the request's deadline passes. */
 	protected abstract handleDeadline(): void
 
+	/**
+	 * Called when the request may not be sent. It ends unless a call is open, which
+	 * was permitted when it was sent.
+	 */
+	protected abstract handleDenial(denial: Denial): void
+
+	/** Whether a call to an endpoint is open. */
+	protected abstract get hasOpenCall(): boolean
+
 	/** Called when the caller disconnects before its response is complete. */
 	protected abstract handleDisconnect(): void
 
@@ -56,6 +70,23 @@
 		return pauses.getEarliestReturn(ids, at) - at
 	}
 
+	/**
+	 * Must be called right before each send. Returns false and handles the denial if
+	 * the request may not be sent.
+	 */
+	protected tryAccess(): boolean {
+		const denial = this.ctx.access.checkSend(this.request)
+		if (denial === undefined) return true
+		this.handleDenial(denial)
+		return false
+	}
+
+	/** Ends a request at once that waits to be sent when its key is removed. */
+	private recheckAccess(): void {
+		if (this.isCancelled || !this.request.exchange.isOpen) return
+		if (!this.hasOpenCall) this.tryAccess()
+	}
+
 	/** What set the deadline, for the log line of a request that reached it. */
 	protected get deadlineFields(): LogFields {
 		const {deadlineSource, configVersion} = this.request
@@ -70,5 +101,6 @@
 
 	protected clearTimers(): void {
 		clearTimeout(this.timer)
+		this.endAccessWatch()
 	}
 }
--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -9,6 +9,7 @@
 import {BodyBuffer} from "./bodyBuffer.js"
 import {CallOutcome, EndpointCall} from "./endpointCall.js"
 import {applySignals} from "./endpointSignals.js"
+import {type Denial, respondDenial} from "./identity/index.js"
 import {RequestTask} from "./requestTask.js"
 import {type ResponseHead, isServerError} from "./wire.js"
 
@@ -117,6 +118,7 @@
 			this.endWithoutRetry(reason)
 			return
 		}
+		if (!this.tryAccess()) return
 		if (this.sends > 0 && !ctx.retryBudgets.tryRetry(request.pool)) {
 			this.endWithoutRetry(`${reason}; no repeats left`)
 			return
@@ -156,7 +158,8 @@
 			headers: ctx.wire.encodeRequest(exchange.head, {
 				endpointId: id,
 				leftMs: request.deadline - sentAt,
-				bodyBytes: body.length
+				bodyBytes: body.length,
+				memberName: ctx.access.describeCaller(request).memberName
 			}),
 			body,
 			handlers: {
@@ -284,9 +287,9 @@
 	/**
 	 * Ends the request without another retry, unless a call is still open: forwards
 	 * the kept error response, or reports an unknown outcome if the request may have
-	 * run, or else refuses it.
+	 * run, or else responds with `denial` or refuses it.
 	 */
-	private endWithoutRetry(reason: string): void {
+	private endWithoutRetry(reason: string, denial?: Denial): void {
 		const {exchange, route} = this.request
 		if (this.openCalls.size > 0) {
 			this.ctx.log.request("send.kept", exchange.head.id, {detail: reason})
@@ -301,6 +304,7 @@
 				logFields
 			)
 		} else if (this.mayHaveRun) exchange.respondUnknown(reason, logFields)
+		else if (denial !== undefined) respondDenial(exchange, denial, logFields)
 		else {
 			const spreadMs =
 				Math.max(minRetryAfterMs, route.objectiveMs) * (1 + this.ctx.random())
@@ -310,6 +314,14 @@
 		}
 	}
 
+	protected override handleDenial(denial: Denial): void {
+		this.endWithoutRetry(denial.reason, denial)
+	}
+
+	protected override get hasOpenCall(): boolean {
+		return this.openCalls.size > 0
+	}
+
 	protected override handleDeadline(): void {
 		const {exchange} = this.request
 		const wasSent =
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -53,7 +53,10 @@
 	generation: GenerationHead | undefined
 	/** Set if the caller resumes a stream. */
 	resumption: Resumption | undefined
-	/** Key by which the caller identifies its Member; must not be logged. */
+	/**
+	 * Key by which the caller identifies its Member; undefined if it states none. Must
+	 * not be logged or forwarded, so it is not in `headers`.
+	 */
 	credential: string | undefined
 }
 
@@ -66,6 +69,8 @@
 	/** Adapter version that the endpoint must serve with; 0 for any. */
 	adapterVersion?: number
 	priority?: number | undefined
+	/** Name of the caller's Member; undefined for none. */
+	memberName?: string | undefined
 	/** Id of the last event delivered, when this endpoint resumes a generation. */
 	resumeAfter?: string | undefined
 }
