Hold Members to their quotas over all gateways

Quotas in the configuration had no effect: a Member could send any number of requests. Each request of a Member with a quota now takes its tokens from one of three parts of the quotas before it is sent. One agent gives those of a part, the one that holds its lease. A Member that all parts refuse gets 429 with the time of its turn; without a holder, 503 with 0.5 to 1 s. An amount counts as sent once a connection to an endpoint is established, and is returned if none is. Nothing is sent or written where no Member has a quota.

Records of leases state host and settled era: an agent that starts on the same host replaces its predecessor at once. A holder that loses the answer to a renewal keeps its state, as nobody else held the lease.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -38,6 +38,7 @@
 	GrantRefusalReason
 } from "../policy/grants/index.js"
 import {StatedLimits} from "../policy/limits/index.js"
+import type {QuotaBounds} from "../policy/quotas/index.js"
 import {StreamOrigins} from "../policy/streams/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
 import {EngineLoop} from "./engineLoop.js"
@@ -45,6 +46,15 @@
 import {GatewayLinks} from "./gatewayLinks.js"
 import type {LeaseStore} from "./leaseStore.js"
 import {PermitDesk} from "./permitDesk.js"
+import {QuotaDesk} from "./quotaDesk.js"
+
+export interface AgentQuotaOptions {
+	/** Leases of the parts of the quotas. */
+	leases: LeaseStore
+	bounds: QuotaBounds
+	/** Host name; a process on it may replace the one before at once. */
+	host: string
+}
 
 export interface AgentTaskOptions {
 	/** `ip:port` at which gateways connect. */
@@ -52,6 +62,8 @@
 	engine: EnginePort
 	fencingTokens: FencingTokenSource
 	leases: LeaseStore
+	/** Needed if the configuration may contain quotas. */
+	quotas?: AgentQuotaOptions
 	log: DecisionLog
 	tls?: TlsKeys | undefined
 	/** Monotonic milliseconds. */
@@ -80,6 +92,7 @@
 	/** Facts that gateways told this agent, to be passed on to their others. */
 	private readonly notices: NoticeBoard
 	private readonly permits: PermitDesk
+	private readonly quotas: QuotaDesk | undefined
 	private server: grpc.Server | undefined
 	private readonly loop: EngineLoop
 	private timer: NodeJS.Timeout | undefined
@@ -101,19 +114,33 @@
 			}
 		})
 		this.notices = this.createNotices()
-		const {engine, fencingTokens, leases, log} = options
-		this.permits = new PermitDesk({
-			leases,
+		const {engine, fencingTokens, leases, quotas, log} = options
+		const holder = {
 			owner: ulid(),
+			host: quotas?.host,
 			getEngineId: () => engine.engineId,
-			limits: this.limits,
-			reply: (to, value) => {
-				this.links.send(to, {case: "permit", value})
-			},
 			log,
 			now: this.now,
 			random: options.random ?? Math.random
+		}
+		this.permits = new PermitDesk({
+			...holder,
+			leases,
+			limits: this.limits,
+			reply: (to, value) => {
+				this.links.send(to, {case: "permit", value})
+			}
 		})
+		if (quotas !== undefined) {
+			this.quotas = new QuotaDesk({
+				...holder,
+				leases: quotas.leases,
+				bounds: quotas.bounds,
+				reply: (to, value) => {
+					this.links.send(to, {case: "quota", value})
+				}
+			})
+		}
 		this.loop = new EngineLoop({
 			engine,
 			fencingTokens,
@@ -146,6 +173,7 @@
 		clearTimeout(this.timer)
 		this.loop.stop()
 		this.permits.stop()
+		this.quotas?.stop()
 		this.links.close()
 		this.server?.forceShutdown()
 	}
@@ -181,6 +209,10 @@
 			this.passOn(owner, body, now)
 		} else if (body.case === "permitAsk") {
 			this.permits.handleAsk(owner, body.value)
+		} else if (body.case === "quotaAsk") {
+			this.quotas?.handleAsk(owner, body.value)
+		} else if (body.case === "quotaUse") {
+			this.quotas?.handleUse(body.value)
 		} else if (body.case === "check") {
 			void this.answerCheck(owner, body.value.bornAt)
 		} else if (body.case === "findOrigin") {
--- a/src/agent/leaseStore.ts
+++ b/src/agent/leaseStore.ts
@@ -1,5 +1,9 @@
 /** Interface through which an agent keeps leases on the platform. */
-import type {LeaseRecord, LeaseWritten} from "../policy/limits/index.js"
+import type {
+	LeaseRecord,
+	LeaseValue,
+	LeaseWritten
+} from "../policy/limits/index.js"
 
 export abstract class LeaseStore {
 	/** The record of that name; undefined if there is none. Rejects on failure. */
@@ -12,7 +16,7 @@
 	 */
 	abstract write(
 		name: string,
-		value: {owner: string; engineId: string},
+		value: LeaseValue,
 		expected: number
 	): Promise<LeaseWritten | undefined>
 }
--- a/src/gateway/__tests__/agentLink.test.ts
+++ b/src/gateway/__tests__/agentLink.test.ts
@@ -63,6 +63,7 @@
 		onState: () => (states += 1),
 		onNotice: () => undefined,
 		onPermit: () => undefined,
+		onQuota: () => undefined,
 		onOrigin: () => undefined,
 		onUp: resolveUp,
 		onDown: reason => downs.push(reason)
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/agentLink.ts
@@ -16,6 +16,9 @@
 	type OriginAnswer,
 	type PermitAnswer,
 	type PermitAsk,
+	type QuotaAnswer,
+	type QuotaAsk,
+	type QuotaUse,
 	RefuseReason,
 	type StreamOrigin
 } from "../contract/gen/grants_pb.js"
@@ -83,6 +86,8 @@
 	onNotice(notice: Notice): void
 	/** The agent's answer to `askPermit`. */
 	onPermit(answer: PermitAnswer): void
+	/** The agent's answer to `askQuota`. */
+	onQuota(answer: QuotaAnswer): void
 	/** The agent's answer to `findOrigin`. */
 	onOrigin(answer: OriginAnswer): void
 	onUp(): void
@@ -222,6 +227,18 @@
 		this.send({case: "permitAsk", value: ask})
 	}
 
+	/** Asks the agent for a share of a quota, or who gives it. */
+	askQuota(ask: QuotaAsk): void {
+		if (this.failAfterPause()) return
+		this.send({case: "quotaAsk", value: ask})
+	}
+
+	/** Tells the agent what became of the shares that it gave. */
+	reportQuotaUse(use: QuotaUse): void {
+		if (this.failAfterPause()) return
+		this.send({case: "quotaUse", value: use})
+	}
+
 	/**
 	 * Sends the agent the limits that the configuration sets for its engine and the
 	 * pace of this gateway, unless it was told the same on this stream.
@@ -344,6 +361,7 @@
 		else if (body.case === "check")
 			this.endCheck(body.value.bornAt, body.value.hasEnded)
 		else if (body.case === "permit") this.options.onPermit(body.value)
+		else if (body.case === "quota") this.options.onQuota(body.value)
 		else if (body.case === "origin") this.options.onOrigin(body.value)
 		else if (body.case === "grant") {
 			this.applyState(body.value.state)
--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -9,7 +9,8 @@
 	type EngineLimits,
 	EngineLimitsSchema,
 	type OriginAnswer,
-	type PermitAnswer
+	type PermitAnswer,
+	type QuotaAnswer
 } from "../contract/gen/grants_pb.js"
 import type {TlsKeys} from "../link/tls.js"
 import {
@@ -45,6 +46,8 @@
 	onOrigin: (endpointId: string, answer: OriginAnswer) => void
 	/** An agent's answer to an ask for a permit. */
 	onPermit: (endpointId: string, answer: PermitAnswer) => void
+	/** An agent's answer to an ask for a share of a quota. */
+	onQuota: (endpointId: string, answer: QuotaAnswer) => void
 }
 
 /** Time in which an agent that can be reached connects and tells what it knows. */
@@ -252,6 +255,9 @@
 			onPermit: answer => {
 				this.options.onPermit(id, answer)
 			},
+			onQuota: answer => {
+				this.options.onQuota(id, answer)
+			},
 			onUp: () => {
 				log.decide("agent.up", {endpoint: id})
 				for (const notice of this.options.notices.list(now()))
--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -39,6 +39,7 @@
 	Drain = "drain"
 }
 
+const httpTooManyRequests = 429
 const httpInternalError = 500
 const httpServiceUnavailable = 503
 const httpBadGateway = 502
@@ -130,6 +131,16 @@
 		})
 	}
 
+	/**
+	 * Responds that the request did not and will not run, since its Member is over its
+	 * quota, and when the quota has room for it.
+	 */
+	refuseOverQuota(retryAfterMs: number, logFields: LogFields): void {
+		const headers = this.options.wire.encodeRefusal(retryAfterMs)
+		this.respondWithText(httpTooManyRequests, "over the quota", headers)
+		this.recordOutcome(RequestOutcome.OverQuota, {retryAfterMs, ...logFields})
+	}
+
 	/**
 	 * Responds that the request did not run and that repeating it is of no use. It is
 	 * valid and may be served another day, so that no status for invalid requests fits.
--- a/src/gateway/endpointCall.ts
+++ b/src/gateway/endpointCall.ts
@@ -31,6 +31,11 @@
 }
 
 export interface CallHandlers {
+	/**
+	 * Called when the connection is established, before anything is sent. Returns
+	 * whether the request may be sent.
+	 */
+	onConnected?(): boolean
 	/** Called when the head of a response arrives, before the other handlers. */
 	onHead?(head: ResponseHead): void
 	onData(chunk: Buffer): void
@@ -97,6 +102,10 @@
 				this.settle(CallOutcome.NeverSent, "connected too late")
 				return
 			}
+			if (options.handlers.onConnected?.() === false) {
+				this.settle(CallOutcome.NeverSent, "no longer permitted")
+				return
+			}
 			this.isConnected = true
 			clearTimeout(this.connectTimer)
 		})
--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/engineSearch.ts
@@ -284,7 +284,7 @@
 			deadlineLeftMs: Math.round(request.deadline - now),
 			member: request.member?.name ?? "",
 			...(memberPriority === undefined ? {} : {memberPriority}),
-			quotaUse: 0,
+			quotaUse: request.quotaUse ?? 0,
 			expectedOutputTokens: 0
 		}
 	}
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -12,6 +12,7 @@
 import type {FleetState} from "./fleetState.js"
 import type {GatewayMetrics} from "./gatewayMetrics.js"
 import type {Permits} from "./permits.js"
+import type {Quotas, QuotaTicket} from "./quotas/index.js"
 import type {RetryBudgets} from "./retryBudgets.js"
 import type {PromptGuard} from "./promptGuard.js"
 import type {StreamDirectory} from "./streamDirectory.js"
@@ -27,6 +28,7 @@
 	pauses: EndpointPauses
 	limits: StatedLimits
 	permits: Permits
+	quotas: Quotas
 	streams: StreamDirectory
 	notices: NoticeBoard
 	guard: PromptGuard
@@ -62,4 +64,11 @@
 	deadlineSource: DeadlineSource
 	/** Version of the configuration that the route is from. */
 	configVersion: number
+	/** Its share of the Member's quota, if that has one. */
+	quotaTicket?: QuotaTicket
+	/**
+	 * What the Member used of its quota lately over all hosts, in percent; undefined
+	 * when unknown.
+	 */
+	quotaUse?: number
 }
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -10,6 +10,8 @@
 	Answered = "answered",
 	/** The request did not run; the caller was told when to retry. */
 	Refused = "refused",
+	/** Its Member is over its quota; as `Refused`. */
+	OverQuota = "overQuota",
 	/** The request did not run, and the caller was told not to repeat it. */
 	TurnedAway = "turnedAway",
 	/** The request may have run, and its result is not known. */
@@ -79,6 +81,12 @@
 		labelNames: ["signal"],
 		registers: [this.registry]
 	})
+	private readonly quotaResults = new Counter({
+		name: "goldcrestloom_quota_results_total",
+		help: "Asks for shares of Members' quotas, by result",
+		labelNames: ["result"],
+		registers: [this.registry]
+	})
 	private readonly dependencyLosses = new Counter({
 		name: "goldcrestloom_dependency_losses_total",
 		help: "Losses of a dependency",
@@ -115,6 +123,10 @@
 		this.signals.inc({signal})
 	}
 
+	countQuota(result: string): void {
+		this.quotaResults.inc({result})
+	}
+
 	countLoss(dependency: string): void {
 		this.dependencyLosses.inc({dependency})
 	}
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -28,6 +28,7 @@
 import {GatewayMetrics} from "./gatewayMetrics.js"
 import {GatewayServer} from "./gatewayServer.js"
 import {Permits} from "./permits.js"
+import {Quotas} from "./quotas/index.js"
 import {PromptGuard} from "./promptGuard.js"
 import {RetryBudgets} from "./retryBudgets.js"
 import {StreamDirectory} from "./streamDirectory.js"
@@ -125,10 +126,21 @@
 			},
 			onPermit: (endpointId, answer) => {
 				permits.applyAnswer(endpointId, answer)
+			},
+			onQuota: (endpointId, answer) => {
+				quotas.applyAnswer(endpointId, answer)
 			}
 		})
 		const random = options.random ?? Math.random
 		const permits = new Permits({links, limits, now, random})
+		const quotas = new Quotas({
+			links,
+			fleet: this.fleet,
+			log,
+			metrics: this.metrics,
+			now,
+			random
+		})
 		const guard = new PromptGuard({
 			records: crashes,
 			notices,
@@ -148,6 +160,7 @@
 			pauses: new EndpointPauses(),
 			limits,
 			permits,
+			quotas,
 			streams,
 			notices,
 			guard,
@@ -223,6 +236,7 @@
 	async drain(): Promise<void> {
 		await this.server.drain()
 		clearInterval(this.timer)
+		this.ctx.quotas.close()
 		this.ctx.links.close()
 		this.publisher?.stop()
 		this.follower.stop()
@@ -230,8 +244,9 @@
 	}
 
 	private tick(): void {
-		const {links, retryBudgets, now} = this.ctx
+		const {links, quotas, retryBudgets, now} = this.ctx
 		links.tick()
+		quotas.tick()
 		this.follower.tick()
 		retryBudgets.setGateways(links.gatewayCount)
 		this.fleet.settleRegistrations(now())
--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -88,6 +88,7 @@
 			}),
 			body,
 			handlers: {
+				onConnected: () => request.quotaTicket?.trySend() ?? true,
 				onHead: responseHead => {
 					applySignals(
 						ctx,
--- /dev/null
+++ b/src/gateway/quotas/index.ts
@@ -0,0 +1,2 @@
+export * from "./quotas.js"
+export * from "./quotaTicket.js"
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -2,8 +2,10 @@
  * Base of the tasks that serve one caller's request each: starts the deadline
  * timer, reacts to the caller's disconnect and counts sends.
  */
+import type {Member, MemberQuota} from "../contract/fleet.js"
 import type {LogFields} from "./callerExchange.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
+import {QuotaTicket} from "./quotas/index.js"
 
 export abstract class RequestTask {
 	/** Sends to endpoints, including those that the endpoint did not run. */
@@ -12,6 +14,8 @@
 	protected runs = 0
 	mayHaveRun = false
 	protected isCancelled = false
+	/** Whether the request may be sent as far as its Member's quota goes. */
+	private hasBegun = false
 	private readonly timer: NodeJS.Timeout
 
 	constructor(
@@ -26,15 +30,63 @@
 			Math.max(1, leftMs)
 		)
 		request.exchange.onDisconnect = () => {
-			this.handleDisconnect()
+			if (this.hasBegun) this.handleDisconnect()
+			else this.cancel()
 		}
 	}
 
+	/** Takes the request's share of its Member's quota, if that has one, and begins. */
 	start(): void {
+		const {member} = this.request
+		if (member?.quota === undefined) this.begin()
+		else this.takeQuota(member, member.quota)
+	}
+
+	private begin(): void {
+		this.hasBegun = true
 		this.ctx.retryBudgets.addRequest(this.request.pool)
 		this.dispatch()
 	}
 
+	private takeQuota(member: Member, quota: MemberQuota): void {
+		const {ctx, request} = this
+		const {exchange, deadline, configVersion} = request
+		const {id, statedTokens} = exchange.head
+		const logFields = {member: member.name, sends: this.sends}
+		const ticket = new QuotaTicket({
+			quotas: ctx.quotas,
+			query: {
+				requestId: id,
+				member,
+				quota,
+				version: configVersion,
+				statedTokens,
+				deadline
+			},
+			onTaken: ({usePercent}) => {
+				request.quotaUse = usePercent
+				this.begin()
+			},
+			onOver: retryAfterMs => {
+				if (!this.endUnsent()) return
+				exchange.refuseOverQuota(retryAfterMs, logFields)
+			},
+			onUnavailable: retryAfterMs => {
+				if (!this.endUnsent()) return
+				exchange.refuse("no agent gives quotas", retryAfterMs, logFields)
+			}
+		})
+		request.quotaTicket = ticket
+		ticket.start()
+	}
+
+	/** Ends the request unless its response has ended or begun. */
+	private endUnsent(): boolean {
+		const {exchange} = this.request
+		this.cancel()
+		return exchange.isOpen && !exchange.hasStarted
+	}
+
 	protected abstract dispatch(): void
 
 	/** Called when the request's deadline passes. */
@@ -70,5 +122,6 @@
 
 	protected clearTimers(): void {
 		clearTimeout(this.timer)
+		this.request.quotaTicket?.end()
 	}
 }
--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -160,6 +160,7 @@
 			}),
 			body,
 			handlers: {
+				onConnected: () => request.quotaTicket?.trySend() ?? true,
 				onHead: responseHead => {
 					const requestId = exchange.head.id
 					applySignals(ctx, {endpoint, requestId, sentAt}, responseHead)
--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -51,6 +51,8 @@
 	/** Caller's timeout in milliseconds; undefined when the request states none. */
 	patienceMs: number | undefined
 	generation: GenerationHead | undefined
+	/** Sum of the tokens that the request states; undefined if it states none. */
+	statedTokens: number | undefined
 	/** Set if the caller resumes a stream. */
 	resumption: Resumption | undefined
 	/** Key by which the caller identifies its Member; must not be logged. */
--- a/src/policy/limits/__tests__/permitLease.test.ts
+++ b/src/policy/limits/__tests__/permitLease.test.ts
@@ -3,6 +3,7 @@
 import {
 	type LeaseRecord,
 	LeaseStep,
+	type LeaseValue,
 	type LeaseWritten,
 	PermitIssuer,
 	PermitLease
@@ -10,8 +11,8 @@
 
 const times = {ttlMs: 2000, marginMs: 500, renewMs: 700, rereadMs: 300}
 
-function createLease(owner: string): PermitLease {
-	return new PermitLease({...times, owner})
+function createLease(owner: string, host: string): PermitLease {
+	return new PermitLease({...times, owner, host})
 }
 
 /** The platform's store, with returns from a copy of itself. */
@@ -24,11 +25,11 @@
 		revision: 0
 	}
 
-	write(owner: string, expected: number): LeaseRecord | undefined {
+	write(value: LeaseValue, expected: number): LeaseRecord | undefined {
 		if ((this.record?.revision ?? 0) !== expected) return undefined
 		this.revision += 1
 		const {era, revision} = this
-		this.record = {owner, engineId: owner, era, revision}
+		this.record = {...value, era, revision}
 		return this.record
 	}
 
@@ -53,9 +54,10 @@
 	constructor(
 		readonly owner: string,
 		private readonly store: Store,
-		eraSince?: number
+		eraSince?: number,
+		host = owner
 	) {
-		this.lease = createLease(owner)
+		this.lease = createLease(owner, host)
 		if (eraSince !== undefined) this.noteEra(store.era, eraSince)
 	}
 
@@ -73,12 +75,13 @@
 			const {record, era} = store
 			const finish = (at: number): void => {
 				this.noteEra(era, at)
-				lease.applyRead(record, at)
+				lease.applyRead(record && {...record, era}, at)
 			}
 			this.call = {endAt: now + callMs, finish}
 			return
 		}
-		const written = store.write(this.owner, lease.expectedRevision)
+		const value = lease.createValue(this.owner, now)
+		const written = store.write(value, lease.expectedRevision)
 		const {era} = store
 		const finish = (at: number): void => {
 			if (isAnswerLost) {
@@ -87,7 +90,7 @@
 			}
 			this.noteEra(era, at)
 			if (written === undefined) lease.applyConflict()
-			else lease.applyWrite(this.stamp(written), this.owner, now, at)
+			else lease.applyWrite(this.stamp(written), value, now, at)
 		}
 		this.call = {endAt: now + callMs, finish}
 	}
@@ -148,7 +151,7 @@
 				for (const {running, steps, callMs, isAnswerLost, event} of moves) {
 					if (event === "restart") {
 						started += 1
-						processes[0] = new Process(`p${started}`, store)
+						processes[0] = new Process(`p${started}`, store, undefined, "a")
 					} else if (event === "copy") store.saveCopy()
 					else if (event === "return") store.returnToCopy()
 					for (let step = 0; step < steps; step += 1) {
@@ -180,6 +183,32 @@
 		expect(second.lease.otherHolder).toBeUndefined()
 	})
 
+	it("passes at once to a process that starts on the same host", () => {
+		const store = new Store()
+		const first = new Process("a", store, 0)
+		for (let now = 3000; now < 6000; now += 10) first.step(now, 1, false)
+		const second = new Process("a2", store, undefined, "a")
+		for (let now = 6000; now < 6100; now += 10) second.step(now, 1, false)
+		expect(second.lease.isHeld(6100)).toBe(true)
+		expect(second.lease.hasPredecessor).toBe(true)
+	})
+
+	it("is one term as long as nobody else has held it", () => {
+		const store = new Store()
+		const first = new Process("a", store, 0)
+		for (let now = 3000; now < 3100; now += 10) first.step(now, 1, false)
+		const {term} = first.lease
+		for (let now = 4000; now < 4900; now += 10) first.step(now, 1, true)
+		for (let now = 9000; now < 9100; now += 10) first.step(now, 1, false)
+		expect(first.lease.isHeld(9100)).toBe(true)
+		expect(first.lease.term).toBe(term)
+		const second = new Process("b", store, 0)
+		for (let now = 9100; now < 12_000; now += 10) second.step(now, 1, false)
+		for (let now = 12_000; now < 16_000; now += 10) first.step(now, 1, false)
+		expect(first.lease.isHeld(16_000)).toBe(true)
+		expect(first.lease.term).toBe(term + 1)
+	})
+
 	it("begins late for a process that may not know of a return from a copy", () => {
 		const store = new Store()
 		const first = new Process("a", store, 0)
--- a/src/policy/limits/permitLease.ts
+++ b/src/policy/limits/permitLease.ts
@@ -1,5 +1,6 @@
 /**
- * A lease on the right to give permits, held as one record in the platform's store.
+ * A lease on the right to decide for all hosts, as to give permits for a pool or the
+ * tokens of a part of the quotas, held as one record in the platform's store.
  * Hosts share no clock, so each counts from its own observations: a holder may act
  * until `ttlMs` after it sent its last successful write, and another host may take
  * over once it has known the same record for `ttlMs + marginMs`. The store replaces
@@ -12,11 +13,27 @@
 	owner: string
 	/** Engine whose agent that process is. */
 	engineId: string
+	/**
+	 * Host of that process; empty if it stated none. A process that starts on the same
+	 * host has the listening port of the one before, which is therefore gone.
+	 */
+	host: string
+	/**
+	 * Era of the store in which the lease was in force as the record was written, so
+	 * that no holder of an earlier era acts any more; 0 if it was not in force.
+	 */
+	settledEra: number
 }
 
+/** What a process writes into the record. */
+export type LeaseValue = Omit<LeaseRecord, keyof StoreRevision>
+
 /** Result of a write that replaced the record. */
 export interface LeaseWritten extends StoreRevision {
-	/** Time at which this process first heard of the store's era. */
+	/**
+	 * Time at which this process first heard of the store's era; negative infinity for
+	 * the first era, before which there can't have been another holder.
+	 */
 	eraSince: number
 }
 
@@ -30,6 +47,8 @@
 export interface PermitLeaseOptions {
 	/** Unique among processes, also those that started on the same host before. */
 	owner: string
+	/** Host name of this process; empty to wait for predecessors on the same host. */
+	host?: string
 	/** Time for which a write gives the lease. */
 	ttlMs: number
 	/** Covers the time that a message of the holder may take. */
@@ -40,6 +59,8 @@
 	rereadMs: number
 }
 
+const firstEraSince = Number.NEGATIVE_INFINITY
+
 export class PermitLease {
 	/** Record in the store as this process knows it; undefined if it has to read. */
 	private known: LeaseRecord | undefined
@@ -53,6 +74,8 @@
 	private heldFrom = Number.POSITIVE_INFINITY
 	private heldUntil = Number.NEGATIVE_INFINITY
 	private writtenAt = Number.NEGATIVE_INFINITY
+	private lastTerm = 0
+	private isSuccessor = true
 
 	constructor(private readonly options: PermitLeaseOptions) {}
 
@@ -61,6 +84,39 @@
 		return now >= this.heldFrom && now < this.heldUntil
 	}
 
+	/**
+	 * Counts the times that this process took the lease from another one or from
+	 * nobody. Within one term no other process has held it.
+	 */
+	get term(): number {
+		return this.lastTerm
+	}
+
+	/** Time from which the lease is in force. */
+	get heldSince(): number {
+		return this.heldFrom
+	}
+
+	/**
+	 * Whether another process may have acted shortly before the term began. False if
+	 * the holder before released the lease unused.
+	 */
+	get hasPredecessor(): boolean {
+		return this.isSuccessor
+	}
+
+	/** The value of the record that this process writes next. */
+	createValue(engineId: string, now: number): LeaseValue {
+		const {owner, host = ""} = this.options
+		const settledEra = this.isHeld(now) ? (this.known?.era ?? 0) : 0
+		return {owner, engineId, host, settledEra}
+	}
+
+	/** The value of the record with which this process releases the lease. */
+	createReleaseValue(now: number): LeaseValue {
+		return {...this.createValue("", now), owner: "", host: ""}
+	}
+
 	/** Time until the lease that this process has written is in force; 0 if none. */
 	getStartMs(now: number): number {
 		return now < this.heldUntil ? Math.max(0, this.heldFrom - now) : 0
@@ -93,6 +149,7 @@
 			const isDue = now >= this.writtenAt + options.renewMs
 			return isDue || now >= this.heldUntil ? LeaseStep.Write : LeaseStep.None
 		}
+		if (this.isPredecessor(known)) return LeaseStep.Write
 		if (now >= this.knownSince + options.ttlMs + options.marginMs)
 			return LeaseStep.Write
 		return now >= this.readAt + options.rereadMs
@@ -112,22 +169,32 @@
 		if (!isSame) this.knownSince = now
 	}
 
-	/** Applies a successful write that was sent at `sentAt`. */
+	/** Applies a successful write of `value` that was sent at `sentAt`. */
 	applyWrite(
 		{era, revision, eraSince}: LeaseWritten,
-		engineId: string,
+		value: LeaseValue,
 		sentAt: number,
 		now: number
 	): void {
-		const {owner, ttlMs, marginMs} = this.options
+		const {ttlMs, marginMs} = this.options
 		const {known} = this
+		const isSameEra = known?.era === era
+		const isContinued = isSameEra && this.isOwn(known) && this.lastTerm > 0
+		if (!isContinued) {
+			const isFirst = known === undefined && eraSince === firstEraSince
+			this.lastTerm += 1
+			this.isSuccessor = !isFirst && !(isSameEra && isUnused(known))
+		}
 		// In a new era of the store, a holder whose record it lost may still act, and a
 		// revision that is given out again may be that of another process's record.
-		const isRenewal = this.isWritten && known?.era === era
-		if (!isRenewal || !Number.isFinite(this.heldFrom))
-			this.heldFrom = Math.max(now, eraSince + ttlMs + marginMs)
+		const isRenewal = this.isWritten && isSameEra
+		if (!isRenewal || !Number.isFinite(this.heldFrom)) {
+			const isSettled = isSameEra && known.settledEra === era
+			const settledAt = isSettled ? now : eraSince + ttlMs + marginMs
+			this.heldFrom = Math.max(now, settledAt)
+		}
 		this.isWritten = true
-		this.known = {era, revision, owner, engineId}
+		this.known = {...value, era, revision}
 		this.knownSince = now
 		this.writtenAt = sentAt
 		this.heldUntil = sentAt + ttlMs
@@ -161,7 +228,18 @@
 		this.isWritten = false
 	}
 
+	/** Whether the record is of a process on this host, which this one replaces. */
+	private isPredecessor(known: LeaseRecord): boolean {
+		const {host = ""} = this.options
+		return host !== "" && known.host === host
+	}
+
 	private isOwn({owner}: LeaseRecord): boolean {
 		return owner === this.options.owner
 	}
 }
+
+/** Whether the only holder in the record's era has released it, after its idle time. */
+function isUnused({owner, settledEra, era}: LeaseRecord): boolean {
+	return owner === "" && settledEra === era
+}
--- /dev/null
+++ b/src/policy/quotas/index.ts
@@ -0,0 +1,7 @@
+export * from "./memberPart.js"
+export * from "./partPlacement.js"
+export * from "./quotaPart.js"
+export * from "./refusalMemory.js"
+export * from "./sentWindow.js"
+export * from "./types.js"
+export * from "./partOrder.js"
