--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/engineSearch.ts
@@ -286,7 +286,7 @@
 			...(memberPriority === undefined
 				? {}
 				: {memberPriority: Math.max(0, Math.round(memberPriority))}),
-			quotaUse: 0,
+			quotaUse: request.quotaUse ?? 0,
 			expectedOutputTokens: 0
 		}
 	}
