Send keyed requests only with proof of the newest configuration

Callers would see: with bounds.strict_revoke, a gateway that can't prove that its configuration was the newest less than revoke_ms - 500 ms ago answers keyed requests with 503 and Retry-After, fails its readiness probe, and is back with the next proof. At a proof of 2.5 s or more an unknown key gets 503, since it may be new.

Cause: a gateway that is cut off from the store and from the publishing gateways went on to serve keys that had been removed.

Change: src/policy/freshness decides from the age of the proof; every first send, repeat, standby and continuation is checked right before it. A read of the store proves the time at which it was sent; the configuration's watch lasts 0.5 s while there are Members. Gateways that don't read the store ask one publisher a second (Fleet.Confirm) for the age of its proof, and the next one after 300 ms. Time for which the host is suspended counts. Configurations between gateways state null for no Members, and one without the field is not used.

--- a/src/gateway/__tests__/fleetState.test.ts
+++ b/src/gateway/__tests__/fleetState.test.ts
@@ -174,15 +174,16 @@
 
 	async function startSource(address: string): Promise<{
 		fleet: FleetState
-		health: {isFresh: boolean}
+		health: {isFresh: boolean; proofAgeMs: number}
 		stop: () => void
 	}> {
 		const fleet = new FleetState(createLog())
-		const health = {isFresh: true}
+		const health = {isFresh: true, proofAgeMs: Infinity}
 		const publisher = new FleetPublisher({
 			address,
 			fleet,
-			isFresh: () => health.isFresh
+			isFresh: () => health.isFresh,
+			getProofAgeMs: () => health.proofAgeMs
 		})
 		await publisher.start()
 		const stop = (): void => {
--- a/src/gateway/fleetFollower.ts
+++ b/src/gateway/fleetFollower.ts
@@ -3,17 +3,18 @@
  * store. While at least two of them state that their view of it is fresh, this
  * gateway needs no watch of its own, since each of them delivers every change.
  */
-import {
-	EndpointState,
-	type FleetConfig,
-	type FleetEndpoint
-} from "../contract/fleet.js"
-import type {EndpointNotice, FleetUpdate} from "../contract/gen/fleet_pb.js"
-import {openFollowStream} from "../link/fleetLink.js"
+import {EndpointState, type FleetEndpoint} from "../contract/fleet.js"
+import type {
+	ConfirmAnswer,
+	EndpointNotice,
+	FleetUpdate
+} from "../contract/gen/fleet_pb.js"
+import {openFollowStream, type OpenFollowStream} from "../link/fleetLink.js"
 import type {TlsKeys} from "../link/tls.js"
 import type {DecisionLog} from "../program/decisionLog.js"
 import {messageOf} from "../utils/common.js"
 import type {FleetState} from "./fleetState.js"
+import {decodePublishedConfig} from "./publishedConfig.js"
 
 export interface FleetFollowerOptions {
 	/** Host name of this gateway. */
@@ -29,11 +30,13 @@
 
 interface Source {
 	address: string
-	close: (() => void) | undefined
+	open: OpenFollowStream | undefined
 	lastReceivedAt: number
 	openedAt: number
 	/** Whether its last update stated that its view of the store is fresh. */
 	isFresh: boolean
+	/** Whether it publishes Members; assumed until it has published a configuration. */
+	knowsMembers: boolean
 }
 
 /** Three heartbeats of the publishing gateway. */
@@ -48,10 +51,11 @@
 	constructor(private readonly options: FleetFollowerOptions) {
 		this.sources = options.sources.map(address => ({
 			address,
-			close: undefined,
+			open: undefined,
 			lastReceivedAt: Number.NEGATIVE_INFINITY,
 			openedAt: Number.NEGATIVE_INFINITY,
-			isFresh: false
+			isFresh: false,
+			knowsMembers: true
 		}))
 	}
 
@@ -59,18 +63,37 @@
 	get isCovered(): boolean {
 		const now = this.options.now()
 		const freshSources = this.sources.filter(
-			({isFresh, lastReceivedAt}) =>
-				isFresh && now - lastReceivedAt < receiveTimeoutMs
+			({isFresh, knowsMembers, lastReceivedAt}) =>
+				isFresh && knowsMembers && now - lastReceivedAt < receiveTimeoutMs
 		)
 		return freshSources.length >= minFreshSources
 	}
 
+	/** Addresses of the sources that are connected. */
+	listConnected(): string[] {
+		return this.sources
+			.filter(({open, lastReceivedAt, openedAt}) => {
+				return open !== undefined && lastReceivedAt >= openedAt
+			})
+			.map(({address}) => address)
+	}
+
+	/** Asks a source to confirm the configuration; see `OpenFollowStream`. */
+	confirm(
+		address: string,
+		onAnswer: (answer: ConfirmAnswer | undefined) => void
+	): void {
+		const source = this.sources.find(known => known.address === address)
+		if (source?.open === undefined) onAnswer(undefined)
+		else source.open.confirm(onAnswer)
+	}
+
 	/** Connects to sources, and disconnects from those that time out. */
 	tick(): void {
 		const now = this.options.now()
 		for (const source of this.sources) {
 			const lastActivityAt = Math.max(source.lastReceivedAt, source.openedAt)
-			if (source.close === undefined) {
+			if (source.open === undefined) {
 				if (now - source.openedAt >= reconnectDelayMs) this.connect(source)
 			} else if (now - lastActivityAt > receiveTimeoutMs)
 				this.disconnect(source, "silent")
@@ -78,30 +101,32 @@
 	}
 
 	stop(): void {
-		for (const source of this.sources) source.close?.()
+		for (const source of this.sources) source.open?.close()
 	}
 
 	private connect(source: Source): void {
 		const {gateway, tls, now} = this.options
 		source.openedAt = now()
-		const {stream, close} = openFollowStream(source.address, gateway, tls)
-		source.close = close
+		const open = openFollowStream(source.address, gateway, tls)
+		const {stream} = open
+		source.open = open
+		source.knowsMembers = true
 		stream.on("data", (update: FleetUpdate) => {
-			if (source.close !== close) return
+			if (source.open !== open) return
 			source.lastReceivedAt = now()
 			this.applyUpdate(update, source)
 		})
 		stream.on("error", err => {
-			if (source.close === close) this.disconnect(source, messageOf(err))
+			if (source.open === open) this.disconnect(source, messageOf(err))
 		})
 		stream.on("end", () => {
-			if (source.close === close) this.disconnect(source, "closed")
+			if (source.open === open) this.disconnect(source, "closed")
 		})
 	}
 
 	private disconnect(source: Source, reason: string): void {
-		source.close?.()
-		source.close = undefined
+		source.open?.close()
+		source.open = undefined
 		if (!source.isFresh) return
 		source.isFresh = false
 		this.options.log.decide("source.lost", {source: source.address, reason})
@@ -134,8 +159,12 @@
 		if (bytes.length === 0) return
 		const {fleet, log} = this.options
 		try {
-			const text = Buffer.from(bytes).toString("utf8")
-			fleet.applyConfig(JSON.parse(text) as FleetConfig, source.address)
+			const config = decodePublishedConfig(bytes)
+			if (config !== undefined) fleet.applyConfig(config, source.address)
+			else if (source.knowsMembers) {
+				source.knowsMembers = false
+				log.decide("source.withoutMembers", {source: source.address})
+			}
 		} catch (err) {
 			const error = messageOf(err)
 			log.decide("config.unreadable", {source: source.address, error})
--- a/src/gateway/fleetPublisher.ts
+++ b/src/gateway/fleetPublisher.ts
@@ -6,9 +6,14 @@
 import type * as grpc from "@grpc/grpc-js"
 import {create, type MessageInitShape} from "@bufbuild/protobuf"
 import {EndpointState, type FleetEndpoint} from "../contract/fleet.js"
-import {FleetUpdateSchema} from "../contract/gen/fleet_pb.js"
+import {
+	type ConfirmAnswer,
+	ConfirmAnswerSchema,
+	FleetUpdateSchema
+} from "../contract/gen/fleet_pb.js"
 import {type FollowCall, startFollowServer} from "../link/fleetLink.js"
 import type {TlsKeys} from "../link/tls.js"
+import {encodePublishedConfig} from "./publishedConfig.js"
 import type {FleetState} from "./fleetState.js"
 
 export interface FleetPublisherOptions {
@@ -19,6 +24,8 @@
 	 * Whether this gateway has recently read every kind of object from the store.
 	 */
 	isFresh: () => boolean
+	/** Age of the proof that the configuration is the newest; infinite without one. */
+	getProofAgeMs: () => number
 	tls?: TlsKeys | undefined
 }
 
@@ -44,7 +51,7 @@
 	constructor(private readonly options: FleetPublisherOptions) {
 		options.fleet.addListener({
 			onConfig: config => {
-				this.publish({config: encodeJson(config)})
+				this.publish({config: encodePublishedConfig(config)})
 			},
 			onVersion: version => {
 				this.publish({versions: [version]})
@@ -62,7 +69,8 @@
 			tls,
 			onCall: call => {
 				this.addSubscriber(call)
-			}
+			},
+			confirm: () => this.confirm()
 		})
 		this.timer = setInterval(() => {
 			this.beat()
@@ -85,6 +93,15 @@
 		call.write(create(FleetUpdateSchema, this.createSnapshot()))
 	}
 
+	private confirm(): ConfirmAnswer {
+		const {fleet, getProofAgeMs} = this.options
+		const ageMs = getProofAgeMs()
+		const version = fleet.config?.version
+		return version === undefined || !Number.isFinite(ageMs)
+			? create(ConfirmAnswerSchema, {hasProof: false})
+			: create(ConfirmAnswerSchema, {hasProof: true, version, ageMs})
+	}
+
 	private createSnapshot(): Update {
 		const {fleet, isFresh} = this.options
 		const {config, era} = fleet
@@ -95,7 +112,7 @@
 			endpoints: fleet.listEndpoints().map(encodeEndpoint),
 			gone: fleet.listRemovals(),
 			versions: fleet.listVersions(),
-			...(config === undefined ? {} : {config: encodeJson(config)})
+			...(config === undefined ? {} : {config: encodePublishedConfig(config)})
 		}
 	}
 
@@ -164,7 +181,3 @@
 		isDraining: state === EndpointState.Draining
 	}
 }
-
-function encodeJson(value: unknown): Uint8Array {
-	return Buffer.from(JSON.stringify(value), "utf8")
-}
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -85,6 +85,12 @@
 		labelNames: ["reason"],
 		registers: [this.registry]
 	})
+	private readonly confirms = new Counter({
+		name: "goldcrestloom_config_confirms_total",
+		help: "Questions to other gateways whether the configuration is the newest",
+		labelNames: ["result"],
+		registers: [this.registry]
+	})
 	private readonly dependencyLosses = new Counter({
 		name: "goldcrestloom_dependency_losses_total",
 		help: "Losses of a dependency",
@@ -125,6 +131,22 @@
 		this.denials.inc({reason})
 	}
 
+	countConfirm(result: string): void {
+		this.confirms.inc({result})
+	}
+
+	/** Registers the age that the gauge of the proof states at each scrape. */
+	setProofAgeSource(getAgeMs: () => number): void {
+		new Gauge({
+			name: "goldcrestloom_config_proof_age_seconds",
+			help: "Time since the configuration was proven to be the newest",
+			registers: [this.registry],
+			collect() {
+				this.set(getAgeMs() / 1000)
+			}
+		})
+	}
+
 	countLoss(dependency: string): void {
 		this.dependencyLosses.inc({dependency})
 	}
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -89,8 +89,9 @@
 	}
 
 	get isReady(): boolean {
-		const {config} = this.options.ctx.fleet
-		return this.drainStartedAt === undefined && config !== undefined
+		const {fleet, access} = this.options.ctx
+		if (this.drainStartedAt !== undefined) return false
+		return fleet.config !== undefined && access.canServeMembers
 	}
 
 	/**
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -27,7 +27,7 @@
 import type {GatewayContext} from "./gatewayContext.js"
 import {GatewayMetrics} from "./gatewayMetrics.js"
 import {GatewayServer} from "./gatewayServer.js"
-import {CallerAccess} from "./identity/index.js"
+import {CallerAccess, ConfigFreshness, ProofRenewal} from "./identity/index.js"
 import {Permits} from "./permits.js"
 import {PromptGuard} from "./promptGuard.js"
 import {RetryBudgets} from "./retryBudgets.js"
@@ -67,20 +67,33 @@
 	/** Additional retries permitted in each window, over all gateways. */
 	repeatExtra: number
 	repeatWindowMs: number
+	/**
+	 * Whether keyed requests are sent only with proof that the configuration is the
+	 * newest; true by default.
+	 */
+	isRevocationStrict?: boolean
+	/** Time after which a key that was removed must not be used any more. */
+	revokeMs?: number
 	/** Timeout for connecting to an endpoint, milliseconds. */
 	connectTimeoutMs?: number
 	wire: WireCodec
 	log: DecisionLog
 	tls?: TlsKeys | undefined
 	now?: () => number
+	/** Time of day in milliseconds, to notice that the host was suspended. */
+	wallNow?: () => number
 	random?: () => number
 }
 
 const maintenanceIntervalMs = 250
+const defaultRevokeMs = 5000
 
 export class GatewayTask {
 	readonly fleet: FleetState
 	readonly metrics = new GatewayMetrics()
+	/** Proof that the configuration is the newest. */
+	readonly freshness: ConfigFreshness
+	private readonly renewal: ProofRenewal
 	private readonly ctx: GatewayContext
 	private readonly crashes = new CrashRecords()
 	private readonly server: GatewayServer
@@ -96,6 +109,15 @@
 		const {log, wire, failureDomain, tls} = options
 		const engines = new EngineChoice()
 		this.fleet = new FleetState(log)
+		this.freshness = new ConfigFreshness({
+			fleet: this.fleet,
+			log,
+			metrics: this.metrics,
+			isStrict: options.isRevocationStrict ?? true,
+			revokeMs: options.revokeMs ?? defaultRevokeMs,
+			now,
+			wallNow: options.wallNow ?? Date.now
+		})
 		const limits = new StatedLimits()
 		const {crashes} = this
 		const notices = new NoticeBoard({
@@ -143,7 +165,13 @@
 		this.ctx = {
 			wire,
 			fleet: this.fleet,
-			access: new CallerAccess({fleet: this.fleet, log, metrics: this.metrics}),
+			access: new CallerAccess({
+				fleet: this.fleet,
+				freshness: this.freshness,
+				log,
+				metrics: this.metrics,
+				random
+			}),
 			links,
 			engines,
 			services: new ServiceChoice(),
@@ -182,6 +210,7 @@
 				address: publishAddress,
 				fleet: this.fleet,
 				isFresh: options.isFresh ?? (() => false),
+				getProofAgeMs: () => this.freshness.ageMs,
 				tls
 			})
 		}
@@ -193,6 +222,17 @@
 			now,
 			tls
 		})
+		this.renewal = new ProofRenewal({
+			fleet: this.fleet,
+			freshness: this.freshness,
+			metrics: this.metrics,
+			listSources: () => this.follower.listConnected(),
+			confirm: (source, onAnswer) => {
+				this.follower.confirm(source, onAnswer)
+			},
+			isPublisher,
+			random
+		})
 		this.isPublisher = isPublisher
 		const {callerAddress: address, graceMs} = options
 		this.server = new GatewayServer({address, ctx: this.ctx, graceMs})
@@ -200,10 +240,12 @@
 
 	/**
 	 * Whether enough other gateways with a fresh view publish the store's changes
-	 * to this one, so that it needs no watch of its own.
+	 * to this one, and confirm its configuration where that has Members, so that it
+	 * needs no watch of its own.
 	 */
 	get isCovered(): boolean {
-		return !this.isPublisher && this.follower.isCovered
+		if (this.isPublisher || !this.follower.isCovered) return false
+		return !this.fleet.hasMembers || this.renewal.isConfirmed
 	}
 
 	async start(): Promise<void> {
@@ -217,6 +259,7 @@
 			const {registry} = this.metrics
 			this.servers.push(await startProbeServer(metricsAddress, {registry}))
 		}
+		this.renewal.start()
 		this.timer = setInterval(() => {
 			this.tick()
 		}, maintenanceIntervalMs)
@@ -225,6 +268,7 @@
 	async drain(): Promise<void> {
 		await this.server.drain()
 		clearInterval(this.timer)
+		this.renewal.stop()
 		this.ctx.links.close()
 		this.publisher?.stop()
 		this.follower.stop()
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -364,8 +364,16 @@
 	}
 
 	protected override handleDenial(denial: Denial): void {
-		if (this.hasOpenCall) this.endWithoutSend(denial.reason)
-		else this.ending.deny(denial, this)
+		if (this.hasOpenCall) {
+			this.endWithoutSend(denial.reason)
+			return
+		}
+		const mayGoOn =
+			denial.retryAfterMs !== undefined &&
+			this.request.exchange.hasStarted &&
+			this.canResume(0)
+		if (mayGoOn && this.later.trySchedule()) return
+		this.ending.deny(denial, this)
 	}
 
 	protected override get hasOpenCall(): boolean {
--- a/src/gateway/identity/callerAccess.ts
+++ b/src/gateway/identity/callerAccess.ts
@@ -3,17 +3,21 @@
  * it may still be sent.
  */
 import type {ForwardRoute, Member} from "../../contract/fleet.js"
+import {Access, decideAccess} from "../../policy/freshness/index.js"
 import type {DecisionLog} from "../../program/decisionLog.js"
 import type {FleetState} from "../fleetState.js"
 import type {RoutedRequest} from "../gatewayContext.js"
 import type {GatewayMetrics} from "../gatewayMetrics.js"
 import type {RequestHead} from "../wire.js"
+import type {ConfigFreshness} from "./configFreshness.js"
 import type {Denial} from "./denial.js"
 
 export interface CallerAccessOptions {
 	fleet: FleetState
+	freshness: ConfigFreshness
 	log: DecisionLog
 	metrics: GatewayMetrics
+	random: () => number
 }
 
 export interface Identification {
@@ -29,18 +33,17 @@
 	priority: number
 }
 
-/** Why a request is denied; a metrics label. */
-export enum DenialReason {
-	MissingKey = "missingKey",
-	UnknownKey = "unknownKey",
-	RemovedKey = "removedKey"
-}
+type DeniedAccess = Exclude<Access, Access.Permitted>
 
-const denialTexts: Record<DenialReason, string> = {
-	[DenialReason.MissingKey]: "a key is required",
-	[DenialReason.UnknownKey]: "key is not known",
-	[DenialReason.RemovedKey]: "key was removed"
+const denialTexts: Record<DeniedAccess, string> = {
+	[Access.MissingKey]: "a key is required",
+	[Access.UnknownKey]: "key is not known",
+	[Access.UnprovenKey]: "key is not known yet",
+	[Access.RemovedKey]: "key was removed",
+	[Access.Unproven]: "configuration is not proven to be the newest"
 }
+/** Proof is renewed twice a second where the store is read, and once elsewhere. */
+const unprovenRetryAfterMs = 500
 
 export class CallerAccess {
 	private readonly watchers = new Set<() => void>()
@@ -53,17 +56,18 @@
 		})
 	}
 
+	/** Whether requests with a known key may be sent now. */
+	get canServeMembers(): boolean {
+		const {fleet, freshness} = this.options
+		return !fleet.hasMembers || freshness.isProven
+	}
+
 	/** Identifies the Member of a request that has just arrived. */
 	identify(head: RequestHead, route: ForwardRoute): Identification {
-		const {credential} = head
 		const member = this.findMember(head)
-		if (!this.requiresKey(route) || member !== undefined)
-			return {member, denial: undefined}
-		const reason =
-			credential === undefined
-				? DenialReason.MissingKey
-				: DenialReason.UnknownKey
-		return {member, denial: this.deny(reason, head, route)}
+		if (!this.requiresKey(route)) return {member, denial: undefined}
+		const isKnown = member !== undefined
+		return {member, denial: this.check(head, route, isKnown, false)}
 	}
 
 	/** Returns why the request may not be sent now; undefined if it may. */
@@ -71,9 +75,15 @@
 		// Without a Member, it was accepted when no key was required.
 		if (!this.requiresKey(route) || member === undefined) return undefined
 		const {head} = exchange
-		// A key that now belongs to another Member does not stand for this one.
-		if (this.findMember(head)?.name === member.name) return undefined
-		return this.deny(DenialReason.RemovedKey, head, route)
+		return this.check(head, route, this.isKeyOf(head, member), true)
+	}
+
+	/** As `checkSend`, but only whether the request's key was removed. */
+	checkKey(request: RoutedRequest): Denial | undefined {
+		const {exchange, member} = request
+		if (member === undefined || this.isKeyOf(exchange.head, member))
+			return undefined
+		return this.checkSend(request)
 	}
 
 	/** What a send of the request tells the endpoint of its caller. */
@@ -96,6 +106,11 @@
 		}
 	}
 
+	/** A key that now belongs to another Member does not stand for this one. */
+	private isKeyOf(head: RequestHead, {name}: Member): boolean {
+		return this.findMember(head)?.name === name
+	}
+
 	private findMember({credential}: RequestHead): Member | undefined {
 		if (credential === undefined) return undefined
 		return this.options.fleet.findMember(credential)
@@ -105,18 +120,45 @@
 		return this.options.fleet.hasMembers && !isPublic
 	}
 
-	private deny(
-		reason: DenialReason,
+	private check(
+		head: RequestHead,
+		route: ForwardRoute,
+		isKnown: boolean,
+		wasAccepted: boolean
+	): Denial | undefined {
+		const {ageMs: proofAgeMs, maxProofAgeMs} = this.options.freshness
+		const access = decideAccess({
+			hasKey: head.credential !== undefined,
+			isKnown,
+			wasAccepted,
+			proofAgeMs,
+			maxProofAgeMs
+		})
+		if (access === Access.Permitted) return undefined
+		this.recordDenial(access, head, route, proofAgeMs)
+		return {
+			reason: denialTexts[access],
+			retryAfterMs: this.getRetryAfterMs(access)
+		}
+	}
+
+	private recordDenial(
+		reason: DeniedAccess,
 		{id}: RequestHead,
-		route: ForwardRoute
-	): Denial {
+		{name: route}: ForwardRoute,
+		proofAgeMs: number
+	): void {
 		const {log, metrics, fleet} = this.options
+		const configVersion = fleet.config?.version
+		const ageMs = Math.round(proofAgeMs)
 		metrics.countDenial(reason)
-		log.request("request.denied", id, {
-			reason,
-			route: route.name,
-			configVersion: fleet.config?.version
-		})
-		return {reason: denialTexts[reason], retryAfterMs: undefined}
+		log.request("request.denied", id, {reason, route, configVersion, ageMs})
+	}
+
+	private getRetryAfterMs(access: DeniedAccess): number | undefined {
+		const isTemporary =
+			access === Access.Unproven || access === Access.UnprovenKey
+		if (!isTemporary) return undefined
+		return unprovenRetryAfterMs * (1 + this.options.random())
 	}
 }
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -84,7 +84,9 @@
 	/** Ends a request at once that waits to be sent when its key is removed. */
 	private recheckAccess(): void {
 		if (this.isCancelled || !this.request.exchange.isOpen) return
-		if (!this.hasOpenCall) this.tryAccess()
+		if (this.hasOpenCall) return
+		const denial = this.ctx.access.checkKey(this.request)
+		if (denial !== undefined) this.handleDenial(denial)
 	}
 
 	/** What set the deadline, for the log line of a request that reached it. */
--- a/src/link/fleetLink.ts
+++ b/src/link/fleetLink.ts
@@ -1,10 +1,13 @@
 /**
- * Clients and servers of two gRPC streams: grants, between a gateway and an
- * agent, and follow, between two gateways.
+ * Clients and servers of two gRPC services: grants, between a gateway and an agent,
+ * and fleet, between two gateways.
  */
 import * as grpc from "@grpc/grpc-js"
 import {create} from "@bufbuild/protobuf"
 import {
+	type ConfirmAnswer,
+	type ConfirmRequest,
+	ConfirmRequestSchema,
 	type FleetUpdate,
 	type FollowRequest,
 	FollowRequestSchema
@@ -50,12 +53,29 @@
 export type FollowStream = grpc.ClientReadableStream<FleetUpdate>
 export type FollowCall = grpc.ServerWritableStream<FollowRequest, FleetUpdate>
 
+/** A stream from one gateway; `close` also closes its connection. */
+export interface OpenFollowStream {
+	stream: FollowStream
+	/**
+	 * Asks the gateway, on the same connection, to confirm the configuration. Calls back
+	 * once; without an answer if the call failed or took too long.
+	 */
+	confirm(onAnswer: (answer: ConfirmAnswer | undefined) => void): void
+	close(): void
+}
+
+/**
+ * Time after which a call to confirm is cancelled. The asking gateway asks another
+ * one long before.
+ */
+const confirmTimeoutMs = 2000
+
 /** Subscribes to the fleet updates of a gateway that watches the platform. */
 export function openFollowStream(
 	address: string,
 	gateway: string,
 	tls?: TlsKeys
-): {stream: FollowStream; close: () => void} {
+): OpenFollowStream {
 	const client = openClient(address, tls)
 	const {path, requestSerialize, responseDeserialize} = fleetMethods.follow
 	const stream = client.makeServerStreamRequest(
@@ -66,6 +86,23 @@
 	)
 	return {
 		stream,
+		confirm: onAnswer => {
+			// Not a gRPC deadline, which is a time of day and moves with its steps.
+			const timer = setTimeout(() => {
+				call.cancel()
+			}, confirmTimeoutMs)
+			const {confirm: method} = fleetMethods
+			const call = client.makeUnaryRequest(
+				method.path,
+				method.requestSerialize,
+				method.responseDeserialize,
+				create(ConfirmRequestSchema, {gateway}),
+				(err, answer) => {
+					clearTimeout(timer)
+					onAnswer(err === null ? answer : undefined)
+				}
+			)
+		},
 		close: () => {
 			stream.on("error", () => undefined)
 			stream.cancel()
@@ -89,12 +126,22 @@
 	})
 }
 
-/** Serves follow streams to other gateways; rejects when the address is in use. */
+/** Serves other gateways; rejects when the address is in use. */
 export function startFollowServer(
-	options: StreamServerOptions & {onCall: (call: FollowCall) => void}
+	options: StreamServerOptions & {
+		onCall: (call: FollowCall) => void
+		/** Answers a call to confirm. */
+		confirm: () => ConfirmAnswer
+	}
 ): Promise<grpc.Server> {
+	const confirm: grpc.handleUnaryCall<ConfirmRequest, ConfirmAnswer> = (
+		_call,
+		respond
+	) => {
+		respond(null, options.confirm())
+	}
 	return bindServer(options, server => {
-		server.addService(fleetMethods, {follow: options.onCall})
+		server.addService(fleetMethods, {follow: options.onCall, confirm})
 	})
 }
 
--- a/src/link/methods.ts
+++ b/src/link/methods.ts
@@ -23,6 +23,8 @@
 	TicketSchema
 } from "../contract/gen/link_pb.js"
 import {
+	ConfirmAnswerSchema,
+	ConfirmRequestSchema,
 	FleetUpdateSchema,
 	FollowRequestSchema
 } from "../contract/gen/fleet_pb.js"
@@ -96,7 +98,7 @@
 	)
 } satisfies grpc.ServiceDefinition
 
-/** Stream of fleet updates from a gateway that watches the platform to another. */
+/** Methods of a gateway that watches the platform, for the other gateways. */
 export const fleetMethods = {
 	follow: defineMethod(
 		"Follow",
@@ -105,5 +107,13 @@
 		false,
 		true,
 		fleetServicePath
+	),
+	confirm: defineMethod(
+		"Confirm",
+		ConfirmRequestSchema,
+		ConfirmAnswerSchema,
+		false,
+		false,
+		fleetServicePath
 	)
 } satisfies grpc.ServiceDefinition
