--- a/src/gateway/__tests__/fleetState.test.ts
+++ b/src/gateway/__tests__/fleetState.test.ts
@@ -6,13 +6,17 @@
 	type FleetConfig,
 	type FleetEndpoint
 } from "../../contract/fleet.js"
+import type {ConfirmAnswer} from "../../contract/gen/fleet_pb.js"
 import {withholdMs} from "../../policy/registrations/index.js"
 import {DecisionLog} from "../../program/decisionLog.js"
 import {FleetFollower} from "../fleetFollower.js"
 import {FleetPublisher} from "../fleetPublisher.js"
 import {FleetState} from "../fleetState.js"
+import * as publishedConfig from "../publishedConfig.js"
 import {createLoopbackIp} from "./loopback.js"
 
+vi.mock("../publishedConfig.js", {spy: true})
+
 function createLog(): DecisionLog {
 	const stream = new Writable({
 		write: (_chunk, _encoding, done) => {
@@ -298,6 +302,49 @@
 		expect(follower.isCovered).toBe(false)
 	})
 
+	it("uses no configuration of a source that doesn't know Members", async () => {
+		const addresses = createAddresses()
+		const [first] = await Promise.all(addresses.map(startSource))
+		const {fleet, follower} = follow(addresses)
+		await vi.waitFor(() => {
+			expect(follower.isCovered).toBe(true)
+		})
+		vi.spyOn(publishedConfig, "encodePublishedConfig").mockImplementationOnce(
+			config => Buffer.from(JSON.stringify(config))
+		)
+		first?.fleet.applyConfig(createConfig(3), "store")
+		await vi.waitFor(() => {
+			expect(follower.isCovered).toBe(false)
+		})
+		expect(fleet.config).toBeUndefined()
+	})
+
+	it("asks a source for the age of its proof", async () => {
+		const addresses = createAddresses()
+		const [first] = await Promise.all(addresses.map(startSource))
+		const {follower} = follow(addresses)
+		const [address = ""] = addresses
+		const ask = (): Promise<ConfirmAnswer | undefined> =>
+			new Promise(resolve => {
+				follower.confirm(address, resolve)
+			})
+		await vi.waitFor(() => {
+			expect(follower.listConnected()).toEqual(addresses)
+		})
+		expect(await ask()).toMatchObject({hasProof: false})
+		if (first === undefined) throw new Error("no source")
+		first.fleet.applyConfig(createConfig(3), "store")
+		expect(await ask()).toMatchObject({hasProof: false})
+		first.health.proofAgeMs = 700
+		expect(await ask()).toMatchObject({
+			hasProof: true,
+			version: 3,
+			ageMs: 700
+		})
+		first.stop()
+		expect(await ask()).toBeUndefined()
+	})
+
 	it("is not covered while one of its two sources is stale or stopped", async () => {
 		const addresses = createAddresses()
 		const [first, second] = await Promise.all(addresses.map(startSource))
--- /dev/null
+++ b/src/gateway/__tests__/publishedConfig.test.ts
@@ -0,0 +1,40 @@
+import {describe, expect, it} from "vitest"
+import type {FleetConfig, Member} from "../../contract/fleet.js"
+import {
+	decodePublishedConfig,
+	encodePublishedConfig
+} from "../publishedConfig.js"
+
+const member: Member = {
+	name: "ministry",
+	keys: ["k"],
+	priority: undefined,
+	quota: undefined
+}
+
+function createConfig(members: FleetConfig["members"]): FleetConfig {
+	const limits = {
+		maxHeaderBytes: 1,
+		maxBodyBytes: 1,
+		headerTimeoutMs: 1,
+		idleTimeoutMs: 1
+	}
+	return {version: 3, routes: [], pools: [], limits, members}
+}
+
+describe("a configuration passed between gateways", () => {
+	it.each([{members: undefined}, {members: [member]}])(
+		"keeps its Members: %j",
+		({members}) => {
+			const config = createConfig(members)
+			const bytes = encodePublishedConfig(config)
+			expect(decodePublishedConfig(bytes)?.members).toEqual(members)
+		}
+	)
+
+	it("is not used when the other gateway's build doesn't know Members", () => {
+		// JSON of undefined has no field, as a build without Members writes it.
+		const bytes = Buffer.from(JSON.stringify(createConfig(undefined)))
+		expect(decodePublishedConfig(bytes)).toBeUndefined()
+	})
+})
