Keep keys out of the error of a published configuration that is cut

A log reader would see: config.unreadable with the text around the fault, which may be a key of a Member, because messages of JSON.parse quote it. The error now names only that the JSON is not valid. request.denied states the age of the proof as proofAgeMs.

Evidence: publishedConfig.test.ts (4 tests) passed.

--- a/src/gateway/__tests__/publishedConfig.test.ts
+++ b/src/gateway/__tests__/publishedConfig.test.ts
@@ -32,6 +32,19 @@
 		}
 	)
 
+	it("shows no key in the error of bytes that are cut", () => {
+		const bytes = encodePublishedConfig(
+			createConfig([{...member, keys: ["secret-key"]}])
+		)
+		const at = Buffer.from(bytes).indexOf("secret-key") + "secret-key".length
+		const decode = (): unknown =>
+			decodePublishedConfig(
+				Buffer.concat([bytes.subarray(0, at), Buffer.from('"x')])
+			)
+		expect(decode).toThrow("not valid JSON")
+		expect(decode).not.toThrow("secret-key")
+	})
+
 	it("is not used when the other gateway's build doesn't know Members", () => {
 		// JSON of undefined has no field, as a build without Members writes it.
 		const bytes = Buffer.from(JSON.stringify(createConfig(undefined)))
--- a/src/gateway/identity/callerAccess.ts
+++ b/src/gateway/identity/callerAccess.ts
@@ -149,10 +149,13 @@
 		proofAgeMs: number
 	): void {
 		const {log, metrics, fleet} = this.options
-		const configVersion = fleet.config?.version
-		const ageMs = Math.round(proofAgeMs)
 		metrics.countDenial(reason)
-		log.request("request.denied", id, {reason, route, configVersion, ageMs})
+		log.request("request.denied", id, {
+			reason,
+			route,
+			configVersion: fleet.config?.version,
+			proofAgeMs: Math.round(proofAgeMs)
+		})
 	}
 
 	private getRetryAfterMs(access: DeniedAccess): number | undefined {
--- a/src/gateway/publishedConfig.ts
+++ b/src/gateway/publishedConfig.ts
@@ -19,13 +19,23 @@
 
 /**
  * Returns undefined if the publishing gateway doesn't know Members: without them, no
- * keys would be required. Throws if the bytes are not JSON.
+ * keys would be required. Throws if the bytes are not JSON, with a message that bears
+ * nothing of them, since they hold keys.
  */
 export function decodePublishedConfig(
 	bytes: Uint8Array
 ): FleetConfig | undefined {
 	const text = Buffer.from(bytes).toString("utf8")
-	const {members, ...rest} = JSON.parse(text) as PublishedConfig
+	const {members, ...rest} = parsePublished(text)
 	if (members === undefined) return undefined
 	return {...rest, members: members ?? undefined}
 }
+
+function parsePublished(text: string): PublishedConfig {
+	try {
+		return JSON.parse(text) as PublishedConfig
+	} catch {
+		// Messages of JSON.parse quote the text around the fault.
+		throw new SyntaxError("published configuration is not valid JSON")
+	}
+}
