--- a/src/gateway/__tests__/publishedConfig.test.ts
+++ b/src/gateway/__tests__/publishedConfig.test.ts
@@ -34,15 +34,15 @@
 
 	it("shows no key in the error of bytes that are cut", () => {
 		const bytes = encodePublishedConfig(
-			createConfig([{...member, keys: ["secret-key"]}])
+			createConfig([{...member, keys: ["key-7"]}])
 		)
-		const at = Buffer.from(bytes).indexOf("secret-key") + "secret-key".length
+		const at = Buffer.from(bytes).indexOf("key-7") + "key-7".length
 		const decode = (): unknown =>
 			decodePublishedConfig(
-				Buffer.concat([bytes.subarray(0, at), Buffer.from('"x')])
+				Buffer.concat([bytes.subarray(0, at), Buffer.from('",@')])
 			)
 		expect(decode).toThrow("not valid JSON")
-		expect(decode).not.toThrow("secret-key")
+		expect(decode).not.toThrow("key-7")
 	})
 
 	it("is not used when the other gateway's build doesn't know Members", () => {
