Ask only gateways that know Members to confirm the configuration

A gateway that follows one of an older build would have asked it, got no answer, and lost 300 ms in each round. Sources that publish no Members are left out.

--- a/src/gateway/fleetFollower.ts
+++ b/src/gateway/fleetFollower.ts
@@ -69,12 +69,13 @@
 		return freshSources.length >= minFreshSources
 	}
 
-	/** Addresses of the sources that are connected. */
+	/** Addresses of the connected sources that may be asked to confirm. */
 	listConnected(): string[] {
 		return this.sources
-			.filter(({open, lastReceivedAt, openedAt}) => {
-				return open !== undefined && lastReceivedAt >= openedAt
-			})
+			.filter(
+				({open, knowsMembers, lastReceivedAt, openedAt}) =>
+					open !== undefined && knowsMembers && lastReceivedAt >= openedAt
+			)
 			.map(({address}) => address)
 	}
 
