Bound what a gateway holds for slow callers

Callers that read nothing made the gateway buffer whole streams without bound, and large answers waited for them in memory for ever. Bodies that were read and not yet sent were not bounded together either.

Bodies, unfinished answers and what callers have not read are counted for each request and for the process. An engine that is not read counts neither as silent nor, if it cuts its answer off, as failed.

--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -3,7 +3,10 @@
  * the request's end and counts its outcome exactly once.
  */
 import type {IncomingMessage, ServerResponse} from "node:http"
+import {type BufferOverflow, BufferPart} from "../policy/buffers/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
+import type {CallerBuffers, RequestBuffers} from "./callerBuffers.js"
+import {CallerOutput} from "./callerOutput.js"
 import {type GatewayMetrics, RequestOutcome} from "./gatewayMetrics.js"
 import {
 	type ResponseHead,
@@ -19,6 +22,7 @@
 	wire: WireCodec
 	log: DecisionLog
 	metrics: GatewayMetrics
+	callerBuffers: CallerBuffers
 	/** Kind of the matched route, a metrics label; `none` without a route. */
 	kind: string
 	arrivedAt: number
@@ -36,23 +40,49 @@
 	/** It was idle for longer than the configuration allows. */
 	Idle = "idle",
 	/** The grace period of a drain ends. */
-	Drain = "drain"
+	Drain = "drain",
+	/** The process's buffers are full, and this caller is the slowest one. */
+	SlowCaller = "slowCaller"
 }
 
 const httpInternalError = 500
 const httpServiceUnavailable = 503
 const httpBadGateway = 502
 const httpGatewayTimeout = 504
+/** Why a request ends whose bytes the process can't hold any longer. */
+export const buffersFull = "buffers are full"
+/** Slow callers at the bound are gone by then. */
+export const overflowRetryAfterMs = 1000
 
 export class CallerExchange {
 	/** Called once if the caller disconnects before the response is complete. */
 	onDisconnect: (() => void) | undefined
+	/**
+	 * Called when the request has to end before its response has begun, because the
+	 * process's buffers are full. Without it, the request is refused as not run.
+	 */
+	onOverflow: (() => void) | undefined
+	/** Called when the stream has room again. */
+	onRoom: (() => void) | undefined
+	/** What the gateway holds in memory for this request. */
+	readonly buffers: RequestBuffers
+	private readonly output: CallerOutput
 	private hasEnded = false
 	private isHeadWritten = false
 
 	constructor(private readonly options: CallerExchangeOptions) {
-		const {res} = options
+		const {res, callerBuffers} = options
+		this.buffers = callerBuffers.open(overflow => {
+			this.endForOverflow(overflow)
+		})
+		this.output = new CallerOutput({
+			res,
+			buffers: this.buffers,
+			maxBytes: callerBuffers.maxStreamBytes,
+			onRoom: () => this.onRoom?.()
+		})
 		res.on("close", () => {
+			this.buffers.release()
 			if (this.hasEnded) return
 			this.recordClose()
 			this.onDisconnect?.()
@@ -73,6 +103,11 @@
 		return this.isHeadWritten
 	}
 
+	/** Whether the caller has read enough of the stream for more to be buffered. */
+	get hasRoom(): boolean {
+		return this.hasEnded || this.output.hasRoom
+	}
+
 	/** Forwards an endpoint's complete response unchanged. */
 	forwardResponse(
 		responseHead: ResponseHead,
@@ -81,7 +116,8 @@
 	): void {
 		if (this.hasEnded) return
 		this.writeHead(responseHead, body.length)
-		this.options.res.end(body)
+		this.output.write(body)
+		this.output.end()
 		this.recordOutcome(
 			isServerError(responseHead)
 				? RequestOutcome.Failed
@@ -100,12 +136,12 @@
 	}
 
 	writeEvent(event: Buffer): void {
-		if (!this.hasEnded) this.options.res.write(event)
+		if (!this.hasEnded) this.output.write(event)
 	}
 
 	endStream(logFields: LogFields): void {
 		if (this.hasEnded) return
-		this.options.res.end()
+		this.output.end()
 		this.recordOutcome(RequestOutcome.Answered, logFields)
 	}
 
@@ -159,6 +195,28 @@
 		this.recordOutcome(RequestOutcome.Rejected, {status, reason})
 	}
 
+	/** Ends the request in whatever state it is, so that its buffers are freed. */
+	private endForOverflow({part, bytes, waitedMs}: BufferOverflow): void {
+		const {log, head, metrics, res} = this.options
+		const fields = {part, waitingBytes: bytes, waitedMs: Math.round(waitedMs)}
+		if (this.isHeadWritten) {
+			metrics.countConnectionClose(CloseReason.SlowCaller)
+			log.request("caller.disconnected", head.id, fields)
+			this.recordOutcome(RequestOutcome.Cut, {
+				detail: CloseReason.SlowCaller,
+				...fields
+			})
+			res.destroy()
+			this.onDisconnect?.()
+			return
+		}
+		log.request("request.shed", head.id, fields)
+		// What is left of the body is dropped.
+		if (part === BufferPart.Upload) res.setHeader("Connection", "close")
+		if (this.onOverflow !== undefined) this.onOverflow()
+		else this.refuse(buffersFull, overflowRetryAfterMs, {})
+	}
+
 	private writeHead(
 		responseHead: ResponseHead,
 		length: number | undefined
--- a/src/gateway/endpointCall.ts
+++ b/src/gateway/endpointCall.ts
@@ -134,6 +134,15 @@
 		this.settle(CallOutcome.Broken, detail)
 	}
 
+	/** Stops reading the response; the endpoint may cut it off after some seconds. */
+	pause(): void {
+		this.res?.pause()
+	}
+
+	resume(): void {
+		this.res?.resume()
+	}
+
 	/** Whether the connection was established, so that the request may have run. */
 	get wasSent(): boolean {
 		return this.isConnected
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -15,6 +15,7 @@
 import type {RetryBudgets} from "./retryBudgets.js"
 import type {PromptGuard} from "./promptGuard.js"
 import type {StreamDirectory} from "./streamDirectory.js"
+import type {CallerBuffers} from "./callerBuffers.js"
 import type {CallerExchange} from "./callerExchange.js"
 import type {WireCodec} from "./wire.js"
 
@@ -33,6 +34,7 @@
 	retryBudgets: RetryBudgets
 	log: DecisionLog
 	metrics: GatewayMetrics
+	callerBuffers: CallerBuffers
 	failureDomain: string
 	/** Timeout for connecting to an endpoint; the default of the call if absent. */
 	connectTimeoutMs?: number | undefined
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -91,6 +91,18 @@
 		labelNames: ["reason"],
 		registers: [this.registry]
 	})
+	private readonly bufferOverflows = new Counter({
+		name: "goldcrestloom_buffer_overflows_total",
+		help: "Requests that ended because the process's buffers were full, by what they held",
+		labelNames: ["part"],
+		registers: [this.registry]
+	})
+	private readonly readPauses = new Counter({
+		name: "goldcrestloom_read_pauses_total",
+		help: "Pauses in reading an engine whose caller had too much unread",
+		registers: [this.registry]
+	})
+	private readBufferedBytes: () => number = () => 0
 	/** Parts of prompts with which requests are turned away. */
 	readonly accusedParts = new Gauge({
 		name: "goldcrestloom_accused_prompt_parts",
@@ -103,6 +115,31 @@
 		registers: [this.registry]
 	})
 
+	constructor() {
+		const read = (): number => this.readBufferedBytes()
+		new Gauge({
+			name: "goldcrestloom_buffered_bytes",
+			help: "Bytes of requests and responses that the process holds for its callers",
+			registers: [this.registry],
+			collect() {
+				this.set(read())
+			}
+		})
+	}
+
+	/** Sets where the gauge of buffered bytes reads its value. */
+	watchBufferedBytes(read: () => number): void {
+		this.readBufferedBytes = read
+	}
+
+	countBufferOverflow(part: string): void {
+		this.bufferOverflows.inc({part})
+	}
+
+	countReadPause(): void {
+		this.readPauses.inc()
+	}
+
 	countRequest(kind: string, outcome: RequestOutcome): void {
 		this.requests.inc({kind, outcome})
 	}
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -14,6 +14,7 @@
 	type PoolShare,
 	RouteKind
 } from "../contract/fleet.js"
+import {BufferPart} from "../policy/buffers/index.js"
 import {sleep} from "../utils/common.js"
 import {CallerExchange, CloseReason} from "./callerExchange.js"
 import {DeadlineSource, type GatewayContext} from "./gatewayContext.js"
@@ -165,6 +166,7 @@
 			wire,
 			log,
 			metrics,
+			callerBuffers: ctx.callerBuffers,
 			kind: route?.kind ?? "none",
 			arrivedAt,
 			getCloseReason: () => this.getCloseReason(req.socket),
@@ -183,7 +185,7 @@
 			exchange.reject(httpHeadersTooLarge, "headers are too large")
 			return
 		}
-		readBody(req, maxBodyBytes, body => {
+		readBody(req, maxBodyBytes, exchange, body => {
 			if (!exchange.isOpen) return
 			if (body === undefined) {
 				res.setHeader("Connection", "close")
@@ -263,28 +265,44 @@
 	return req.rawHeaders.reduce((sum, text) => sum + text.length, separators)
 }
 
-/** Calls back with the whole body, or with undefined once it is too large. */
+/**
+ * Calls back with the whole body, or with undefined once it is too large. Keeps
+ * nothing of it once the exchange has ended.
+ */
 function readBody(
 	req: IncomingMessage,
 	maxBytes: number,
+	exchange: CallerExchange,
 	onBody: (body: Buffer | undefined) => void
 ): void {
+	const {buffers} = exchange
 	const chunks: Buffer[] = []
 	let size = 0
 	let isTooLarge = false
+	const drop = (): void => {
+		chunks.length = 0
+		buffers.remove(BufferPart.Upload, size)
+	}
 	req.on("data", (chunk: Buffer) => {
-		size += chunk.length
 		if (isTooLarge) return
+		if (!exchange.isOpen) {
+			drop()
+			return
+		}
+		size += chunk.length
 		if (size <= maxBytes) {
 			chunks.push(chunk)
+			buffers.add(BufferPart.Upload, chunk.length)
 			return
 		}
 		isTooLarge = true
-		chunks.length = 0
+		drop()
 		onBody(undefined)
 	})
 	req.on("end", () => {
-		if (!isTooLarge) onBody(Buffer.concat(chunks))
+		if (isTooLarge) return
+		buffers.move(BufferPart.Upload, BufferPart.Request)
+		onBody(Buffer.concat(chunks))
 	})
 	// A disconnect of the caller is handled by the response's `close` event.
 	req.on("error", () => undefined)
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -21,6 +21,7 @@
 import type {DecisionLog} from "../program/decisionLog.js"
 import {startProbeServer} from "../program/probeServer.js"
 import {AgentLinks} from "./agentLinks.js"
+import {CallerBuffers} from "./callerBuffers.js"
 import {FleetFollower} from "./fleetFollower.js"
 import {FleetPublisher} from "./fleetPublisher.js"
 import {FleetState} from "./fleetState.js"
@@ -68,6 +69,10 @@
 	repeatWindowMs: number
 	/** Timeout for connecting to an endpoint, milliseconds. */
 	connectTimeoutMs?: number
+	/** Bytes that the process may hold for its callers; see `CallerBuffers`. */
+	maxBufferedBytes?: number | undefined
+	/** Bytes that may wait for one caller before its engine is not read. */
+	maxStreamBytes?: number | undefined
 	wire: WireCodec
 	log: DecisionLog
 	tls?: TlsKeys | undefined
@@ -80,6 +85,7 @@
 export class GatewayTask {
 	readonly fleet: FleetState
 	readonly metrics = new GatewayMetrics()
+	readonly callerBuffers: CallerBuffers
 	private readonly ctx: GatewayContext
 	private readonly crashes = new CrashRecords()
 	private readonly server: GatewayServer
@@ -139,6 +145,12 @@
 			now
 		})
 		const streams = new StreamDirectory({fleet: this.fleet, links, now})
+		this.callerBuffers = new CallerBuffers({
+			maxProcessBytes: options.maxBufferedBytes,
+			maxStreamBytes: options.maxStreamBytes,
+			metrics: this.metrics,
+			now
+		})
 		this.ctx = {
 			wire,
 			fleet: this.fleet,
@@ -159,6 +171,7 @@
 			}),
 			log,
 			metrics: this.metrics,
+			callerBuffers: this.callerBuffers,
 			failureDomain,
 			connectTimeoutMs: options.connectTimeoutMs,
 			now,
--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -3,6 +3,7 @@
  * complete events, and reports when no event arrives in time.
  */
 import type {StreamOrigin} from "../contract/gen/grants_pb.js"
+import {BufferPart} from "../policy/buffers/index.js"
 import type {LogFields} from "./callerExchange.js"
 import {BodyBuffer, maxBufferedBytes} from "./bodyBuffer.js"
 import {CallOutcome, EndpointCall} from "./endpointCall.js"
@@ -60,12 +61,16 @@
 	private readonly options: GenerationSendOptions
 	private readonly call: EndpointCall
 	private readonly splitter = new EventSplitter()
-	private readonly received = new BodyBuffer()
+	private readonly received: BodyBuffer
 	private eventCount = 0
 	private firstEventAt = 0
 	/** Comments before the first event; forwarded with it. */
-	private readonly leadingComments = new BodyBuffer()
+	private readonly leadingComments: BodyBuffer
+	/** Bytes of the incomplete event that are counted as held. */
+	private pendingBytes = 0
 	private silenceTimer: NodeJS.Timeout | undefined
+	private isPaused = false
+	private hasPaused = false
 
 	constructor(options: GenerationSendOptions) {
 		const {ctx, request, target, resumeAfter} = options
@@ -73,6 +78,8 @@
 		this.options = options
 		this.target = target
 		this.sentAt = ctx.now()
+		this.received = new BodyBuffer(exchange.buffers)
+		this.leadingComments = new BodyBuffer(exchange.buffers)
 		this.call = new EndpointCall({
 			address: target.endpoint.address,
 			wire: ctx.wire,
@@ -104,6 +111,7 @@
 				},
 				onEnd: (outcome, detail) => {
 					clearTimeout(this.silenceTimer)
+					this.releaseBuffers()
 					options.onEnd(this, outcome, detail)
 				}
 			}
@@ -168,6 +176,49 @@
 		this.call.abort()
 	}
 
+	/** Stops reading the engine; returns false if that was so already. */
+	pause(): boolean {
+		if (this.isPaused) return false
+		this.isPaused = true
+		this.hasPaused = true
+		// An engine that is not read can't be silent.
+		clearTimeout(this.silenceTimer)
+		this.call.pause()
+		return true
+	}
+
+	resume(): void {
+		if (!this.isPaused) return
+		this.isPaused = false
+		this.restartSilenceTimer(this.gapLimitMs)
+		this.call.resume()
+	}
+
+	/** Whether the engine was not read for a time. */
+	get wasPaused(): boolean {
+		return this.hasPaused
+	}
+
+	private get gapLimitMs(): number {
+		const gapMs = this.options.request.route.eventGapMs * eventGapTimeoutFactor
+		return Math.max(minEventGapTimeoutMs, gapMs)
+	}
+
+	private countPending(bytes: number): void {
+		const {buffers} = this.options.request.exchange
+		const grownBytes = bytes - this.pendingBytes
+		this.pendingBytes = bytes
+		if (grownBytes > 0) buffers.add(BufferPart.Answer, grownBytes)
+		else buffers.remove(BufferPart.Answer, -grownBytes)
+	}
+
+	/** What is left of the answer is counted where it is written, or dropped. */
+	private releaseBuffers(): void {
+		this.countPending(0)
+		this.received.release()
+		this.leadingComments.release()
+	}
+
 	private receive(chunk: Buffer): void {
 		const {responseHead} = this
 		if (responseHead === undefined) return
@@ -179,6 +230,7 @@
 			if (event.isComment) this.receiveComment(event.bytes)
 			else this.receiveEvent(responseHead, event)
 		}
+		this.countPending(this.splitter.pendingBytes)
 		if (this.splitter.pendingBytes > maxBufferedBytes)
 			this.call.reject("event without end")
 	}
@@ -190,7 +242,7 @@
 	}
 
 	private receiveEvent(responseHead: ResponseHead, event: StreamEvent): void {
-		const {target, request, onEvent, createOriginNotice} = this.options
+		const {target, onEvent, createOriginNotice} = this.options
 		this.eventCount += 1
 		if (this.eventCount > 1) onEvent(this, responseHead, event)
 		else {
@@ -200,11 +252,11 @@
 				this.leadingComments.toBuffer(),
 				event.bytes
 			])
+			this.leadingComments.release()
 			onEvent(this, responseHead, {...event, bytes})
 		}
 		if (this.eventCount === eventsUntilProven) this.options.onProven(this)
-		const gapMs = request.route.eventGapMs * eventGapTimeoutFactor
-		this.restartSilenceTimer(Math.max(minEventGapTimeoutMs, gapMs))
+		if (!this.isPaused) this.restartSilenceTimer(this.gapLimitMs)
 	}
 
 	/** Restarts the timer that reports when no event arrives in time. */
@@ -220,11 +272,13 @@
 /** Records success or failure of the engine for later ratings. */
 export function recordEngineResult(
 	{engines, now}: GatewayContext,
-	{target, responseHead}: GenerationSend,
+	{target, responseHead, wasPaused}: GenerationSend,
 	outcome: CallOutcome
 ): void {
 	// No failure: the engine evicted the adapter or has restarted.
 	if (responseHead?.isMisdirected === true) return
+	// Engines cut off answers that are not read.
+	if (wasPaused && outcome === CallOutcome.Broken) return
 	const {id} = target.endpoint
 	if (outcome === CallOutcome.Complete && responseHead?.status === httpOk)
 		engines.addSuccess(id, now())
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -6,6 +6,7 @@
  * the caller's stream ends only when no call is left.
  */
 import {getStartLimits, type StartLimits} from "../policy/dispatch/index.js"
+import {buffersFull} from "./callerExchange.js"
 import {CallerStream} from "./callerStream.js"
 import {CallOutcome} from "./endpointCall.js"
 import {EngineSearch, type SearchRefusal} from "./engineSearch.js"
@@ -37,6 +38,8 @@
 	private readonly ending: GenerationEnding
 	private readonly later: LaterSearch
 	private endWatch: (() => void) | undefined
+	/** Goes on after a failed send, once the caller has read enough. */
+	private goOnWithRoom: (() => void) | undefined
 
 	constructor(
 		ctx: GatewayContext,
@@ -86,6 +89,9 @@
 
 	protected override dispatch(): void {
 		const {ctx, request, stream} = this
+		request.exchange.onRoom = () => {
+			this.handleRoom()
+		}
 		const {resumption} = request.exchange.head
 		if (this.admission.isTurnedAway) {
 			this.ending.turnAway(this)
@@ -116,6 +122,30 @@
 		this.cancel()
 	}
 
+	protected override handleOverflow(): void {
+		if (this.open.wasSent) this.mayHaveRun = true
+		this.ending.fail(buffersFull, this)
+	}
+
+	/** Stops reading the engine while its caller has too much unread. */
+	private pauseIfFull(send: GenerationSend): void {
+		const {ctx, request} = this
+		if (request.exchange.hasRoom || !send.pause()) return
+		ctx.metrics.countReadPause()
+		ctx.log.request("send.paused", request.exchange.head.id, {
+			endpoint: send.target.endpoint.id,
+			lastEvent: this.stream.lastEventId
+		})
+	}
+
+	/** Reads on, or looks for the engine that is to go on, as the caller reads on. */
+	private handleRoom(): void {
+		this.open.current?.resume()
+		const {goOnWithRoom} = this
+		this.goOnWithRoom = undefined
+		goOnWithRoom?.()
+	}
+
 	/** Times that the next event has to meet. */
 	private get startLimits(): StartLimits {
 		const {route, arrivedAt, deadline, exchange} = this.request
@@ -159,7 +189,9 @@
 				this.forwardEvent(from, responseHead, event)
 			},
 			onComment: (from, bytes) => {
-				if (from === this.open.current) request.exchange.writeEvent(bytes)
+				if (from !== this.open.current) return
+				request.exchange.writeEvent(bytes)
+				this.pauseIfFull(from)
 			},
 			onProven: from => {
 				this.admission.noteAnswer(from.answeredAt)
@@ -187,6 +219,7 @@
 		} else this.open.takeOver()
 		this.stream.forward(send.target, responseHead, event)
 		this.later.noteEvent()
+		this.pauseIfFull(send)
 	}
 
 	/**
@@ -274,7 +307,15 @@
 
 	/** Sends the request again after a failed send, or ends it. */
 	private goOn(detail: string, hasNotRun: boolean, isStandby: boolean): void {
-		if (this.isCancelled || !this.request.exchange.isOpen) return
+		const {exchange} = this.request
+		if (this.isCancelled || !exchange.isOpen) return
+		// Another engine would be cut off as well before its events are read.
+		if (!exchange.hasRoom) {
+			this.goOnWithRoom = () => {
+				this.goOn(detail, hasNotRun, isStandby)
+			}
+			return
+		}
 		if (this.search.isPending) return
 		// The standby send was promoted.
 		if (this.open.current !== undefined && !isStandby) return
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -25,9 +25,13 @@
 			},
 			Math.max(1, leftMs)
 		)
-		request.exchange.onDisconnect = () => {
+		const {exchange} = request
+		exchange.onDisconnect = () => {
 			this.handleDisconnect()
 		}
+		exchange.onOverflow = () => {
+			this.handleOverflow()
+		}
 	}
 
 	start(): void {
@@ -40,6 +44,9 @@
 	/** Called when the request's deadline passes. */
 	protected abstract handleDeadline(): void
 
+	/** Called when the request has to end because the process's buffers are full. */
+	protected abstract handleOverflow(): void
+
 	/** Called when the caller disconnects before its response is complete. */
 	protected abstract handleDisconnect(): void
 
--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -7,6 +7,11 @@
  */
 import {type FleetEndpoint, RouteKind} from "../contract/fleet.js"
 import {BodyBuffer} from "./bodyBuffer.js"
+import {
+	buffersFull,
+	type LogFields,
+	overflowRetryAfterMs
+} from "./callerExchange.js"
 import {CallOutcome, EndpointCall} from "./endpointCall.js"
 import {applySignals} from "./endpointSignals.js"
 import {RequestTask} from "./requestTask.js"
@@ -32,7 +37,8 @@
 	/** When the caller may return for whom no permit was left. */
 	private permitRetryAfterMs: number | undefined
 	/** Last 5xx response; forwarded unless a retry delivers a response. */
-	private errorResponse: {responseHead: ResponseHead; body: Buffer} | undefined
+	private errorResponse:
+		{responseHead: ResponseHead; received: BodyBuffer} | undefined
 
 	protected override dispatch(): void {
 		this.tryNextEndpoint("no endpoint")
@@ -147,7 +153,9 @@
 		ctx.services.begin(id)
 		const endProbe = ctx.pauses.begin(id)
 		const sentAt = ctx.now()
-		const received = new BodyBuffer()
+		const {buffers} = exchange
+		const received = new BodyBuffer(buffers)
+		buffers.hold()
 		const call: EndpointCall = new EndpointCall({
 			address: endpoint.address,
 			wire: ctx.wire,
@@ -173,13 +181,9 @@
 					const responseHead = call.responseHead
 					endProbe(outcome === CallOutcome.Complete)
 					this.recordResult(id, outcome, responseHead, sentAt)
-					this.handleCallEnd(
-						id,
-						outcome,
-						detail,
-						responseHead,
-						received.toBuffer()
-					)
+					this.handleCallEnd(id, outcome, detail, responseHead, received)
+					if (this.errorResponse?.received !== received) received.release()
+					buffers.release()
 				}
 			}
 		})
@@ -245,7 +249,7 @@
 		end: CallOutcome,
 		detail: string,
 		responseHead: ResponseHead | undefined,
-		body: Buffer
+		received: BodyBuffer
 	): void {
 		const {ctx, request} = this
 		const {exchange} = request
@@ -261,7 +265,7 @@
 		if (end === CallOutcome.Complete && responseHead !== undefined) {
 			const isFailure = isServerError(responseHead)
 			if (!isFailure || !mayBeAnswered) {
-				exchange.forwardResponse(responseHead, body, {
+				this.forward(responseHead, received, {
 					endpoint: id,
 					sends: this.sends
 				})
@@ -269,7 +273,8 @@
 				this.cancel()
 				return
 			}
-			this.errorResponse = {responseHead, body}
+			this.errorResponse?.received.release()
+			this.errorResponse = {responseHead, received}
 		}
 		ctx.log.request("send.failed", exchange.head.id, {
 			endpoint: id,
@@ -281,6 +286,16 @@
 		else this.endWithoutRetry(detail)
 	}
 
+	private forward(
+		responseHead: ResponseHead,
+		received: BodyBuffer,
+		logFields: LogFields
+	): void {
+		const body = received.toBuffer()
+		received.release()
+		this.request.exchange.forwardResponse(responseHead, body, logFields)
+	}
+
 	/**
 	 * Ends the request without another retry, unless a call is still open: forwards
 	 * the kept error response, or reports an unknown outcome if the request may have
@@ -295,11 +310,8 @@
 		this.clearTimers()
 		const logFields = {sends: this.sends, tried: [...this.tried]}
 		if (this.errorResponse !== undefined) {
-			exchange.forwardResponse(
-				this.errorResponse.responseHead,
-				this.errorResponse.body,
-				logFields
-			)
+			const {responseHead, received} = this.errorResponse
+			this.forward(responseHead, received, logFields)
 		} else if (this.mayHaveRun) exchange.respondUnknown(reason, logFields)
 		else {
 			const spreadMs =
@@ -310,6 +322,16 @@
 		}
 	}
 
+	protected override handleOverflow(): void {
+		const {exchange} = this.request
+		const wasSent =
+			this.mayHaveRun || [...this.openCalls].some(call => call.wasSent)
+		this.cancel()
+		const logFields = {sends: this.sends, tried: [...this.tried]}
+		if (wasSent) exchange.respondUnknown(buffersFull, logFields)
+		else exchange.refuse(buffersFull, overflowRetryAfterMs, logFields)
+	}
+
 	protected override handleDeadline(): void {
 		const {exchange} = this.request
 		const wasSent =
@@ -321,11 +343,8 @@
 			...this.deadlineFields
 		}
 		if (this.errorResponse !== undefined) {
-			exchange.forwardResponse(
-				this.errorResponse.responseHead,
-				this.errorResponse.body,
-				logFields
-			)
+			const {responseHead, received} = this.errorResponse
+			this.forward(responseHead, received, logFields)
 		} else if (wasSent) exchange.respondUnknown("deadline", logFields, true)
 		else exchange.refuse("deadline", minRetryAfterMs, logFields)
 	}
--- /dev/null
+++ b/src/policy/buffers/index.ts
@@ -0,0 +1,1 @@
+export * from "./bufferLedger.js"
