Give the fault soak Members, keys and quotas

Nothing judged from outside whether withdrawn keys still run, workers hear the right Member, or quotas hold while gateways and agents are cut off from the store.

FaultSet.Members adds Members to the configuration, keys to the requests, and faults that change them; judgeIdentities judges what callers and workers saw.

--- a/bench/soak/__tests__/soak.test.ts
+++ b/bench/soak/__tests__/soak.test.ts
@@ -53,6 +53,17 @@
 		expect(report.breaches).toEqual([])
 	}, 120_000)
 
+	it("keeps to the keys and quotas of changing configurations", async () => {
+		const report = await runSoak({
+			seed: 41,
+			durationMs: 15_000,
+			block: 87,
+			callers: 24,
+			faults: FaultSet.Members
+		})
+		expect(report.breaches).toEqual([])
+	}, 120_000)
+
 	it.each(regressions)(
 		"keeps every promise with seed $seed, which failed once",
 		async ({seed, block}) => {
--- a/bench/soak/__tests__/statements.test.ts
+++ b/bench/soak/__tests__/statements.test.ts
@@ -29,7 +29,9 @@
 		isLeaving: false,
 		pausedUntil: 0,
 		perSecond: 0,
-		isDeadly: false
+		isDeadly: false,
+		member: undefined,
+		hasCredential: false
 	}
 	return {requestId, worker, at, ...none, ...statement}
 }
--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -1,6 +1,7 @@
 /** Callers that keep connections open, and judge every answer they get. */
 import {Agent, type IncomingMessage, request} from "node:http"
 import {routeHost, type SoakDeployment} from "./deployment.js"
+import {draftTokens} from "./members.js"
 
 export enum CallEnd {
 	Answered = "answered",
@@ -19,6 +20,12 @@
 	sentAt: number
 	endedAt: number
 	status: number
+	/** Key that was sent, if the configuration has Members. */
+	credential?: string | undefined
+	/** Tokens that were stated. */
+	tokens?: number | undefined
+	/** Whether it may be refused in normal operation. */
+	isRefusable?: boolean
 	/** Set if it is a stream that broke off after an event. */
 	cut?: CutStream | undefined
 }
@@ -53,7 +60,7 @@
 	) {}
 
 	start(count: number): void {
-		for (let n = 0; n < count; n++) this.tasks.push(this.run())
+		for (let n = 0; n < count; n++) this.tasks.push(this.run(n))
 	}
 
 	async stop(): Promise<void> {
@@ -61,7 +68,7 @@
 		await Promise.all(this.tasks)
 	}
 
-	private async run(): Promise<void> {
+	private async run(caller: number): Promise<void> {
 		let agent = new Agent({keepAlive: true, maxSockets: 1})
 		const pick = (): string => {
 			const {gateways} = this.deployment
@@ -72,13 +79,13 @@
 		let address = pick()
 		while (!this.isStopped) {
 			const kind = kinds[Math.floor(this.random() * kinds.length)] ?? "draft"
-			let record = await this.call(kind, address, agent)
+			let record = await this.call(kind, address, agent, caller)
 			this.records.push(record)
 			if (record.cut !== undefined) {
 				agent.destroy()
 				agent = new Agent({keepAlive: true, maxSockets: 1})
 				address = pick()
-				record = await this.call(kind, address, agent, record)
+				record = await this.call(kind, address, agent, caller, record)
 				this.records.push(record)
 			}
 			if (record.end !== CallEnd.Answered) {
@@ -95,11 +102,21 @@
 		kind: string,
 		address: string,
 		agent: Agent,
+		caller: number,
 		/** The call whose stream this one resumes. */
 		first?: CallRecord
 	): Promise<CallRecord> {
 		const id = `c${this.next++}`
+		const {members} = this.deployment
+		const shown =
+			first === undefined ? members?.draw(caller, this.random) : undefined
 		const headers = this.createHeaders(id, kind, first)
+		if (shown !== undefined) headers["X-Credential"] = shown.key
+		const isRefusable = shown?.isRefusable ?? first?.isRefusable ?? false
+		const credential = headers["X-Credential"]
+		const {prompt, output} = draftTokens
+		const tokens = kind === "draft" ? prompt + output : undefined
+		const shownFields = {credential, tokens, isRefusable}
 		const sentAt = performance.now()
 		const [host, port] = address.split(":")
 		return new Promise(resolve => {
@@ -109,7 +126,8 @@
 				const gateway = address
 				const isCut = last !== undefined && last.lastEvent < eventCount
 				const cut = isCut ? {...last, headers} : undefined
-				resolve({id, gateway, kind, end: how, sentAt, endedAt, status, cut})
+				const call = {id, gateway, kind, end: how, sentAt, endedAt, status}
+				resolve({...call, cut, ...shownFields})
 			}
 			const req = request({
 				host,
@@ -152,7 +170,7 @@
 			else if (status === 200) {
 				this.check(res, id, kind, body, last)
 				end(CallEnd.Answered, status)
-			} else if (status === 503 || status === 429) {
+			} else if (status === 503 || status === 429 || status === 401) {
 				end(CallEnd.Refused, status)
 			} else end(CallEnd.Unknown, status)
 		})
@@ -222,7 +240,7 @@
 		return {
 			...headers,
 			"X-Model": `base/a${adapter}`,
-			"X-Token-Count": "600,20",
+			"X-Token-Count": `${draftTokens.prompt},${draftTokens.output}`,
 			"X-Prompt-Prefix": `p${adapter}:400,${id}:200`
 		}
 	}
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -6,6 +6,8 @@
 import {type Relay, startRelay} from "../../standins/relay.js"
 import {sleep} from "../../src/utils/common.js"
 import {ChildProcess} from "../deployment/childProcess.js"
+import type {ConfigRecord} from "./identities.js"
+import {memberBounds, type SoakMembers} from "./members.js"
 import type {Disturbance} from "./statements.js"
 
 export interface SoakSizes {
@@ -33,6 +35,8 @@
 	/** Between gateways and the agent; absent for a plain service. */
 	agentLink: Relay | undefined
 	agent: ChildProcess | undefined
+	/** Between the agent and the store; absent without Members. */
+	storeLink: Relay | undefined
 }
 
 export interface GatewaySite {
@@ -51,6 +55,8 @@
 	readonly deadlyParts = new Set<string>()
 	/** Times at which engines crashed for such a part. */
 	readonly deadlyCrashes: number[] = []
+	/** The Members of each configuration that was written, if there are any. */
+	readonly configs: ConfigRecord[] = []
 	configVersion = 0
 	private readonly dir = mkdtempSync(join(tmpdir(), "goldcrestloom-soak-"))
 	private readonly timers: NodeJS.Timeout[] = []
@@ -59,16 +65,19 @@
 	private constructor(
 		readonly store: FleetStore,
 		private readonly block: number,
-		private readonly random: () => number
+		private readonly random: () => number,
+		/** Undefined if the configuration has no Members. */
+		readonly members: SoakMembers | undefined
 	) {}
 
 	static async start(
 		sizes: SoakSizes,
 		block: number,
-		random: () => number
+		random: () => number,
+		members?: SoakMembers
 	): Promise<SoakDeployment> {
 		const store = await FleetStore.start(`127.${block}.9.1`)
-		const deployment = new SoakDeployment(store, block, random)
+		const deployment = new SoakDeployment(store, block, random, members)
 		deployment.applyConfig()
 		for (let n = 1; n <= sizes.engines; n++) {
 			await deployment.addSite(`engine${n}`, "writers", n)
@@ -134,8 +143,13 @@
 				},
 				{name: "desk"}
 			],
-			limits: {idle_timeout_ms: 5000}
+			limits: {idle_timeout_ms: 5000},
+			...(this.members === undefined ? {} : {tenants: this.members.encode()})
 		})
+		if (this.members !== undefined) {
+			const at = performance.now()
+			this.configs.push({at, members: this.members.list()})
+		}
 		return this.configVersion
 	}
 
@@ -173,7 +187,8 @@
 		]
 		for (const child of children) child.thaw()
 		await Promise.all(children.map(child => child.kill()))
-		for (const {worker, link, agentLink} of this.sites) {
+		for (const {worker, link, agentLink, storeLink} of this.sites) {
+			await storeLink?.close()
 			await worker.crash(true)
 			await link.close()
 			await agentLink?.close()
@@ -216,7 +231,8 @@
 			state: "ready",
 			link,
 			agentLink: undefined,
-			agent: undefined
+			agent: undefined,
+			storeLink: undefined
 		}
 		this.sites.push(site)
 		worker.deadlyParts = this.deadlyParts
@@ -225,11 +241,17 @@
 			const agentIp = `127.${block}.3.${index}`
 			const target = `${agentIp}:9100`
 			site.agentLink = await startRelay({target, ip, port: 9100})
+			if (this.members !== undefined) {
+				site.storeLink = await startRelay({
+					target: this.store.address,
+					ip: `127.${block}.6.${index}`
+				})
+			}
 			const lines = [`app = "${worker.address}"`, `service = "${service}"`]
 			site.agent = this.createProcess(`agent-${name}`, "agent", {
 				ip: agentIp,
 				zone,
-				storeAddress: this.store.address,
+				storeAddress: site.storeLink?.address ?? this.store.address,
 				lines
 			})
 			site.agent.start()
@@ -294,6 +316,7 @@
 			"[bounds]",
 			`grace_s = ${graceMs / 1000}`,
 			"budget_extra = 200",
+			...(this.members === undefined ? [] : formatMemberBounds()),
 			"[platform]",
 			`address = "${settings.storeAddress}"`
 		]
@@ -305,3 +328,15 @@
 		})
 	}
 }
+
+/** Lines of the settings' `bounds`. */
+function formatMemberBounds(): string[] {
+	const {revokeMs, quotaWindowMs, quotaOverage, quotaSlack} = memberBounds
+	return [
+		"strict_revoke = true",
+		`revoke_ms = ${revokeMs}`,
+		`quota_window_s = ${quotaWindowMs / 1000}`,
+		`quota_overage = ${quotaOverage}`,
+		`quota_slack = ${quotaSlack}`
+	]
+}
--- a/bench/soak/faults.ts
+++ b/bench/soak/faults.ts
@@ -19,7 +19,9 @@
 	/** Also workers that state how many requests a second they take. */
 	Limits = "limits",
 	/** Also parts of prompts that crash engines until the faults end. */
-	Prompts = "prompts"
+	Prompts = "prompts",
+	/** Those of `First`, and Members whose keys and quotas change. */
+	Members = "members"
 }
 
 /** Picks the next fault of the deployment. */
@@ -31,11 +33,15 @@
 	if (set === FaultSet.Prompts && deployment.deadlyParts.size === 0) {
 		return createPromptFault(deployment, random)
 	}
+	if (set === FaultSet.Members && random() < memberFaultShare) {
+		return pick(listMemberFaults(deployment, random), random)
+	}
 	const hasLimits = set === FaultSet.Limits || set === FaultSet.Prompts
 	if (hasLimits && random() < limitFaultShare) {
 		return createLimitFault(deployment, random)
 	}
-	if (set !== FaultSet.First && random() < statementFaultShare) {
+	const hasStatements = set !== FaultSet.First && set !== FaultSet.Members
+	if (hasStatements && random() < statementFaultShare) {
 		return pick(listStatementFaults(deployment, random), random)
 	}
 	const faults = [
@@ -360,3 +366,63 @@
 		}
 	]
 }
+
+/** Share of the faults that are about Members. */
+const memberFaultShare = 0.4
+/** With the time of the fault, longer and shorter than keys may be used without proof. */
+const longCutMs = 3000
+const loweredShare = 0.5
+
+function listMemberFaults(
+	deployment: SoakDeployment,
+	random: () => number
+): Fault[] {
+	const {members, gateways, sites} = deployment
+	if (members === undefined) throw new TypeError("the soak has no Members")
+	const {name} = pick(members.list(), random)
+	const agents = sites.flatMap(({storeLink}) => storeLink ?? [])
+	const gatewayLink = pick(gateways, random).storeLink
+	const agentLink = pick(agents, random)
+	const write = (): void => void deployment.applyConfig()
+	const cut = (who: string, relay: typeof gatewayLink): Fault => ({
+		name: `cut ${who} ${relay.address} from the store`,
+		start: () => {
+			relay.cut(Cut.Both)
+		},
+		end: async () => {
+			await sleep(longCutMs)
+			relay.heal()
+		}
+	})
+	return [
+		{
+			name: `withdraw a key of ${name}`,
+			start: () => {
+				members.rotateKey(name)
+				write()
+			},
+			end: () => undefined
+		},
+		{
+			name: "add a Member",
+			start: () => {
+				members.add()
+				write()
+			},
+			end: () => undefined
+		},
+		{
+			name: "lower a quota",
+			start: () => {
+				members.scaleGreedyQuota(loweredShare)
+				write()
+			},
+			end: () => {
+				members.scaleGreedyQuota(1)
+				write()
+			}
+		},
+		cut("gateway", gatewayLink),
+		cut("agent", agentLink)
+	]
+}
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -13,6 +13,9 @@
 cli.option("--desks <n>", "workers of the plain service", {default: 3})
 cli.option("--callers <n>", "callers at a time", {default: 12})
 cli.option("--block <n>", "second number of the addresses", {default: 77})
+cli.option("--faults <set>", Object.values(FaultSet).join(", "), {
+	default: FaultSet.Prompts
+})
 cli.option("--verbose", "print each fault as it begins")
 cli.help()
 const {options} = cli.parse()
@@ -31,7 +34,7 @@
 				desks: Number(options.desks)
 			},
 			callers: Number(options.callers),
-			faults: FaultSet.Prompts,
+			faults: options.faults as FaultSet,
 			block: Number(options.block),
 			onProgress: text => {
 				if (options.verbose === true) console.log(`  ${text}`)
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -4,6 +4,8 @@
 import {CallEnd, Callers, type CallRecord} from "./callers.js"
 import {SoakDeployment, type SoakSizes} from "./deployment.js"
 import {type Fault, FaultSet, pickFault} from "./faults.js"
+import {judgeIdentities} from "./identities.js"
+import {memberBounds, SoakMembers} from "./members.js"
 import {judgeStatements} from "./statements.js"
 
 export interface SoakOptions {
@@ -46,7 +48,9 @@
 		return () => generator.uniform()
 	}) as [() => number, () => number, () => number]
 	const block = options.block ?? defaultBlock
-	const deployment = await SoakDeployment.start(sizes, block, workers)
+	const members =
+		options.faults === FaultSet.Members ? new SoakMembers() : undefined
+	const deployment = await SoakDeployment.start(sizes, block, workers, members)
 	const callers = new Callers(deployment, draws)
 	try {
 		await sleep(startupMs)
@@ -58,12 +62,15 @@
 		await callers.stop()
 		const {records} = callers
 		const recovered = getShareAnswered(
-			records.filter(({sentAt}) => sentAt >= judgedAt)
+			records.filter(
+				({sentAt, isRefusable}) => sentAt >= judgedAt && isRefusable !== true
+			)
 		)
 		const breaches = [
 			...callers.breaches,
 			...deployment.sites.flatMap(({worker}) => worker.violations),
 			...judgeRuns(deployment, records),
+			...(members === undefined ? [] : judgeMembers(deployment, records)),
 			...judgeStatements({
 				records,
 				arrivals: deployment.sites.flatMap(({worker}) => worker.arrivals),
@@ -118,6 +125,19 @@
 	await fault.end()
 }
 
+function judgeMembers(
+	{sites, configs}: SoakDeployment,
+	records: readonly CallRecord[]
+): string[] {
+	return judgeIdentities({
+		records,
+		arrivals: sites.flatMap(({worker}) => worker.arrivals),
+		runs: sites.flatMap(({worker}) => worker.runs),
+		configs,
+		bounds: memberBounds
+	})
+}
+
 /** What workers saw, against what callers were told. */
 function judgeRuns(
 	deployment: SoakDeployment,
--- a/standins/fleet/worker.ts
+++ b/standins/fleet/worker.ts
@@ -37,6 +37,10 @@
 	perSecond: number
 	/** Whether the request would crash the worker. */
 	isDeadly: boolean
+	/** The Member whose request it is, as the worker was told. */
+	member: string | undefined
+	/** Whether the caller's key came with it. */
+	hasCredential: boolean
 }
 
 export interface WorkerRun {
@@ -221,7 +225,10 @@
 		const worker = `${this.id} (${this.incarnation})`
 		const isDeadly = this.isDeadly(req)
 		const stated = {isLeaving, pausedUntil, perSecond, isDeadly}
-		this.arrivals.push({requestId, worker, at, ...stated})
+		const member = req.headers["x-tenant"]?.toString()
+		const hasCredential = req.headers["x-credential"] !== undefined
+		const identity = {member, hasCredential}
+		this.arrivals.push({requestId, worker, at, ...stated, ...identity})
 		if (isLeaving) res.setHeader("Server-Leaving", "1")
 		if (perSecond > 0) res.setHeader("Server-Limit", String(perSecond))
 		if (!isPause) return false
