Free each piece of a large response once it was sent

A trial with the built gateway (--max-old-space-size=200) and 200 callers that read nothing of 4 MB answers reached 689 MB of resident memory, although the count of waiting bytes stayed within the bound of 50 MB: what waited were slices of joined answers, each of which kept its whole answer in memory.

Answers stay in the chunks in which they came, and larger buffers are cut into copies of 64 KB.

A caller also has to keep a thousandth of the bound waiting to be ended as a slow one, so that a slow endpoint with large bodies does not cost many callers that have a few events unread.

--- a/src/gateway/bodyBuffer.ts
+++ b/src/gateway/bodyBuffer.ts
@@ -10,7 +10,7 @@
 export const maxBufferedBytes = 4 * 2 ** 20
 
 export class BodyBuffer {
-	private readonly chunks: Buffer[] = []
+	private chunks: Buffer[] = []
 	private length = 0
 	private heldBytes = 0
 
@@ -27,13 +27,15 @@
 		return true
 	}
 
-	/** The bytes are about to be counted elsewhere, or dropped. */
-	release(): void {
+	/**
+	 * Returns what was collected and keeps nothing. The chunks are not joined, so that
+	 * each is freed as soon as it was sent.
+	 */
+	take(): Buffer[] {
+		const {chunks} = this
 		this.buffers.remove(BufferPart.Answer, this.heldBytes)
 		this.heldBytes = 0
-	}
-
-	toBuffer(): Buffer {
-		return Buffer.concat(this.chunks)
+		this.chunks = []
+		return chunks
 	}
 }
--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callerExchange.ts
@@ -111,12 +111,13 @@
 	/** Forwards an endpoint's complete response unchanged. */
 	forwardResponse(
 		responseHead: ResponseHead,
-		body: Buffer,
+		body: readonly Buffer[],
 		logFields: LogFields
 	): void {
 		if (this.hasEnded) return
-		this.writeHead(responseHead, body.length)
-		this.output.write(body)
+		const length = body.reduce((sum, chunk) => sum + chunk.length, 0)
+		this.writeHead(responseHead, length)
+		for (const chunk of body) this.output.write(chunk)
 		this.output.end()
 		this.recordOutcome(
 			isServerError(responseHead)
--- a/src/gateway/callerOutput.ts
+++ b/src/gateway/callerOutput.ts
@@ -47,8 +47,13 @@
 	write(bytes: Buffer): void {
 		if (this.isClosed || bytes.length === 0) return
 		const {buffers, maxBytes} = this.options
-		buffers.add(BufferPart.Output, bytes.length + writeOverheadBytes)
-		this.queue.push(bytes)
+		const isLarge = bytes.length > windowBytes
+		for (let at = 0; at < bytes.length; at += windowBytes) {
+			const slice = bytes.subarray(at, at + windowBytes)
+			buffers.add(BufferPart.Output, slice.length + writeOverheadBytes)
+			// A slice keeps all of a large buffer in memory until the last one is sent.
+			this.queue.push(isLarge ? Buffer.from(slice) : slice)
+		}
 		this.pump()
 		if (this.waitingBytes > maxBytes) this.isFull = true
 	}
@@ -70,26 +75,21 @@
 		while (this.inFlightBytes < windowBytes) {
 			const next = this.queue.shift()
 			if (next === undefined) break
-			if (next.length > windowBytes)
-				this.queue.unshift(next.subarray(windowBytes))
-			this.writeSlice(
-				next.subarray(0, windowBytes),
-				next.length > windowBytes ? 0 : writeOverheadBytes
-			)
+			this.writeSlice(next)
 		}
 		if (!this.isEnding || this.queue.length > 0) return
 		this.isEnding = false
 		res.end()
 	}
 
-	private writeSlice(slice: Buffer, overheadBytes: number): void {
+	private writeSlice(slice: Buffer): void {
 		const {res, buffers} = this.options
 		this.inFlightBytes += slice.length
 		res.write(slice, err => {
 			// A write that failed is released as the response closes.
 			if (this.isClosed || (err ?? undefined) !== undefined) return
 			this.inFlightBytes -= slice.length
-			buffers.remove(BufferPart.Output, slice.length + overheadBytes)
+			buffers.remove(BufferPart.Output, slice.length + writeOverheadBytes)
 			this.pump()
 			this.noteRoom()
 		})
--- a/src/gateway/generationEnding.ts
+++ b/src/gateway/generationEnding.ts
@@ -61,7 +61,7 @@
 		if (exchange.hasStarted) return false
 		if (isServerError(head) && at.mayBeAnswered) return false
 		cancel()
-		exchange.forwardResponse(head, send.body, logFields)
+		exchange.forwardResponse(head, send.takeBody(), logFields)
 		return true
 	}
 
--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -111,8 +111,8 @@
 				},
 				onEnd: (outcome, detail) => {
 					clearTimeout(this.silenceTimer)
-					this.releaseBuffers()
 					options.onEnd(this, outcome, detail)
+					this.releaseBuffers()
 				}
 			}
 		})
@@ -124,9 +124,9 @@
 		return this.call.responseHead
 	}
 
-	/** Body of a response that is not a stream of events. */
-	get body(): Buffer {
-		return this.received.toBuffer()
+	/** Returns the body of a response that is not a stream of events, and forgets it. */
+	takeBody(): Buffer[] {
+		return this.received.take()
 	}
 
 	/** Whether bytes of an incomplete event remain: the stream was truncated. */
@@ -215,8 +215,8 @@
 	/** What is left of the answer is counted where it is written, or dropped. */
 	private releaseBuffers(): void {
 		this.countPending(0)
-		this.received.release()
-		this.leadingComments.release()
+		this.received.take()
+		this.leadingComments.take()
 	}
 
 	private receive(chunk: Buffer): void {
@@ -248,11 +248,7 @@
 		else {
 			this.firstEventAt = this.options.ctx.now()
 			target.link?.notifyStarted(target.key, createOriginNotice())
-			const bytes = Buffer.concat([
-				this.leadingComments.toBuffer(),
-				event.bytes
-			])
-			this.leadingComments.release()
+			const bytes = Buffer.concat([...this.leadingComments.take(), event.bytes])
 			onEvent(this, responseHead, {...event, bytes})
 		}
 		if (this.eventCount === eventsUntilProven) this.options.onProven(this)
--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -182,7 +182,7 @@
 					endProbe(outcome === CallOutcome.Complete)
 					this.recordResult(id, outcome, responseHead, sentAt)
 					this.handleCallEnd(id, outcome, detail, responseHead, received)
-					if (this.errorResponse?.received !== received) received.release()
+					if (this.errorResponse?.received !== received) received.take()
 					buffers.release()
 				}
 			}
@@ -273,7 +273,7 @@
 				this.cancel()
 				return
 			}
-			this.errorResponse?.received.release()
+			this.errorResponse?.received.take()
 			this.errorResponse = {responseHead, received}
 		}
 		ctx.log.request("send.failed", exchange.head.id, {
@@ -291,9 +291,8 @@
 		received: BodyBuffer,
 		logFields: LogFields
 	): void {
-		const body = received.toBuffer()
-		received.release()
-		this.request.exchange.forwardResponse(responseHead, body, logFields)
+		const {exchange} = this.request
+		exchange.forwardResponse(responseHead, received.take(), logFields)
 	}
 
 	/**
--- a/src/policy/buffers/__tests__/bufferLedger.test.ts
+++ b/src/policy/buffers/__tests__/bufferLedger.test.ts
@@ -50,6 +50,16 @@
 		expect(ledger.choose(5000)).toMatchObject({account: waiting, part: Request})
 	})
 
+	it("does not end slow callers with a few bytes while bodies fill the bound", () => {
+		const ledger = new BufferLedger({maxBytes: 100_000, minWaitMs: 500})
+		const [reader, waiting] = [ledger.open(), ledger.open()]
+		reader.add(Output, 99, 0)
+		waiting.add(Request, 100_000, 4000)
+		expect(ledger.choose(5000)?.account).toBe(waiting)
+		reader.add(Output, 1, 0)
+		expect(ledger.choose(5000)?.account).toBe(reader)
+	})
+
 	it("chooses the largest if nobody is slow", () => {
 		const ledger = createLedger()
 		const [small, large] = [ledger.open(), ledger.open()]
--- a/src/policy/buffers/bufferLedger.ts
+++ b/src/policy/buffers/bufferLedger.ts
@@ -38,6 +38,12 @@
  * not go through all requests with each chunk that arrives.
  */
 const reliefShare = 0.9
+/**
+ * Share of the bound that a caller must keep waiting to be ended for it: the end of
+ * many callers with a few events each would free little while an endpoint holds up
+ * large bodies.
+ */
+const minSlowShare = 0.001
 /** What the caller itself keeps waiting. */
 const callerParts = [BufferPart.Output, BufferPart.Upload]
 const allParts = [...callerParts, BufferPart.Request, BufferPart.Answer]
@@ -121,15 +127,19 @@
 	 * neither a few old bytes nor a large answer that has just arrived decide alone.
 	 */
 	choose(now: number): BufferOverflow | undefined {
+		const slow = {
+			minWaitMs: this.minWaitMs,
+			minBytes: this.maxBytes * minSlowShare
+		}
 		return (
-			this.findCostliest(callerParts, this.minWaitMs, now) ??
-			this.findCostliest(allParts, 0, now)
+			this.findCostliest(callerParts, slow, now) ??
+			this.findCostliest(allParts, {minWaitMs: 0, minBytes: 1}, now)
 		)
 	}
 
 	private findCostliest(
 		parts: readonly BufferPart[],
-		minWaitMs: number,
+		{minWaitMs, minBytes}: {minWaitMs: number; minBytes: number},
 		now: number
 	): BufferOverflow | undefined {
 		let found: BufferOverflow | undefined
@@ -140,7 +150,8 @@
 				const waitedMs = account.getWaitedMs(part, now)
 				// Of those that have only just come, the largest.
 				const cost = bytes * Math.max(1, waitedMs)
-				if (bytes === 0 || waitedMs < minWaitMs || cost <= highest) continue
+				if (bytes < minBytes || waitedMs < minWaitMs) continue
+				if (cost <= highest) continue
 				highest = cost
 				found = {account, part, bytes, waitedMs}
 			}
