State what a queued event was measured to take

200,000 views of 90 bytes in buffers of their own took 630 bytes each of resident memory in a trial (one run); 602 are counted. Comment only.

--- a/src/gateway/callerOutput.ts
+++ b/src/gateway/callerOutput.ts
@@ -18,8 +18,8 @@
 
 const windowBytes = 65_536
 /**
- * Counted for each write on top of its bytes: memory of the objects that hold it.
- * Events are often shorter than that.
+ * Counted for each write on top of its bytes: memory of the objects that hold it. A
+ * queued event of 90 bytes took 630 bytes of resident memory.
  */
 const writeOverheadBytes = 512
 /** Share of the bound at which a stream without room has room again. */
