--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -31,10 +31,14 @@
 			},
 			Math.max(1, leftMs)
 		)
-		request.exchange.onDisconnect = () => {
+		const {exchange} = request
+		exchange.onDisconnect = () => {
 			if (this.hasBegun) this.handleDisconnect()
 			else this.cancel()
 		}
+		exchange.onOverflow = () => {
+			this.handleOverflow()
+		}
 		this.endAccessWatch = ctx.access.watch(() => {
 			this.recheckAccess()
 		})
@@ -106,6 +110,9 @@
 	/** Whether a call to an endpoint is open. */
 	protected abstract get hasOpenCall(): boolean
 
+	/** Called when the request has to end because the process's buffers are full. */
+	protected abstract handleOverflow(): void
+
 	/** Called when the caller disconnects before its response is complete. */
 	protected abstract handleDisconnect(): void
 
