Predict the output of generations and state it in asks

Requests that look alike cost engines very different amounts: answers of one kind differ by an order of magnitude, and an ask only stated the caller's maximum.

Each gateway predicts the tokens of an answer from the caller's hint, its stated maximum and the answers so far of the route, Member and adapter. It learns from the events of answers when their streams end, in bounded memory, and states the prediction in Ask.expected_output_tokens. The log line at a request's end has the predicted and the seen length, and goldcrestloom_output_prediction_ratio their ratio. Nothing is predicted until a hint or an endpoint's pace was seen.

--- a/src/gateway/endpointSignals.ts
+++ b/src/gateway/endpointSignals.ts
@@ -23,6 +23,8 @@
 	const {id, bornAt} = source.endpoint
 	// Another endpoint has the address; its statements are not about this one.
 	if (head.isMisdirected) return
+	// A stated pace means that engines differ, so that what requests cost matters.
+	if (head.load?.pace !== undefined) ctx.forecast.enable()
 	if (head.isLeaving) applyLeaving(ctx, id, bornAt)
 	applyPause(ctx, source, head)
 	applyLimit(ctx, source, head)
--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/engineSearch.ts
@@ -21,6 +21,8 @@
 	generation: GenerationHead
 	/** Builds that may go on with the stream. */
 	binding: StreamBinding
+	/** Predicted tokens that the answer still has; 0 if unknown. */
+	getExpectedTokens: () => number
 	/** Times that the next event of the request has to meet. */
 	getStartLimits: () => StartLimits
 	/** Returns whether the request was sent. */
@@ -260,7 +262,8 @@
 	}
 
 	private createAsk(key: string): Parameters<AgentLink["ask"]>[0] {
-		const {ctx, request, generation, getStartLimits} = this.options
+		const {ctx, request, generation} = this.options
+		const {getStartLimits, getExpectedTokens} = this.options
 		const {model, adapter, promptTokens, outputTokens} = generation
 		const now = ctx.now()
 		const {objectiveAt, startBy} = getStartLimits()
@@ -285,7 +288,7 @@
 			member: request.member?.name ?? "",
 			...(memberPriority === undefined ? {} : {memberPriority}),
 			quotaUse: 0,
-			expectedOutputTokens: 0
+			expectedOutputTokens: getExpectedTokens()
 		}
 	}
 
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -1,5 +1,6 @@
 /** The dependencies that a gateway passes to each of its request tasks. */
 import type {ForwardRoute, Member} from "../contract/fleet.js"
+import type {OutputForecast} from "../policy/costs/index.js"
 import type {
 	EndpointPauses,
 	EngineChoice,
@@ -24,6 +25,7 @@
 	links: AgentLinks
 	engines: EngineChoice
 	services: ServiceChoice
+	forecast: OutputForecast
 	pauses: EndpointPauses
 	limits: StatedLimits
 	permits: Permits
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -46,6 +46,9 @@
 	-2, -1, -0.5, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.5, 1, 2
 ]
 
+/** Predictions are within a factor of 2 where hints and the past are of use. */
+const outputRatioBuckets = [0.1, 0.25, 0.5, 0.8, 1.25, 2, 4, 10]
+
 export class GatewayMetrics {
 	readonly registry = new Registry()
 	private readonly requests = new Counter({
@@ -67,6 +70,13 @@
 		buckets: estimateErrorBucketsSeconds,
 		registers: [this.registry]
 	})
+	private readonly outputRatio = new Histogram({
+		name: "goldcrestloom_output_prediction_ratio",
+		help: "Tokens of a whole answer by those predicted; hinted says from what",
+		labelNames: ["hinted"],
+		buckets: outputRatioBuckets,
+		registers: [this.registry]
+	})
 	private readonly sends = new Counter({
 		name: "goldcrestloom_sends_total",
 		help: "Requests sent to endpoints by how the call ended",
@@ -128,6 +138,11 @@
 		this.estimateError.observe((actualMs - expectedMs) / 1000)
 	}
 
+	/** Records the seen by the predicted length of an answer. */
+	observeOutputPrediction(isHinted: boolean, ratio: number): void {
+		this.outputRatio.observe({hinted: String(isHinted)}, ratio)
+	}
+
 	observeFirstByte(kind: string, elapsedMs: number): void {
 		this.firstByte.observe({kind}, elapsedMs / 1000)
 	}
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -4,6 +4,7 @@
  */
 import type {Server} from "node:http"
 import type {TlsKeys} from "../link/tls.js"
+import {OutputForecast} from "../policy/costs/index.js"
 import {
 	EndpointPauses,
 	EngineChoice,
@@ -145,6 +146,7 @@
 			links,
 			engines,
 			services: new ServiceChoice(),
+			forecast: new OutputForecast(),
 			pauses: new EndpointPauses(),
 			limits,
 			permits,
--- a/src/gateway/generationEnding.ts
+++ b/src/gateway/generationEnding.ts
@@ -6,12 +6,14 @@
 import type {CallerStream} from "./callerStream.js"
 import type {RoutedRequest} from "./gatewayContext.js"
 import type {GenerationSend} from "./generationSend.js"
+import type {OutputTracker} from "./outputTracker.js"
 import type {PromptAdmission} from "./promptAdmission.js"
 import {isServerError, type ResponseHead} from "./wire.js"
 
 export interface GenerationEndingOptions {
 	request: RoutedRequest
 	stream: CallerStream
+	output: OutputTracker
 	admission: PromptAdmission
 	/** Ends timers, searches and sends of the request. */
 	cancel: () => void
@@ -43,7 +45,7 @@
 		head: ResponseHead,
 		at: {sends: number; isStandby: boolean; mayBeAnswered: boolean}
 	): boolean {
-		const {stream, cancel, request} = this.options
+		const {stream, output, cancel, request} = this.options
 		const {exchange} = request
 		const logFields = {
 			endpoint: send.target.endpoint.id,
@@ -55,7 +57,7 @@
 			// No event: whether the stream is complete is left to the current send.
 			if (at.isStandby) return false
 			cancel()
-			exchange.endStream(logFields)
+			exchange.endStream({...logFields, ...output.end(true)})
 			return true
 		}
 		if (exchange.hasStarted) return false
@@ -97,10 +99,15 @@
 		fields: LogFields = {},
 		isTimeout = false
 	): void {
-		const {cancel, request, stream} = this.options
+		const {cancel, request, stream, output} = this.options
 		const {exchange} = request
 		cancel()
-		const logFields = {sends, ...stream.endFields, ...fields}
+		const logFields = {
+			sends,
+			...stream.endFields,
+			...output.end(false),
+			...fields
+		}
 		if (exchange.hasStarted) exchange.abortStream({detail, ...logFields})
 		else if (mayHaveRun) exchange.respondUnknown(detail, logFields, isTimeout)
 		else exchange.refuse(detail, minRetryAfterMs, logFields)
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -14,6 +14,7 @@
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
 import {GenerationEnding} from "./generationEnding.js"
 import {GenerationSend, recordEngineResult} from "./generationSend.js"
+import {OutputTracker} from "./outputTracker.js"
 import {PromptAdmission} from "./promptAdmission.js"
 import {RequestTask} from "./requestTask.js"
 import {SendPair} from "./sendPair.js"
@@ -36,6 +37,7 @@
 	private readonly open = new SendPair()
 	private readonly ending: GenerationEnding
 	private readonly later: LaterSearch
+	private readonly output: OutputTracker
 	private endWatch: (() => void) | undefined
 
 	constructor(
@@ -45,6 +47,7 @@
 	) {
 		super(ctx, request)
 		this.stream = new CallerStream(ctx, request)
+		this.output = new OutputTracker(ctx, request, generation)
 		this.admission = new PromptAdmission({
 			guard: ctx.guard,
 			requestId: request.exchange.head.id,
@@ -56,6 +59,7 @@
 		this.ending = new GenerationEnding({
 			request,
 			stream: this.stream,
+			output: this.output,
 			admission: this.admission,
 			cancel: () => {
 				this.cancel()
@@ -76,6 +80,7 @@
 			request,
 			generation,
 			binding: this.stream.binding,
+			getExpectedTokens: () => this.output.expectedTokens,
 			getStartLimits: () => this.startLimits,
 			onFound: target => this.send(target),
 			onNone: refusal => {
@@ -186,6 +191,7 @@
 			this.open.dropStandby()
 		} else this.open.takeOver()
 		this.stream.forward(send.target, responseHead, event)
+		this.output.noteEvent()
 		this.later.noteEvent()
 	}
 
