State remaining work, memory and lasting speed of engines

Gateways knew an engine's prefill wait and rate only. After a restart the rate began at a constant, and a slow engine was found out after a second.

The agent states, where requests have predictions, the decode time that is left of its grants, the time for a token, free memory and the rate at which it is freed, free seats, and the lasting prefill rate, which outlasts a restart. A prediction is corrected while its answer runs longer. The prefill rate falls as soon as the engine has certainly done less than it says. Without predictions rate and state are as before.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -358,6 +358,7 @@
 		parts: ask.parts,
 		promptTokens: ask.promptTokens,
 		outputTokens: ask.outputTokens,
+		expectedOutputTokens: ask.expectedOutputTokens,
 		priority: ask.priority,
 		objectiveAt: now + ask.objectiveLeftMs,
 		startBy: now + ask.startByLeftMs,
--- a/src/agent/gatewayLinks.ts
+++ b/src/agent/gatewayLinks.ts
@@ -2,7 +2,7 @@
  * The gRPC streams of the gateways that are connected to an agent. Sends them the
  * engine's state and disconnects a gateway that sends nothing.
  */
-import {create} from "@bufbuild/protobuf"
+import {create, type MessageInitShape} from "@bufbuild/protobuf"
 import {
 	type AgentMessage,
 	AgentMessageSchema,
@@ -17,7 +17,7 @@
 	grantLinkPace,
 	grantLinkTimeoutHeartbeats
 } from "../policy/index.js"
-import type {GrantSchedulerView} from "../policy/grants/index.js"
+import {type GrantSchedulerView, noWork} from "../policy/grants/index.js"
 
 export interface GatewayLinksOptions {
 	/** Called with each message; `owner` is the id of the connection. */
@@ -186,7 +186,8 @@
 			slotStepMs: Math.round(view.slotStepMs),
 			gateways: this.links.size,
 			running: view.running,
-			pacesHeartbeats: true
+			pacesHeartbeats: true,
+			...encodeWork(view)
 		})
 	}
 
@@ -217,8 +218,27 @@
 	}
 }
 
-function formatView({isUsable, waitMs, freeSlots}: GrantSchedulerView): string {
-	return `${isUsable}/${Math.round(waitMs / waitRoundingMs)}/${freeSlots}`
+/** What the engine still has to do, in whole units of the message. */
+function encodeWork({
+	work = noWork,
+	lastingTokensPerSecond = 0
+}: GrantSchedulerView): MessageInitShape<typeof EngineStateSchema> {
+	return {
+		decodeMs: Math.round(work.decodeMs),
+		tokenUs: Math.round(work.tokenMs * 1000),
+		freeMemoryTokens: Math.round(work.freeMemoryTokens),
+		freedTokensPerSecond: Math.round(work.freedTokensPerMs * 1000),
+		freeSeats: work.freeSeats,
+		lastingTokensPerSecond: Math.round(lastingTokensPerSecond)
+	}
+}
+
+function formatView(view: GrantSchedulerView): string {
+	const {isUsable, waitMs, freeSlots, work = noWork, tokensPerSecond} = view
+	const text = `${isUsable}/${Math.round(waitMs / waitRoundingMs)}/${freeSlots}`
+	if (work.tokenMs === 0) return text
+	// A fifth less or more of speed counts as a change.
+	return `${text}/${Math.round(Math.log2(tokensPerSecond) * 4)}`
 }
 
 /** Adds the whole residency, or what changed since the state sent last. */
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -18,6 +18,7 @@
 import {GrantPace, LimitSource} from "./grantPace.js"
 import {PrefixCache} from "./prefixCache.js"
 import {PrefillRate} from "./prefillRate.js"
+import {RemainingWork} from "./remainingWork.js"
 import {FirstEventEstimate} from "./firstEventEstimate.js"
 import {
 	type EngineLimits,
@@ -63,6 +64,7 @@
 	)
 	private readonly grants = new GrantTable()
 	private readonly pace = new GrantPace()
+	private readonly work = new RemainingWork()
 	private readonly estimate = new FirstEventEstimate({
 		slots: this.slots,
 		prefillRate: this.prefillRate,
@@ -175,6 +177,7 @@
 	markStarted(key: string, now: number): GrantDecision[] {
 		const grant = this.grants.endPrefill(key)
 		if (grant === undefined) return []
+		this.work.start(key, now)
 		this.prefillRate.addPrefilled(grant.prefillTokens, now)
 		const {model, adapter, parts} = grant.request
 		this.prefixCache.add(slotKey(model, adapter), parts)
@@ -187,6 +190,7 @@
 		const grant = this.grants.get(key)
 		if (grant?.isPrefillEnded === true) {
 			this.estimate.addSlotHold(now - grant.grantedAt)
+			this.work.end(key, now, true)
 		}
 		this.releaseGrant(key, now)
 		return this.schedule(now)
@@ -202,8 +206,9 @@
 		this.waiting.deleteByOwner(owner)
 		for (const key of this.grants.listKeysOfOwner(owner)) {
 			// No first event will be reported: stop counting the prefill as pending.
-			if (this.grants.endPrefill(key) !== undefined)
-				this.prefillRate.dropGrant(now)
+			const grant = this.grants.endPrefill(key)
+			if (grant !== undefined)
+				this.prefillRate.dropGrant(now, grant.prefillTokens)
 			this.grants.markOrphaned(key, now)
 		}
 		return this.schedule(now)
@@ -273,6 +278,7 @@
 
 	getView(now: number): GrantSchedulerView {
 		const {slots, estimate} = this
+		this.prefillRate.update(now)
 		const readyMs = slots.models.getFirstReadyMs(now)
 		return {
 			isUsable: this.isAvailable && readyMs !== undefined,
@@ -283,7 +289,14 @@
 			tokensPerSecond: this.prefillRate.tokensPerMs * 1000,
 			freeSlots: estimate.countUnclaimedSlots(),
 			slotStepMs: estimate.getSlotStepMs(),
-			running: this.grants.size
+			running: this.grants.size,
+			work: this.work.getView(
+				slots.limits,
+				this.waiting.list(),
+				{running: this.grants.size, reservedTokens: this.grants.memoryTokens},
+				now
+			),
+			lastingTokensPerSecond: this.prefillRate.lastingTokensPerMs * 1000
 		}
 	}
 
@@ -300,7 +313,10 @@
 		if (!this.pace.tryTake(now)) return undefined
 		this.waiting.delete(request.key)
 		this.grants.add(request, prefillTokens, now)
-		this.prefillRate.addGrant(now)
+		this.prefillRate.addGrant(now, prefillTokens)
+		if ((request.expectedOutputTokens ?? 0) > 0)
+			this.prefillRate.followClosely()
+		this.work.add(request)
 		this.slots.pin(model, adapter, now)
 		return {
 			kind: GrantDecisionKind.Grant,
@@ -331,8 +347,10 @@
 
 	private releaseGrant(key: string, now: number): void {
 		const grant = this.grants.remove(key)
+		this.work.end(key, now, false)
 		if (grant === undefined) return
-		if (!grant.isPrefillEnded) this.prefillRate.dropGrant(now)
+		if (!grant.isPrefillEnded)
+			this.prefillRate.dropGrant(now, grant.prefillTokens)
 		this.slots.unpin(grant.request.model, grant.request.adapter)
 	}
 
@@ -381,6 +399,7 @@
 		this.isLeaving = false
 		this.slots.reset()
 		this.prefillRate.reset()
+		this.work.clear()
 		this.prefixCache.clear()
 		this.grants.clear()
 		this.pace.reset()
--- a/src/policy/grants/types.ts
+++ b/src/policy/grants/types.ts
@@ -3,6 +3,8 @@
  * and the decisions on them, orders to the engine, and the engine's reports.
  */
 
+import type {RemainingWorkView} from "./remainingWork.js"
+
 export interface PromptPart {
 	id: string
 	tokens: number
@@ -23,6 +25,8 @@
 	promptTokens: number
 	/** Tokens that the caller expects to generate; 0 when not stated. */
 	outputTokens: number
+	/** Predicted tokens of the answer; 0 or absent when unknown. */
+	expectedOutputTokens?: number
 	/** 0 is the most urgent. */
 	priority: number
 	/** Latency objective: a first event after this time counts as late. */
@@ -169,4 +173,8 @@
 	slotStepMs: number
 	/** Grants that have not ended, whether or not the engine runs them yet. */
 	running: number
+	/** What the engine still has to do for them. */
+	work?: RemainingWorkView
+	/** Lasting prefill rate; 0 while it is not known. */
+	lastingTokensPerSecond?: number
 }
