Scale the service time of plain services by their stated pace

An endpoint's pace changes many times a second; a slow moment was learned as a slow endpoint, and requests went to endpoints that were slow just then.

The pace that an answer states scales the expected service time for 200 ms, with less weight as it ages, and learned times are divided by it. Where no pace is stated nothing changes.

--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -223,6 +223,8 @@
 		const {services, now} = this.ctx
 		const at = now()
 		if (responseHead?.load !== undefined) {
+			const {pace} = responseHead.load
+			if (pace !== undefined) services.setPace(id, pace, at)
 			services.setReportedLoad(
 				id,
 				responseHead.load.running + responseHead.load.waiting,
--- a/src/policy/dispatch/serviceChoice.ts
+++ b/src/policy/dispatch/serviceChoice.ts
@@ -4,6 +4,9 @@
  * reported last, its observed service time and its failures. Requests sent by
  * other gateways since that report are unknown, so near-ties are broken at
  * random; otherwise all gateways would pick the same endpoint.
+ *
+ * An endpoint may state its pace, by which its service time is scaled while that is
+ * fresh, and learned times are those at the usual pace.
  */
 import {FailurePenalty} from "./failurePenalty.js"
 
@@ -12,6 +15,9 @@
 const serviceTimeSampleWeight = 0.2
 /** Age after which a reported load is ignored. */
 const reportedLoadTtlMs = 400
+/** A stated pace loses its weight over this time; it changes many times a second. */
+const paceTtlMs = 200
+const paceSampleWeight = 0.05
 /** Range of the random cost: it may reorder costs that differ by less. */
 const tieBreakMs = 8
 
@@ -29,6 +35,11 @@
 	serviceMs: number
 	reportedLoad: number
 	reportedAt: number
+	/** How long work takes there, 1 as usual, as it stated last. */
+	pace: number
+	paceAt: number
+	/** Moving average of the stated paces. */
+	lastingPace: number
 	failurePenalty: FailurePenalty
 }
 
@@ -62,7 +73,8 @@
 	succeed(id: string, elapsedMs: number, now: number): void {
 		const record = this.getRecord(id)
 		record.inFlight -= 1
-		record.serviceMs += serviceTimeSampleWeight * (elapsedMs - record.serviceMs)
+		const usualMs = elapsedMs / getPace(record, now)
+		record.serviceMs += serviceTimeSampleWeight * (usualMs - record.serviceMs)
 		record.failurePenalty.addSuccess(now)
 	}
 
@@ -91,6 +103,15 @@
 		record.reportedAt = now
 	}
 
+	/** Stores the pace that the endpoint stated in an answer, before its time counts. */
+	setPace(id: string, pace: number, now: number): void {
+		const record = this.getRecord(id)
+		if (!(pace > 0)) return
+		record.pace = pace
+		record.paceAt = now
+		record.lastingPace += paceSampleWeight * (pace - record.lastingPace)
+	}
+
 	/** Drops the records of endpoints not in `ids` that have no request in flight. */
 	retain(ids: ReadonlySet<string>): void {
 		for (const [id, record] of this.records) {
@@ -104,7 +125,8 @@
 		const reported = isFresh ? record.reportedLoad : 0
 		const ahead = Math.max(record.inFlight, reported)
 		const rounds = (ahead + 1) / Math.max(1, endpoint.seats)
-		const waitMs = record.serviceMs * Math.max(1, rounds + 0.5 * rounds)
+		const serviceMs = record.serviceMs * getPace(record, now)
+		const waitMs = serviceMs * Math.max(1, rounds + 0.5 * rounds)
 		const remoteDomainMs = endpoint.isNear ? 0 : 3
 		// The last term prefers fewer requests ahead where the waits are equal.
 		return (
@@ -123,6 +145,9 @@
 				serviceMs: initialServiceMs,
 				reportedLoad: 0,
 				reportedAt: Number.NEGATIVE_INFINITY,
+				pace: 1,
+				paceAt: Number.NEGATIVE_INFINITY,
+				lastingPace: 1,
 				failurePenalty: new FailurePenalty()
 			}
 			this.records.set(id, record)
@@ -130,3 +155,14 @@
 		return record
 	}
 }
+
+/** Expected pace: the one stated last, and the usual one of the endpoint as that ages. */
+function getPace(
+	{pace, paceAt, lastingPace}: ServiceRecord,
+	now: number
+): number {
+	const weight = Math.max(0, 1 - (now - paceAt) / paceTtlMs)
+	return weight === 0
+		? lastingPace
+		: lastingPace + weight * (pace - lastingPace)
+}
