Choose engines by what a request is likely to cost there

Requests of equal prompts were rated alike whatever their answers, engines of different speeds were homes of as many adapters, and gateways that heard of the same state chose the same engine.

For a request with a predicted output the cost of an engine includes waits for a seat and for memory, a share of the answer's time there and 40 ms for another failure domain. Engines that hold the adapter and cost nearly the same are chosen from at random, a load that the gateway has just asked for is shared, and rendezvous homes are weighted by lasting speed in steps. Without a prediction the choice is as before, which a test compares. The log line of a grant has the terms.

--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -8,6 +8,7 @@
 import {
 	type EngineLimits,
 	EngineLimitsSchema,
+	type EngineState,
 	type OriginAnswer,
 	type PermitAnswer
 } from "../contract/gen/grants_pb.js"
@@ -18,7 +19,7 @@
 	type Notice,
 	type NoticeBoard
 } from "../notices/index.js"
-import type {EngineChoice} from "../policy/dispatch/index.js"
+import type {EngineChoice, EngineWork} from "../policy/dispatch/index.js"
 import {
 	chooseLinkIntervals,
 	grantLinkPace,
@@ -232,7 +233,8 @@
 					waitMs: state.waitMs,
 					tokensPerMs: Math.max(1, state.tokensPerSecond) / 1000,
 					freeSlots: state.freeSlots,
-					slotStepMs: state.slotStepMs
+					slotStepMs: state.slotStepMs,
+					...decodeWork(state)
 				})
 				if (state.hasResidency)
 					engineChoice.applyResidency(id, state.resident, state.recent)
@@ -279,3 +281,19 @@
 		})
 	}
 }
+
+/** What the engine still has to do; nothing while no output was predicted there. */
+function decodeWork(state: EngineState): {work?: EngineWork} {
+	if (state.tokenUs === 0) return {}
+	return {
+		work: {
+			decodeMs: state.decodeMs,
+			tokenMs: state.tokenUs / 1000,
+			freeMemoryTokens: state.freeMemoryTokens,
+			freedTokensPerMs: state.freedTokensPerSecond / 1000,
+			freeSeats: state.freeSeats,
+			running: state.running,
+			lastingTokensPerMs: state.lastingTokensPerSecond / 1000
+		}
+	}
+}
--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/engineSearch.ts
@@ -11,6 +11,7 @@
 } from "../policy/dispatch/index.js"
 import type {StreamBinding} from "../policy/streams/index.js"
 import type {AgentLink, AgentRefusal} from "./agentLink.js"
+import type {LogFields} from "./callerExchange.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
 import {findBuild, type SendTarget} from "./sendTarget.js"
 import type {GenerationHead} from "./wire.js"
@@ -150,7 +151,8 @@
 		return {
 			slotKey: slotKey(model, adapter),
 			hasAdapter: adapter !== "",
-			promptTokens
+			promptTokens,
+			expectedOutputTokens: this.options.getExpectedTokens()
 		}
 	}
 
@@ -206,7 +208,8 @@
 					version: grant.version,
 					waitedMs: Math.round(now() - askedAt),
 					expectedMs: grant.expectedMs,
-					rated: ratedMs
+					rated: ratedMs,
+					...describeRating(rating, this.options.getExpectedTokens())
 				})
 				this.useGrant({
 					endpoint,
@@ -319,3 +322,18 @@
 		return Math.max(minRetryAfterMs, excessMs) * (1 + ctx.random())
 	}
 }
+
+/** What the log says of a choice by predicted output; nothing without a prediction. */
+function describeRating(
+	{cost, terms}: EngineRating,
+	expectedTokens: number
+): LogFields {
+	if (expectedTokens === 0) return {}
+	return {
+		expectedTokens,
+		cost: Math.round(cost),
+		decodeMs: Math.round(terms.decodeMs),
+		seatWaitMs: Math.round(terms.seatWaitMs),
+		memoryWaitMs: Math.round(terms.memoryWaitMs)
+	}
+}
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -94,7 +94,8 @@
 	constructor(private readonly options: GatewayTaskOptions) {
 		const now = options.now ?? (() => performance.now())
 		const {log, wire, failureDomain, tls} = options
-		const engines = new EngineChoice()
+		const random = options.random ?? Math.random
+		const engines = new EngineChoice({random})
 		this.fleet = new FleetState(log)
 		const limits = new StatedLimits()
 		const {crashes} = this
@@ -128,7 +129,6 @@
 				permits.applyAnswer(endpointId, answer)
 			}
 		})
-		const random = options.random ?? Math.random
 		const permits = new Permits({links, limits, now, random})
 		const guard = new PromptGuard({
 			records: crashes,
--- a/src/policy/dispatch/engineChoice.ts
+++ b/src/policy/dispatch/engineChoice.ts
@@ -10,10 +10,22 @@
  * - Spill: if the wait at a resident engine exceeds the cost of a load elsewhere,
  *   the request goes elsewhere, which adds a replica of a hot adapter when its
  *   traffic jumps.
+ *
+ * A request whose output is predicted is rated by what it costs the engines, too:
+ * waits for a seat and memory, the time of its answer, and bytes between failure
+ * domains. Engines that hold its adapter and whose costs are nearly equal are chosen
+ * from at random, and a load that this gateway has just asked for is shared.
  */
 import {getRendezvousScore, hashString} from "../rendezvous.js"
 import {LruSet, recentAdapterCapacity} from "../grants/index.js"
 import {FailurePenalty} from "./failurePenalty.js"
+import {
+	type EngineWork,
+	getWorkTerms,
+	noTerms,
+	type WorkTerms
+} from "./engineWork.js"
+import {HomeWeights} from "./homeWeights.js"
 
 /** Load time of an adapter from the local cache of the engine's host. */
 const recentLoadMs = 40
@@ -39,6 +51,22 @@
 const defaultStateIntervalMs = 80
 /** Extra cost of an engine in another failure domain, where calls take longer. */
 const remoteDomainPenaltyMs = 5
+/**
+ * The same where costs count: bytes of one request between domains cost about a
+ * twentieth of a load from the store.
+ */
+const remoteBytesPenaltyMs = 40
+/** Share of the time of an answer that counts as work for the requests beside it. */
+const decodeShare = 0.05
+/** Range of the random cost of engines that hold the adapter, more than a step of the
+ * rendezvous order, and the part of it that grows with the wait, which is the less
+ * certain the longer it is. */
+const tieBreakMs = 30
+const tieBreakShare = 0.1
+/** Time for which a load that this gateway asked for is taken to be under way. */
+const sharedLoadMs = 500
+/** Loads remembered for an engine, more than it carries out in that time. */
+const maxSharedLoads = 32
 
 export interface EngineCandidate {
 	id: string
@@ -59,6 +87,8 @@
 	freeSlots: number
 	/** Expected interval at which slots become free. */
 	slotStepMs: number
+	/** What it still has to do; absent while nothing was predicted. */
+	work?: EngineWork
 }
 
 export interface EngineQuery {
@@ -67,6 +97,8 @@
 	promptTokens: number
 	/** False for a request to the base model itself. */
 	hasAdapter: boolean
+	/** Predicted tokens of the answer; 0 or absent if unknown. */
+	expectedOutputTokens?: number
 }
 
 /** A request for a grant that this gateway sent to an agent. */
@@ -74,6 +106,7 @@
 	sentAt: number
 	tokens: number
 	needsSlot: boolean
+	memoryTokens: number
 }
 
 interface EngineRecord {
@@ -86,6 +119,9 @@
 	/** Requests of this gateway that are in flight at the engine. */
 	inFlight: number
 	failurePenalty: FailurePenalty
+	/** Adapters that this gateway asked for there, with the time until when their load
+	 * is taken to be under way. */
+	sharedLoads: Map<string, number>
 	idHash: number
 }
 
@@ -97,11 +133,30 @@
 	cost: number
 	/** Whether the engine's agent is connected. */
 	isLinked: boolean
+	/** Parts of the cost that are due to the predicted output. */
+	terms: WorkTerms
+}
+
+export interface EngineChoiceOptions {
+	/** In [0, 1); orders engines whose costs are nearly equal. */
+	random?: () => number
+}
+
+interface Estimate {
+	expectedMs: number
+	storePenaltyMs: number
+	terms: WorkTerms
 }
 
 export class EngineChoice {
 	private readonly records = new Map<string, EngineRecord>()
 	private askReflectedMs = defaultStateIntervalMs + askTransitMs
+	private readonly homes = new HomeWeights()
+	private readonly random: () => number
+
+	constructor({random = () => 0}: EngineChoiceOptions = {}) {
+		this.random = random
+	}
 
 	/** Sets the longest interval at which agents send changed states. */
 	setStateInterval(intervalMs: number): void {
@@ -113,6 +168,8 @@
 	applyView(id: string, view: EngineView): void {
 		const record = this.getRecord(id)
 		record.view = view
+		if (view.work !== undefined)
+			this.homes.setSpeed(id, view.work.lastingTokensPerMs)
 		record.asks.length = 0
 	}
 
@@ -123,6 +180,7 @@
 	): void {
 		const record = this.getRecord(id)
 		record.residentAdapters = new Set(residents)
+		record.sharedLoads.clear()
 		record.recentAdapters.clear()
 		for (const adapter of recents) record.recentAdapters.add(adapter)
 		for (const adapter of residents) record.recentAdapters.add(adapter)
@@ -138,6 +196,7 @@
 		for (const adapter of loaded) {
 			record.residentAdapters.add(adapter)
 			record.recentAdapters.add(adapter)
+			record.sharedLoads.delete(adapter)
 		}
 		for (const adapter of evicted) {
 			record.residentAdapters.delete(adapter)
@@ -147,7 +206,9 @@
 
 	/** Drops the state of a lost agent; the last known residency stays in use. */
 	dropView(id: string): void {
-		this.getRecord(id).view = undefined
+		const record = this.getRecord(id)
+		record.view = undefined
+		record.sharedLoads.clear()
 	}
 
 	/** Whether the adapter was resident at the engine when it was last heard of. */
@@ -161,9 +222,18 @@
 
 	addAsk(id: string, query: EngineQuery, now: number): void {
 		const {slotKey, hasAdapter, promptTokens: tokens} = query
+		const {expectedOutputTokens = 0} = query
 		const record = this.getRecord(id)
 		const needsSlot = hasAdapter && !record.residentAdapters.has(slotKey)
-		record.asks.push({sentAt: now, tokens, needsSlot})
+		const memoryTokens = tokens + expectedOutputTokens
+		record.asks.push({sentAt: now, tokens, needsSlot, memoryTokens})
+		if (!needsSlot || expectedOutputTokens === 0) return
+		const {sharedLoads} = record
+		if (!isLoadShared(record, slotKey, now))
+			sharedLoads.set(slotKey, now + sharedLoadMs)
+		const [oldest] = sharedLoads.keys()
+		if (sharedLoads.size > maxSharedLoads && oldest !== undefined)
+			sharedLoads.delete(oldest)
 	}
 
 	begin(id: string): void {
@@ -184,7 +254,9 @@
 
 	retain(ids: ReadonlySet<string>): void {
 		for (const [id, record] of this.records) {
-			if (!ids.has(id) && record.inFlight <= 0) this.records.delete(id)
+			if (ids.has(id) || record.inFlight > 0) continue
+			this.records.delete(id)
+			this.homes.delete(id)
 		}
 	}
 
@@ -194,25 +266,34 @@
 		candidates: readonly EngineCandidate[],
 		now: number
 	): EngineRating | undefined {
-		const preferredIds = this.listPreferred(query.slotKey, candidates)
+		const isPredicted = isOutputPredicted(query)
+		const remoteMs = isPredicted ? remoteBytesPenaltyMs : remoteDomainPenaltyMs
+		const preferredIds = this.listPreferred(query, candidates)
 		let best: EngineRating | undefined
 		for (const {id, isNear} of candidates) {
 			const record = this.getRecord(id)
 			const expected = this.estimate(record, query, now)
 			if (expected === undefined) continue
-			const {expectedMs, storePenaltyMs} = expected
+			const {expectedMs, storePenaltyMs, terms} = expected
 			const rank = preferredIds.indexOf(id)
 			const affinityMs =
 				(rank < 0 ? maxRendezvousRank : rank) * rendezvousRankStepMs
+			const holdsAdapter = record.residentAdapters.has(query.slotKey)
+			const spreadMs =
+				isPredicted && (holdsAdapter || !query.hasAdapter)
+					? (tieBreakMs + expectedMs * tieBreakShare) * this.random()
+					: 0
 			const cost =
 				expectedMs +
 				storePenaltyMs +
 				record.failurePenalty.getPenaltyMs(now) +
 				affinityMs +
-				(isNear ? 0 : remoteDomainPenaltyMs)
+				(isNear ? 0 : remoteMs) +
+				terms.decodeMs * decodeShare +
+				spreadMs
 			if (best !== undefined && cost >= best.cost) continue
 			const isLinked = record.view !== undefined
-			best = {id, expectedMs, cost, isLinked}
+			best = {id, expectedMs, cost, isLinked, terms}
 		}
 		return best
 	}
@@ -226,14 +307,14 @@
 		record: EngineRecord,
 		query: EngineQuery,
 		now: number
-	): {expectedMs: number; storePenaltyMs: number} | undefined {
+	): Estimate | undefined {
 		const {view} = record
 		const isResident = record.residentAdapters.has(query.slotKey)
 		if (view === undefined) {
 			if (query.hasAdapter && !isResident) return undefined
 			const expectedMs =
 				unlinkedFirstEventMs + record.inFlight * unlinkedMsPerInFlight
-			return {expectedMs, storePenaltyMs: 0}
+			return {expectedMs, storePenaltyMs: 0, terms: noTerms}
 		}
 		if (!view.isUsable) return undefined
 		if (record.asks.length > 0) {
@@ -243,29 +324,55 @@
 		}
 		const pendingTokens = record.asks.reduce((sum, ask) => sum + ask.tokens, 0)
 		const tokens = pendingTokens + query.promptTokens
-		const waitMs = view.waitMs + tokens / view.tokensPerMs
+		const terms = isOutputPredicted(query)
+			? this.getTerms(record, query)
+			: noTerms
+		const waitMs =
+			view.waitMs +
+			tokens / view.tokensPerMs +
+			Math.max(terms.seatWaitMs, terms.memoryWaitMs)
 		if (!query.hasAdapter || isResident)
-			return {expectedMs: waitMs, storePenaltyMs: 0}
+			return {expectedMs: waitMs, storePenaltyMs: 0, terms}
+		if (isOutputPredicted(query) && isLoadShared(record, query.slotKey, now)) {
+			const until = record.sharedLoads.get(query.slotKey) ?? now
+			const expectedMs = Math.max(waitMs, until - now)
+			return {expectedMs, storePenaltyMs: 0, terms}
+		}
 		const pendingSlots = record.asks.filter(ask => ask.needsSlot).length
 		const missingSlots = Math.max(0, pendingSlots + 1 - view.freeSlots)
 		const slotWaitMs = missingSlots * view.slotStepMs
 		const isRecent = record.recentAdapters.has(query.slotKey)
 		const loadMs = isRecent ? recentLoadMs : storeLoadMs
 		const storePenaltyMs = isRecent ? 0 : storeLoadPenaltyMs
-		return {expectedMs: waitMs + slotWaitMs + loadMs, storePenaltyMs}
+		const expectedMs = waitMs + slotWaitMs + loadMs
+		return {expectedMs, storePenaltyMs, terms}
+	}
+
+	private getTerms(
+		{view, asks}: EngineRecord,
+		{promptTokens, expectedOutputTokens: outputTokens = 0}: EngineQuery
+	): WorkTerms {
+		const memoryTokens = asks.reduce((sum, ask) => sum + ask.memoryTokens, 0)
+		return getWorkTerms(
+			view?.work,
+			{memoryTokens: promptTokens + outputTokens, outputTokens},
+			{requests: asks.length, memoryTokens}
+		)
 	}
 
 	/** The first candidates in the key's rendezvous order; the first is preferred. */
 	private listPreferred(
-		key: string,
+		query: EngineQuery,
 		candidates: readonly EngineCandidate[]
 	): string[] {
-		const keyHash = hashString(key)
+		const keyHash = hashString(query.slotKey)
+		const isPredicted = isOutputPredicted(query)
 		const ids: string[] = []
 		const weights: number[] = []
 		for (const {id} of candidates) {
 			const {idHash} = this.getRecord(id)
-			const weight = getRendezvousScore(keyHash, idHash, 1)
+			const capacity = isPredicted ? this.homes.get(id) : 1
+			const weight = getRendezvousScore(keyHash, idHash, capacity)
 			let position = ids.length
 			while (position > 0 && weight > (weights[position - 1] ?? 0))
 				position -= 1
@@ -289,6 +396,7 @@
 				asks: [],
 				inFlight: 0,
 				failurePenalty: new FailurePenalty(),
+				sharedLoads: new Map(),
 				idHash: hashString(id)
 			}
 			this.records.set(id, record)
@@ -296,3 +404,16 @@
 		return record
 	}
 }
+
+/** Whether the request is rated by what it is likely to cost. */
+function isOutputPredicted({expectedOutputTokens = 0}: EngineQuery): boolean {
+	return expectedOutputTokens > 0
+}
+
+function isLoadShared(
+	{sharedLoads}: EngineRecord,
+	slotKey: string,
+	now: number
+): boolean {
+	return now < (sharedLoads.get(slotKey) ?? Number.NEGATIVE_INFINITY)
+}
--- a/src/policy/dispatch/index.ts
+++ b/src/policy/dispatch/index.ts
@@ -1,5 +1,6 @@
 export * from "./failurePenalty.js"
 export * from "./engineChoice.js"
+export * from "./engineWork.js"
 export * from "./serviceChoice.js"
 export * from "./endpointPauses.js"
 export * from "./startLimits.js"
