--- a/src/policy/dispatch/engineChoice.ts
+++ b/src/policy/dispatch/engineChoice.ts
@@ -17,16 +17,27 @@
  * from at random, and a load that this gateway has just asked for is shared.
  */
 import {getRendezvousScore, hashString} from "../rendezvous.js"
-import {LruSet, recentAdapterCapacity} from "../grants/index.js"
-import {FailurePenalty} from "./failurePenalty.js"
 import {
-	type EngineWork,
-	getWorkTerms,
-	noTerms,
-	type WorkTerms
-} from "./engineWork.js"
+	createRecord,
+	type EngineCandidate,
+	type EngineQuery,
+	type EngineRating,
+	type EngineRecord,
+	type EngineView,
+	type Estimate,
+	isLoadShared,
+	isOutputPredicted
+} from "./engineRecord.js"
+import {getWorkTerms, noTerms, type WorkTerms} from "./engineWork.js"
 import {HomeWeights} from "./homeWeights.js"
 
+export type {
+	EngineCandidate,
+	EngineQuery,
+	EngineRating,
+	EngineView
+} from "./engineRecord.js"
+
 /** Load time of an adapter from the local cache of the engine's host. */
 const recentLoadMs = 40
 /** Load time of an adapter from the weight store. */
@@ -68,86 +79,11 @@
 /** Loads remembered for an engine, more than it carries out in that time. */
 const maxSharedLoads = 32
 
-export interface EngineCandidate {
-	id: string
-	/** Whether the engine is in the gateway's own failure domain. */
-	isNear: boolean
-}
-
-/** The state that an engine's agent sent last. */
-export interface EngineView {
-	/** Whether the engine answers and a base model is resident or loading. */
-	isUsable: boolean
-	/** Expected time until the prefill of a new request for a resident adapter
-	 * begins. */
-	waitMs: number
-	/** Prefill rate. */
-	tokensPerMs: number
-	/** Available slots minus adapters that wait for one; may be negative. */
-	freeSlots: number
-	/** Expected interval at which slots become free. */
-	slotStepMs: number
-	/** What it still has to do; absent while nothing was predicted. */
-	work?: EngineWork
-}
-
-export interface EngineQuery {
-	/** `model/adapter`. */
-	slotKey: string
-	promptTokens: number
-	/** False for a request to the base model itself. */
-	hasAdapter: boolean
-	/** Predicted tokens of the answer; 0 or absent if unknown. */
-	expectedOutputTokens?: number
-}
-
-/** A request for a grant that this gateway sent to an agent. */
-interface SentAsk {
-	sentAt: number
-	tokens: number
-	needsSlot: boolean
-	memoryTokens: number
-}
-
-interface EngineRecord {
-	view: EngineView | undefined
-	residentAdapters: Set<string>
-	/** Adapters that the engine's host is assumed to hold in a local cache. */
-	recentAdapters: LruSet
-	/** Asks of this gateway that `view` may not reflect yet. */
-	asks: SentAsk[]
-	/** Requests of this gateway that are in flight at the engine. */
-	inFlight: number
-	failurePenalty: FailurePenalty
-	/** Adapters that this gateway asked for there, with the time until when their load
-	 * is taken to be under way. */
-	sharedLoads: Map<string, number>
-	idHash: number
-}
-
-export interface EngineRating {
-	id: string
-	/** Expected time to the first event. */
-	expectedMs: number
-	/** Sort key: `expectedMs` plus failure penalty, affinity and locality costs. */
-	cost: number
-	/** Whether the engine's agent is connected. */
-	isLinked: boolean
-	/** Parts of the cost that are due to the predicted output. */
-	terms: WorkTerms
-}
-
 export interface EngineChoiceOptions {
 	/** In [0, 1); orders engines whose costs are nearly equal. */
 	random?: () => number
 }
 
-interface Estimate {
-	expectedMs: number
-	storePenaltyMs: number
-	terms: WorkTerms
-}
-
 export class EngineChoice {
 	private readonly records = new Map<string, EngineRecord>()
 	private askReflectedMs = defaultStateIntervalMs + askTransitMs
@@ -389,31 +325,9 @@
 	private getRecord(id: string): EngineRecord {
 		let record = this.records.get(id)
 		if (record === undefined) {
-			record = {
-				view: undefined,
-				residentAdapters: new Set(),
-				recentAdapters: new LruSet(recentAdapterCapacity),
-				asks: [],
-				inFlight: 0,
-				failurePenalty: new FailurePenalty(),
-				sharedLoads: new Map(),
-				idHash: hashString(id)
-			}
+			record = createRecord(id)
 			this.records.set(id, record)
 		}
 		return record
 	}
 }
-
-/** Whether the request is rated by what it is likely to cost. */
-function isOutputPredicted({expectedOutputTokens = 0}: EngineQuery): boolean {
-	return expectedOutputTokens > 0
-}
-
-function isLoadShared(
-	{sharedLoads}: EngineRecord,
-	slotKey: string,
-	now: number
-): boolean {
-	return now < (sharedLoads.get(slotKey) ?? Number.NEGATIVE_INFINITY)
-}
