--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/engineSearch.ts
@@ -11,6 +11,7 @@
 } from "../policy/dispatch/index.js"
 import type {StreamBinding} from "../policy/streams/index.js"
 import type {AgentLink, AgentRefusal} from "./agentLink.js"
+import type {LogFields} from "./callerExchange.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
 import {findBuild, type SendTarget} from "./sendTarget.js"
 import type {GenerationHead} from "./wire.js"
@@ -21,6 +22,8 @@
 	generation: GenerationHead
 	/** Builds that may go on with the stream. */
 	binding: StreamBinding
+	/** Predicted tokens that the answer still has; 0 if unknown. */
+	getExpectedTokens: () => number
 	/** Times that the next event of the request has to meet. */
 	getStartLimits: () => StartLimits
 	/** Returns whether the request was sent. */
@@ -148,7 +151,8 @@
 		return {
 			slotKey: slotKey(model, adapter),
 			hasAdapter: adapter !== "",
-			promptTokens
+			promptTokens,
+			expectedOutputTokens: this.options.getExpectedTokens()
 		}
 	}
 
@@ -204,7 +208,8 @@
 					version: grant.version,
 					waitedMs: Math.round(now() - askedAt),
 					expectedMs: grant.expectedMs,
-					rated: ratedMs
+					rated: ratedMs,
+					...describeRating(rating, this.options.getExpectedTokens())
 				})
 				this.useGrant({
 					endpoint,
@@ -260,7 +265,8 @@
 	}
 
 	private createAsk(key: string): Parameters<AgentLink["ask"]>[0] {
-		const {ctx, request, generation, getStartLimits} = this.options
+		const {ctx, request, generation} = this.options
+		const {getStartLimits, getExpectedTokens} = this.options
 		const {model, adapter, promptTokens, outputTokens} = generation
 		const now = ctx.now()
 		const {objectiveAt, startBy} = getStartLimits()
@@ -287,7 +293,7 @@
 				? {}
 				: {memberPriority: Math.max(0, Math.round(memberPriority))}),
 			quotaUse: request.quotaUse ?? 0,
-			expectedOutputTokens: 0
+			expectedOutputTokens: getExpectedTokens()
 		}
 	}
 
@@ -318,3 +324,18 @@
 		return Math.max(minRetryAfterMs, excessMs) * (1 + ctx.random())
 	}
 }
+
+/** What the log says of a choice by predicted output; nothing without a prediction. */
+function describeRating(
+	{cost, terms}: EngineRating,
+	expectedTokens: number
+): LogFields {
+	if (expectedTokens === 0) return {}
+	return {
+		expectedTokens,
+		cost: Math.round(cost),
+		decodeMs: Math.round(terms.decodeMs),
+		seatWaitMs: Math.round(terms.seatWaitMs),
+		memoryWaitMs: Math.round(terms.memoryWaitMs)
+	}
+}
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -4,6 +4,7 @@
  */
 import type {Server} from "node:http"
 import type {TlsKeys} from "../link/tls.js"
+import {OutputForecast} from "../policy/costs/index.js"
 import {
 	EndpointPauses,
 	EngineChoice,
@@ -114,7 +115,8 @@
 	constructor(private readonly options: GatewayTaskOptions) {
 		const now = options.now ?? (() => performance.now())
 		const {log, wire, failureDomain, tls} = options
-		const engines = new EngineChoice()
+		const random = options.random ?? Math.random
+		const engines = new EngineChoice({random})
 		this.fleet = new FleetState(log)
 		this.freshness = new ConfigFreshness({
 			fleet: this.fleet,
@@ -160,7 +162,6 @@
 				quotas.applyAnswer(endpointId, answer)
 			}
 		})
-		const random = options.random ?? Math.random
 		const permits = new Permits({links, limits, now, random})
 		const quotas = new Quotas({
 			links,
@@ -199,6 +200,7 @@
 			links,
 			engines,
 			services: new ServiceChoice(),
+			forecast: new OutputForecast(),
 			pauses: new EndpointPauses(),
 			limits,
 			permits,
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -16,6 +16,7 @@
 import {GenerationEnding} from "./generationEnding.js"
 import {GenerationSend, recordEngineResult} from "./generationSend.js"
 import type {Denial} from "./identity/index.js"
+import {OutputTracker} from "./outputTracker.js"
 import {PromptAdmission} from "./promptAdmission.js"
 import {RequestTask} from "./requestTask.js"
 import {SendPair} from "./sendPair.js"
@@ -38,6 +39,7 @@
 	private readonly open = new SendPair()
 	private readonly ending: GenerationEnding
 	private readonly later: LaterSearch
+	private readonly output: OutputTracker
 	private endWatch: (() => void) | undefined
 	/** Goes on after a failed send, once the caller has read enough. */
 	private goOnWithRoom: (() => void) | undefined
@@ -49,6 +51,7 @@
 	) {
 		super(ctx, request)
 		this.stream = new CallerStream(ctx, request)
+		this.output = new OutputTracker(ctx, request, generation)
 		this.admission = new PromptAdmission({
 			guard: ctx.guard,
 			requestId: request.exchange.head.id,
@@ -60,6 +63,7 @@
 		this.ending = new GenerationEnding({
 			request,
 			stream: this.stream,
+			output: this.output,
 			admission: this.admission,
 			cancel: () => {
 				this.cancel()
@@ -80,6 +84,7 @@
 			request,
 			generation,
 			binding: this.stream.binding,
+			getExpectedTokens: () => this.output.expectedTokens,
 			getStartLimits: () => this.startLimits,
 			onFound: target => this.send(target),
 			onNone: refusal => {
@@ -223,6 +228,7 @@
 			this.open.dropStandby()
 		} else this.open.takeOver()
 		this.stream.forward(send.target, responseHead, event)
+		this.output.noteEvent()
 		this.later.noteEvent()
 		this.pauseIfFull(send)
 	}
