Pass a request's Member, quota use and expected length to the grant scheduler

Agents drop the fields of an ask that say whose request it is and how long its answer will be, so an agent can't tell the Members apart. Nothing acts on the new fields yet.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -361,7 +361,11 @@
 		priority: ask.priority,
 		objectiveAt: now + ask.objectiveLeftMs,
 		startBy: now + ask.startByLeftMs,
-		deadline: now + ask.deadlineLeftMs
+		deadline: now + ask.deadlineLeftMs,
+		member: ask.member,
+		memberPriority: ask.memberPriority,
+		quotaUse: ask.quotaUse,
+		expectedOutputTokens: ask.expectedOutputTokens
 	}
 }
 
@@ -369,6 +373,7 @@
 	// Gateways of earlier builds fail on a reason that they don't know.
 	if (reason === GrantRefusalReason.Limit) return RefuseReason.OVERLOADED
 	if (reason === GrantRefusalReason.Overloaded) return RefuseReason.OVERLOADED
+	if (reason === GrantRefusalReason.Displaced) return RefuseReason.OVERLOADED
 	if (reason === GrantRefusalReason.Deadline) return RefuseReason.DEADLINE
 	return RefuseReason.UNAVAILABLE
 }
