--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -35,7 +35,8 @@
 	type GrantRequest,
 	GrantScheduler,
 	type GrantDecision,
-	GrantRefusalReason
+	GrantRefusalReason,
+	type RefusedDecision
 } from "../policy/grants/index.js"
 import {StatedLimits} from "../policy/limits/index.js"
 import {StreamOrigins} from "../policy/streams/index.js"
@@ -301,7 +302,8 @@
 				reason: decision.reason,
 				expectedMs: Math.round(expectedMs),
 				leftMs: Math.round(request.deadline - this.now()),
-				waiting: this.scheduler.waitingCount
+				waiting: this.scheduler.waitingCount,
+				...formatStanding(decision)
 			})
 			this.links.send(request.owner, {
 				case: "refuse",
@@ -369,6 +371,24 @@
 	}
 }
 
+/** What the order by shares went by, for the log; nothing while it is not used. */
+function formatStanding({
+	standing,
+	displacedBy,
+	retryAfterMs
+}: RefusedDecision): Record<string, unknown> {
+	if (standing === undefined) return {}
+	const {member, urgency, costMs, leadMs} = standing
+	return {
+		member,
+		priority: urgency,
+		costMs: Math.round(costMs),
+		aheadOfShareMs: Math.round(leadMs),
+		retryAfterMs: Math.round(retryAfterMs),
+		...(displacedBy === undefined ? {} : {displacedBy})
+	}
+}
+
 function encodeReason(reason: GrantRefusalReason): RefuseReason {
 	// Gateways of earlier builds fail on a reason that they don't know.
 	if (reason === GrantRefusalReason.Limit) return RefuseReason.OVERLOADED
--- a/src/policy/grants/adapterSlots.ts
+++ b/src/policy/grants/adapterSlots.ts
@@ -191,6 +191,18 @@
 		else this.pins.set(key, count - 1)
 	}
 
+	/** Whether a granted request uses the adapter. */
+	isPinned(key: string): boolean {
+		return this.pins.has(key)
+	}
+
+	/** Number of slots whose adapters granted requests use. */
+	countPinned(): number {
+		let count = 0
+		for (const key of this.slots.keys()) if (this.isPinned(key)) count += 1
+		return count
+	}
+
 	listResident(): string[] {
 		return [...this.slots]
 			.filter(([, slot]) => slot.isReady)
@@ -345,8 +357,4 @@
 				slotKey(order.model, order.adapter) === key
 		)
 	}
-
-	private isPinned(key: string): boolean {
-		return this.pins.has(key)
-	}
 }
