--- a/src/policy/grants/__tests__/engineModel.ts
+++ b/src/policy/grants/__tests__/engineModel.ts
@@ -144,13 +144,15 @@
 			adapter: call.adapter,
 			parts: [
 				{id: "shared", tokens: 568},
-				{id: `${id}`, tokens: call.promptTokens}
+				{id: id, tokens: call.promptTokens}
 			],
 			promptTokens: call.promptTokens + 568,
 			outputTokens: call.outputTokens,
 			priority: isFifo === true ? 0 : call.priority,
-			objectiveAt: isFifo === true ? this.now + far : this.now + call.objectiveMs,
-			startBy: this.now + (isFifo === true ? far : call.objectiveMs * startByFactor),
+			objectiveAt:
+				isFifo === true ? this.now + far : this.now + call.objectiveMs,
+			startBy:
+				this.now + (isFifo === true ? far : call.objectiveMs * startByFactor),
 			deadline: this.now + call.objectiveMs * deadlineFactor,
 			...(hasMembers
 				? {
--- a/src/policy/grants/adapterSlots.ts
+++ b/src/policy/grants/adapterSlots.ts
@@ -223,14 +223,19 @@
 		return next
 	}
 
-	/** Whether an order is in flight or the engine is executing one. */
-	get hasPendingChange(): boolean {
-		if (this.isBusy || this.orderInFlight !== undefined) return true
+	/** Whether an adapter is being loaded or unloaded. */
+	get isChanging(): boolean {
 		return [...this.slots.values()].some(
 			slot => !slot.isReady || slot.isUnloading
 		)
 	}
 
+	/** Whether an order is in flight or the engine is executing one. */
+	get hasPendingChange(): boolean {
+		if (this.isBusy || this.orderInFlight !== undefined) return true
+		return this.isChanging
+	}
+
 	/**
 	 * The next order to send: first the one whose answer was lost, then a new one.
 	 * Undefined if none is needed, while another order is in flight or the engine is
--- a/src/policy/grants/fairOrder.ts
+++ b/src/policy/grants/fairOrder.ts
@@ -1,16 +1,20 @@
 /**
  * The order while requests carry Members. From the first to the last criterion:
  *
- * 1. Some requests of kinds that are served far less often than all together; then
- *    requests that can still meet their objective; then the late ones.
- * 2. Members by how far they are ahead of their share, in steps of the tolerance.
+ * 1. Some requests of kinds that are served far less often than all together; for
+ *    Members within their share, also of kinds served less often than less urgent ones.
+ * 2. Requests of Members within their share; in each group, those that can still meet
+ *    their objective go before the late ones. So a late request of such a Member,
+ *    such as one whose adapter had to be loaded, goes before the others' backlog.
+ * 3. Members by how far they are ahead of their share, in steps of the tolerance.
  *    Each waiting request counts the Member's requests that go before it.
- * 3. Urgency: the Member's priority, then the route's.
- * 4. The earliest objective.
+ * 4. Urgency: the Member's priority, then the route's.
+ * 5. The earliest objective.
  *
  * Admission counts only what is served before a request. An arrival displaces the
  * waiting requests of lower rank that it leaves no room for, and these are refused
- * at once. Less urgent requests leave a reserve, see `UrgencyDemand`.
+ * at once. Less urgent requests leave a reserve, see `UrgencyDemand`, and requests
+ * behind one that needs an adapter slot let one become free, see `slotDrain.ts`.
  */
 import {slotKey} from "../../contract/fleet.js"
 import {ReturnSchedule} from "../limits/index.js"
@@ -21,6 +25,7 @@
 import type {AdapterDemand} from "./orderPlan.js"
 import {type QueueContext, QueueOrder, type Refusal} from "./queueOrder.js"
 import {RequestCost} from "./requestCost.js"
+import {listWithheld} from "./slotDrain.js"
 import {StartForecast} from "./startForecast.js"
 import {
 	GrantRefusalReason,
@@ -54,6 +59,10 @@
 	tier: Tier
 	/** 0 within the Member's share; else by how many tolerances it is ahead. */
 	band: number
+	/** How far the Member is ahead of its share when the request's turn comes. */
+	leadMs: number
+	/** Whether its kind is served less often than a less urgent one. */
+	isLagging: boolean
 }
 
 export class FairOrder extends QueueOrder {
@@ -67,6 +76,10 @@
 	private forecastAt = Number.NEGATIVE_INFINITY
 	/** Keys of the requests that were due a grant when last ranked. */
 	private due = new Set<string>()
+	/** Keys of the requests of Members that are beyond their share. */
+	private beyondShare = new Set<string>()
+	/** Keys of the requests that are not granted so that a slot becomes free. */
+	private withheld = new Set<string>()
 
 	constructor(context: QueueContext) {
 		super(context)
@@ -75,12 +88,19 @@
 	}
 
 	rank(now: number): GrantRequest[] {
-		const requests = this.context.waiting.list()
-		return this.placeAll(requests, now).map(({request}) => request)
+		const {context, cost} = this
+		const places = this.placeAll(context.waiting.list(), now)
+		const ranked = places.map(({request}) => request)
+		this.beyondShare = new Set(
+			places.filter(({band}) => band > 0).map(({request}) => request.key)
+		)
+		this.withheld = listWithheld(ranked, context, cost, now)
+		return ranked
 	}
 
 	admit(request: GrantRequest, now: number): Refusal[] {
-		this.shares.addArrival(request, now)
+		const costMs = this.cost.getCostMs(request, this.sharesSlot(request))
+		this.shares.addArrival(request, costMs, now)
 		this.demand.addArrival(request, this.cost.getHoldMs(request), now)
 		const waiting = this.context.waiting.list()
 		const places = this.placeAll([...waiting, request], now)
@@ -110,10 +130,15 @@
 	leavesReserve(request: GrantRequest, now: number): boolean {
 		const {slots, grants} = this.context
 		const {limits} = slots
+		if (this.withheld.has(request.key)) return false
 		if (limits === undefined || grants.size === 0) return true
 		if (this.due.has(request.key)) return true
 		const isPinned = (key: string): boolean => slots.isPinned(key)
-		const urgency = getUrgency(request)
+		// A Member beyond its share leaves to the others what is reserved for anyone.
+		const isBeyondShare = this.beyondShare.has(request.key)
+		const urgency = isBeyondShare
+			? Number.POSITIVE_INFINITY
+			: getUrgency(request)
 		const reserve = this.demand.getReserve(urgency, limits, isPinned, now)
 		const tokens = grants.memoryTokens + countReservedTokens(request)
 		if (tokens > getGrantableTokens(limits) - reserve.tokens) return false
@@ -194,7 +219,9 @@
 			urgency: getUrgency(request),
 			costMs: this.cost.getCostMs(request, this.sharesSlot(request)),
 			tier: isLate ? Tier.Late : Tier.OnTime,
-			band: 0
+			band: 0,
+			leadMs: 0,
+			isLagging: false
 		}
 	}
 
@@ -205,6 +232,7 @@
 			const {urgency} = place
 			const count = left.get(urgency) ?? this.demand.countDue(urgency, now)
 			left.set(urgency, count - 1)
+			place.isLagging = -count < this.demand.countLagging(urgency, now)
 			if (count <= 0) continue
 			place.tier = Tier.Due
 			this.due.add(place.request.key)
@@ -219,6 +247,7 @@
 				if (place.tier !== tier) continue
 				const member = place.request.member ?? ""
 				const leadMs = leads.get(member) ?? this.shares.getLeadMs(member)
+				place.leadMs = leadMs
 				place.band = Math.floor(leadMs / shareToleranceMs)
 				const stepMs = this.shares.getStepMs(member, place.costMs)
 				leads.set(member, leadMs + stepMs)
@@ -279,8 +308,14 @@
 	}
 }
 
-function isEqualRank(a: Place, b: Place): boolean {
-	return a.tier === b.tier && a.band === b.band && a.urgency === b.urgency
+/** Whether nothing but the objectives puts `arrival` before the other. */
+function isEqualRank(other: Place, arrival: Place): boolean {
+	return (
+		other.tier === arrival.tier &&
+		other.band === arrival.band &&
+		other.urgency === arrival.urgency &&
+		other.leadMs <= arrival.leadMs
+	)
 }
 
 function compareWithinMember(a: Place, b: Place): number {
@@ -292,5 +327,14 @@
 }
 
 function comparePlaces(a: Place, b: Place): number {
-	return a.tier - b.tier || a.band - b.band || compareWithinMember(a, b)
+	return (
+		getGroup(a) - getGroup(b) || a.band - b.band || compareWithinMember(a, b)
+	)
+}
+
+function getGroup({tier, band, isLagging}: Place): number {
+	// A kind may lag because its Members are beyond their shares, which is as it should
+	// be.
+	if (tier === Tier.Due || (isLagging && band === 0)) return -1
+	return (band === 0 ? 0 : 2) + (tier === Tier.Late ? 1 : 0)
 }
--- a/src/policy/grants/memberShares.ts
+++ b/src/policy/grants/memberShares.ts
@@ -8,9 +8,12 @@
  *   Members that take less than the largest get what they ask for, whatever the
  *   number of Members (max-min fairness), and use of idle capacity is forgotten.
  * - Quotas are known only as the Member's use of its own. A Member's weight is its
- *   cost here divided by that use, which is proportional to its quota.
+ *   part of the cost here divided by that use, which is proportional to its quota. The
+ *   cost is the mean of what it asks for and what it was granted: the former alone
+ *   rewards those who retry, the latter alone keeps down those who were refused.
  * - A Member that uses more of its quota over the fleet than the others is ahead also
- *   at an engine where it has few requests.
+ *   at an engine where it has few requests. This lead falls by the virtual time for
+ *   which the Member asks and gets nothing, so that it does not starve.
  */
 import {DecayingSum} from "./decayingSum.js"
 import {FairShare} from "../fairShare.js"
@@ -31,9 +34,9 @@
 /** Averaging time of costs and of quota use, longer than a burst of some seconds, so
  * that the weights don't follow it. */
 const weightAverageMs = 30_000
-/** A Member's weight is estimated as if it had been granted this many mean requests
- * in addition, since few requests say little. */
-const priorRequests = 4
+/** Part of an even share that a Member's weight counts in addition to what it was
+ * granted, since few requests say little. */
+const priorPart = 0.25
 const minWeight = 0.1
 const maxWeight = 10
 /** Members without a request for this long take no share. */
@@ -46,6 +49,9 @@
 interface KnownMember {
 	seenAt: number
 	granted: DecayingSum
+	asked: DecayingSum
+	/** Virtual time of its first arrival since it was granted anything. */
+	unservedAt: number | undefined
 	/** Sum of the stated uses, and their number. */
 	uses: DecayingSum
 	useCount: DecayingSum
@@ -65,7 +71,7 @@
 	)
 	private readonly members = new Map<string, KnownMember>()
 	private readonly grantedCost = new DecayingSum(weightAverageMs)
-	private readonly grantedCount = new DecayingSum(weightAverageMs)
+	private readonly askedCost = new DecayingSum(weightAverageMs)
 	private weighings = new Map<string, Weighing>()
 	private activeMembers = 1
 	private refreshAt = Number.NEGATIVE_INFINITY
@@ -87,12 +93,18 @@
 	}
 
 	/** Records that a Member's request arrived. */
-	addArrival({member = "", quotaUse = 0}: GrantRequest, now: number): void {
+	addArrival(
+		{member = "", quotaUse = 0}: GrantRequest,
+		costMs: number,
+		now: number
+	): void {
 		let known = this.members.get(member)
 		if (known === undefined) {
 			known = {
 				seenAt: now,
+				unservedAt: undefined,
 				granted: new DecayingSum(weightAverageMs),
+				asked: new DecayingSum(weightAverageMs),
 				uses: new DecayingSum(weightAverageMs),
 				useCount: new DecayingSum(weightAverageMs)
 			}
@@ -100,6 +112,9 @@
 			this.refreshAt = now
 		}
 		known.seenAt = now
+		known.unservedAt ??= this.virtualNow
+		known.asked.add(costMs, now)
+		this.askedCost.add(costMs, now)
 		if (quotaUse > 0) {
 			known.uses.add(quotaUse, now)
 			known.useCount.add(1, now)
@@ -109,9 +124,12 @@
 
 	/** Charges a granted request to its Member. */
 	addGrant({member = ""}: GrantRequest, costMs: number, now: number): void {
-		this.members.get(member)?.granted.add(costMs, now)
+		const known = this.members.get(member)
+		if (known !== undefined) {
+			known.granted.add(costMs, now)
+			known.unservedAt = undefined
+		}
 		this.grantedCost.add(costMs, now)
-		this.grantedCount.add(1, now)
 		const charge = this.getCharge(member, costMs)
 		const leadMs = this.clocks.charge(member, charge, this.virtualNow)
 		const excessMs = Math.max(0, leadMs - maxLeadMs)
@@ -121,7 +139,10 @@
 	/** How far the Member is ahead of its share. */
 	getLeadMs(member: string): number {
 		const {useLeadMs} = this.weighings.get(member) ?? evenWeighing
-		return this.clocks.getLeadMs(member, this.virtualNow) + useLeadMs
+		const unservedAt = this.members.get(member)?.unservedAt ?? this.virtualNow
+		const unservedMs = this.virtualNow - unservedAt
+		const clockMs = this.clocks.getLeadMs(member, this.virtualNow)
+		return clockMs + Math.max(0, useLeadMs - unservedMs)
 	}
 
 	/** Time that the Member's share takes to serve a request. */
@@ -146,14 +167,17 @@
 			([, {seenAt}]) => now - seenAt <= activeMs
 		)
 		this.activeMembers = Math.max(1, active.length)
-		const count = this.grantedCount.get(now)
-		const meanCostMs = count > 0 ? this.grantedCost.get(now) / count : 1
-		const known = active.flatMap(([member, {granted, uses, useCount}]) => {
-			if (useCount.get(now) === 0) return []
-			const use = Math.max(minUsePercent, uses.get(now) / useCount.get(now))
-			const costMs = granted.get(now) + priorRequests * meanCostMs
-			return [{member, use, quota: costMs / use}]
-		})
+		const grantedMs = Math.max(1, this.grantedCost.get(now))
+		const askedMs = Math.max(1, this.askedCost.get(now))
+		const prior = priorPart / this.activeMembers
+		const known = active.flatMap(
+			([member, {granted, asked, uses, useCount}]) => {
+				if (useCount.get(now) === 0) return []
+				const use = Math.max(minUsePercent, uses.get(now) / useCount.get(now))
+				const part = granted.get(now) / grantedMs + asked.get(now) / askedMs
+				return [{member, use, quota: (part / 2 + prior) / use}]
+			}
+		)
 		const meanQuota =
 			known.reduce((sum, {quota}) => sum + quota, 0) / known.length
 		const uses = known.map(({use}) => use).sort((a, b) => a - b)
--- a/src/policy/grants/urgencyDemand.ts
+++ b/src/policy/grants/urgencyDemand.ts
@@ -5,8 +5,8 @@
  *   more urgent arrivals of the last seconds occupy in steady state (arrival rate
  *   times time in the engine), less what such requests hold already. Otherwise a
  *   burst of long answers fills the engine until they end.
- * - A kind that is served far less often than all kinds together is due some grants
- *   before more urgent ones.
+ * - A kind that is served far less often than all kinds together, or less often than
+ *   a less urgent one, is due some grants before the others.
  */
 import {slotKey} from "../../contract/fleet.js"
 import {DecayingSum} from "./decayingSum.js"
@@ -25,6 +25,15 @@
 /** A kind is to be served at least a quarter as often as all kinds together; grants
  * are due somewhat earlier, as they take time to have an effect. */
 const minServedPart = 0.35
+/** Adapters asked for within this time may need a slot before a long answer that is
+ * granted now ends. A longer time keeps slots idle under a steady load. */
+const slotMemoryMs = 1000
+/** Part by which a kind may be served less often than a less urgent one before grants
+ * are due to it; callers notice 0.05. Less urgent kinds may wait longer, and so gain
+ * from each pause in the load. */
+const maxLagPart = 0.02
+/** Arrivals of a kind from which its served part counts for others. */
+const minSampleCount = 5
 const maxAdapters = 256
 /** Priorities beyond this count as equal. */
 const maxPriority = 99
@@ -99,12 +108,32 @@
 		const known = this.classes.get(urgency)
 		const asked = this.asked.get(now)
 		if (known === undefined || asked === 0) return 0
-		const servedPart = this.granted.get(now) / asked
-		const duePart = Math.min(1, servedPart) * minServedPart
+		const servedPart = Math.min(1, this.granted.get(now) / asked)
+		const duePart = servedPart * minServedPart
 		const missing = known.asked.get(now) * duePart - known.granted.get(now)
 		return Math.max(0, Math.ceil(missing))
 	}
 
+	/** Grants that the kind lacks to be served as often as a less urgent one. */
+	countLagging(urgency: number, now: number): number {
+		const known = this.classes.get(urgency)
+		if (known === undefined) return 0
+		const part = this.getLessUrgentPart(urgency, now) - maxLagPart
+		const missing = known.asked.get(now) * part - known.granted.get(now)
+		return Math.max(0, Math.ceil(missing))
+	}
+
+	/** Largest part that is granted of a less urgent kind. */
+	private getLessUrgentPart(urgency: number, now: number): number {
+		let largest = 0
+		for (const [other, {asked, granted}] of this.classes) {
+			const count = asked.get(now)
+			if (other <= urgency || count < minSampleCount) continue
+			largest = Math.max(largest, granted.get(now) / count)
+		}
+		return Math.min(1, largest)
+	}
+
 	/** Part of all arrivals that are of this urgency. */
 	getAskedPart(urgency: number, now: number): number {
 		const asked = this.asked.get(now)
@@ -131,7 +160,7 @@
 		}
 		let slots = 0
 		for (const [adapter, {urgency: other, at}] of this.adapters) {
-			const isRecent = now - at <= reserveMemoryMs
+			const isRecent = now - at <= slotMemoryMs
 			if (other < urgency && isRecent && !isPinned(adapter)) slots += 1
 		}
 		return {
