Rank a Member's requests later by its lead within an urgency

A generated case starved a Member whose requests always arrived last: it lost every tie between objectives, and its requests became late. The lead of its Member now counts on top of a request's objective.

--- a/src/policy/grants/fairOrder.ts
+++ b/src/policy/grants/fairOrder.ts
@@ -9,7 +9,8 @@
  * 3. Members by how far they are ahead of their share, in steps of the tolerance.
  *    Each waiting request counts the Member's requests that go before it.
  * 4. Urgency: the Member's priority, then the route's.
- * 5. The earliest objective.
+ * 5. The earliest objective, later by the Member's lead. Otherwise a Member whose
+ *    requests always arrive last would lose every tie.
  *
  * Admission counts only what is served before a request. An arrival displaces the
  * waiting requests of lower rank that it leaves no room for, and these are refused
@@ -328,7 +329,11 @@
 
 function comparePlaces(a: Place, b: Place): number {
 	return (
-		getGroup(a) - getGroup(b) || a.band - b.band || compareWithinMember(a, b)
+		getGroup(a) - getGroup(b) ||
+		a.band - b.band ||
+		a.tier - b.tier ||
+		a.urgency - b.urgency ||
+		a.request.objectiveAt + a.leadMs - b.request.objectiveAt - b.leadMs
 	)
 }
 
