--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/agentLinks.ts
@@ -8,8 +8,10 @@
 import {
 	type EngineLimits,
 	EngineLimitsSchema,
+	type EngineState,
 	type OriginAnswer,
-	type PermitAnswer
+	type PermitAnswer,
+	type QuotaAnswer
 } from "../contract/gen/grants_pb.js"
 import type {TlsKeys} from "../link/tls.js"
 import {
@@ -18,7 +20,7 @@
 	type Notice,
 	type NoticeBoard
 } from "../notices/index.js"
-import type {EngineChoice} from "../policy/dispatch/index.js"
+import type {EngineChoice, EngineWork} from "../policy/dispatch/index.js"
 import {
 	chooseLinkIntervals,
 	grantLinkPace,
@@ -45,17 +47,30 @@
 	onOrigin: (endpointId: string, answer: OriginAnswer) => void
 	/** An agent's answer to an ask for a permit. */
 	onPermit: (endpointId: string, answer: PermitAnswer) => void
+	/** An agent's answer to an ask for a share of a quota. */
+	onQuota: (endpointId: string, answer: QuotaAnswer) => void
 }
 
 /** Time in which an agent that can be reached connects and tells what it knows. */
 const catchUpMs = 500
 /** Factor by which the pace must differ from the one told to agents. */
 const paceHysteresis = 1.2
+/**
+ * Time for which the agent of an engine that is no longer registered can be asked
+ * about it. The registration of an engine that crashes may go before the gateway
+ * has noticed that its sends broke off.
+ */
+const retiredLinkMs = 2000
 /** Agents that pass on a fact, besides that of the endpoint it is about. */
 const maxNoticeRelays = 2
 
 export class AgentLinks {
 	private readonly links = new Map<string, AgentLink>()
+	/** Links to agents of engines that are no longer registered. */
+	private readonly retired = new Map<
+		string,
+		{link: AgentLink; closeAt: number}
+	>()
 	/**
 	 * Pools of engines. A pool that a configuration no longer has stays, because its
 	 * requests may still run or wait.
@@ -100,6 +115,11 @@
 		return this.links.get(endpointId)
 	}
 
+	/** The link that can tell whether the engine has ended, also if it was removed. */
+	getForCheck(endpointId: string): AgentLink | undefined {
+		return this.links.get(endpointId) ?? this.retired.get(endpointId)?.link
+	}
+
 	/**
 	 * Tells agents a fact, which pass it on to their other gateways: the agent of the
 	 * endpoint that it is about and, unless only that one needs it, a few others. All
@@ -156,11 +176,34 @@
 
 	tick(): void {
 		for (const link of this.links.values()) link.tick()
+		const now = this.options.now()
+		for (const [id, {link, closeAt}] of this.retired) {
+			if (now >= closeAt) this.closeRetired(id)
+			else link.tick()
+		}
 	}
 
 	close(): void {
 		for (const link of this.links.values()) link.close()
 		this.links.clear()
+		for (const id of [...this.retired.keys()]) this.closeRetired(id)
+	}
+
+	private closeRetired(id: string): void {
+		const link = this.retired.get(id)?.link
+		this.retired.delete(id)
+		link?.close()
+	}
+
+	/** Ends the use of a link whose engine is no longer registered. */
+	private retire(id: string, link: AgentLink): void {
+		const {engineChoice, log, now} = this.options
+		this.links.delete(id)
+		this.closeRetired(id)
+		this.retired.set(id, {link, closeAt: now() + retiredLinkMs})
+		engineChoice.dropView(id)
+		log.decide("agent.down", {endpoint: id, reason: "engine removed"})
+		link.retire()
 	}
 
 	/**
@@ -178,6 +221,10 @@
 		for (const [id, link] of this.links) {
 			const address = this.getAgentAddress(engines.get(id))
 			if (address === link.address) continue
+			if (address === undefined) {
+				this.retire(id, link)
+				continue
+			}
 			link.close()
 			this.links.delete(id)
 		}
@@ -226,13 +273,15 @@
 			getIntervals: () => this.intervals,
 			getLimits: () => this.getLimits(pool),
 			onState: state => {
+				if (this.links.get(id) !== link) return
 				this.reportedGateways = Math.max(1, state.gateways)
 				engineChoice.applyView(id, {
 					isUsable: state.usable,
 					waitMs: state.waitMs,
 					tokensPerMs: Math.max(1, state.tokensPerSecond) / 1000,
 					freeSlots: state.freeSlots,
-					slotStepMs: state.slotStepMs
+					slotStepMs: state.slotStepMs,
+					...decodeWork(state)
 				})
 				if (state.hasResidency)
 					engineChoice.applyResidency(id, state.resident, state.recent)
@@ -244,7 +293,7 @@
 				}
 			},
 			onNotice: notice => {
-				this.receiveNotice(notice, id)
+				if (this.links.get(id) === link) this.receiveNotice(notice, id)
 			},
 			onOrigin: answer => {
 				this.options.onOrigin(id, answer)
@@ -252,12 +301,17 @@
 			onPermit: answer => {
 				this.options.onPermit(id, answer)
 			},
+			onQuota: answer => {
+				this.options.onQuota(id, answer)
+			},
 			onUp: () => {
+				if (this.retired.get(id)?.link === link) return
 				log.decide("agent.up", {endpoint: id})
 				for (const notice of this.options.notices.list(now()))
 					link.announce(notice)
 			},
 			onDown: reason => {
+				if (this.links.get(id) !== link) return
 				if (reason === pausedReason) this.beginCatchUp()
 				log.decide("agent.down", {endpoint: id, reason})
 				engineChoice.dropView(id)
@@ -279,3 +333,19 @@
 		})
 	}
 }
+
+/** What the engine still has to do; nothing while no output was predicted there. */
+function decodeWork(state: EngineState): {work?: EngineWork} {
+	if (state.tokenUs === 0) return {}
+	return {
+		work: {
+			decodeMs: state.decodeMs,
+			tokenMs: state.tokenUs / 1000,
+			freeMemoryTokens: state.freeMemoryTokens,
+			freedTokensPerMs: state.freedTokensPerSecond / 1000,
+			freeSeats: state.freeSeats,
+			running: state.running,
+			lastingTokensPerMs: state.lastingTokensPerSecond / 1000
+		}
+	}
+}
--- a/src/gateway/endpointCall.ts
+++ b/src/gateway/endpointCall.ts
@@ -31,6 +31,11 @@
 }
 
 export interface CallHandlers {
+	/**
+	 * Called when the connection is established, before anything is sent. Returns
+	 * whether the request may be sent.
+	 */
+	onConnected?(): boolean
 	/** Called when the head of a response arrives, before the other handlers. */
 	onHead?(head: ResponseHead): void
 	onData(chunk: Buffer): void
@@ -97,6 +102,10 @@
 				this.settle(CallOutcome.NeverSent, "connected too late")
 				return
 			}
+			if (options.handlers.onConnected?.() === false) {
+				this.settle(CallOutcome.NeverSent, "no longer permitted")
+				return
+			}
 			this.isConnected = true
 			clearTimeout(this.connectTimer)
 		})
@@ -134,6 +143,15 @@
 		this.settle(CallOutcome.Broken, detail)
 	}
 
+	/** Stops reading the response; the endpoint may cut it off after some seconds. */
+	pause(): void {
+		this.res?.pause()
+	}
+
+	resume(): void {
+		this.res?.resume()
+	}
+
 	/** Whether the connection was established, so that the request may have run. */
 	get wasSent(): boolean {
 		return this.isConnected
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -1,5 +1,6 @@
 /** The dependencies that a gateway passes to each of its request tasks. */
 import type {ForwardRoute, Member} from "../contract/fleet.js"
+import type {OutputForecast} from "../policy/costs/index.js"
 import type {
 	EndpointPauses,
 	EngineChoice,
@@ -10,29 +11,36 @@
 import type {DecisionLog} from "../program/decisionLog.js"
 import type {AgentLinks} from "./agentLinks.js"
 import type {FleetState} from "./fleetState.js"
+import type {CallerAccess} from "./identity/index.js"
 import type {GatewayMetrics} from "./gatewayMetrics.js"
 import type {Permits} from "./permits.js"
+import type {Quotas, QuotaTicket} from "./quotas/index.js"
 import type {RetryBudgets} from "./retryBudgets.js"
 import type {PromptGuard} from "./promptGuard.js"
 import type {StreamDirectory} from "./streamDirectory.js"
+import type {CallerBuffers} from "./callerBuffers.js"
 import type {CallerExchange} from "./callerExchange.js"
 import type {WireCodec} from "./wire.js"
 
 export interface GatewayContext {
 	wire: WireCodec
 	fleet: FleetState
+	access: CallerAccess
 	links: AgentLinks
 	engines: EngineChoice
 	services: ServiceChoice
+	forecast: OutputForecast
 	pauses: EndpointPauses
 	limits: StatedLimits
 	permits: Permits
+	quotas: Quotas
 	streams: StreamDirectory
 	notices: NoticeBoard
 	guard: PromptGuard
 	retryBudgets: RetryBudgets
 	log: DecisionLog
 	metrics: GatewayMetrics
+	callerBuffers: CallerBuffers
 	failureDomain: string
 	/** Timeout for connecting to an endpoint; the default of the call if absent. */
 	connectTimeoutMs?: number | undefined
@@ -50,7 +58,7 @@
 export interface RoutedRequest {
 	exchange: CallerExchange
 	route: ForwardRoute
-	/** Whose request it is; undefined if the caller has shown no key. */
+	/** Whose request it is; undefined if the caller has stated no known key. */
 	member: Member | undefined
 	/** Pool that serves it, drawn at random by the weights of the route's pools. */
 	pool: string
@@ -62,4 +70,11 @@
 	deadlineSource: DeadlineSource
 	/** Version of the configuration that the route is from. */
 	configVersion: number
+	/** Its share of the Member's quota, if that has one. */
+	quotaTicket?: QuotaTicket
+	/**
+	 * What the Member used of its quota lately over all hosts, in percent; undefined
+	 * when unknown.
+	 */
+	quotaUse?: number
 }
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -10,6 +10,8 @@
 	Answered = "answered",
 	/** The request did not run; the caller was told when to retry. */
 	Refused = "refused",
+	/** Its Member is over its quota; as `Refused`. */
+	OverQuota = "overQuota",
 	/** The request did not run, and the caller was told not to repeat it. */
 	TurnedAway = "turnedAway",
 	/** The request may have run, and its result is not known. */
@@ -46,6 +48,9 @@
 	-2, -1, -0.5, -0.2, -0.1, -0.05, 0, 0.05, 0.1, 0.2, 0.5, 1, 2
 ]
 
+/** Predictions are within a factor of 2 where hints and the past are of use. */
+const outputRatioBuckets = [0.1, 0.25, 0.5, 0.8, 1.25, 2, 4, 10]
+
 export class GatewayMetrics {
 	readonly registry = new Registry()
 	private readonly requests = new Counter({
@@ -67,6 +72,13 @@
 		buckets: estimateErrorBucketsSeconds,
 		registers: [this.registry]
 	})
+	private readonly outputRatio = new Histogram({
+		name: "goldcrestloom_output_prediction_ratio",
+		help: "Tokens of a whole answer by those predicted; hinted says from what",
+		labelNames: ["hinted"],
+		buckets: outputRatioBuckets,
+		registers: [this.registry]
+	})
 	private readonly sends = new Counter({
 		name: "goldcrestloom_sends_total",
 		help: "Requests sent to endpoints by how the call ended",
@@ -79,6 +91,24 @@
 		labelNames: ["signal"],
 		registers: [this.registry]
 	})
+	private readonly denials = new Counter({
+		name: "goldcrestloom_denied_requests_total",
+		help: "Decisions not to accept or not to send a request because of its key",
+		labelNames: ["reason"],
+		registers: [this.registry]
+	})
+	private readonly quotaResults = new Counter({
+		name: "goldcrestloom_quota_results_total",
+		help: "Asks for shares of Members' quotas, by result",
+		labelNames: ["result"],
+		registers: [this.registry]
+	})
+	private readonly confirms = new Counter({
+		name: "goldcrestloom_config_confirms_total",
+		help: "Questions to other gateways whether the configuration is the newest",
+		labelNames: ["result"],
+		registers: [this.registry]
+	})
 	private readonly dependencyLosses = new Counter({
 		name: "goldcrestloom_dependency_losses_total",
 		help: "Losses of a dependency",
@@ -91,6 +121,18 @@
 		labelNames: ["reason"],
 		registers: [this.registry]
 	})
+	private readonly bufferOverflows = new Counter({
+		name: "goldcrestloom_buffer_overflows_total",
+		help: "Requests that ended because the process's buffers were full, by what they held",
+		labelNames: ["part"],
+		registers: [this.registry]
+	})
+	private readonly readPauses = new Counter({
+		name: "goldcrestloom_read_pauses_total",
+		help: "Pauses in reading an engine whose caller had too much unread",
+		registers: [this.registry]
+	})
+	private readBufferedBytes: () => number = () => 0
 	/** Parts of prompts with which requests are turned away. */
 	readonly accusedParts = new Gauge({
 		name: "goldcrestloom_accused_prompt_parts",
@@ -103,6 +145,31 @@
 		registers: [this.registry]
 	})
 
+	constructor() {
+		const read = (): number => this.readBufferedBytes()
+		new Gauge({
+			name: "goldcrestloom_buffered_bytes",
+			help: "Bytes of requests and responses that the process holds for its callers",
+			registers: [this.registry],
+			collect() {
+				this.set(read())
+			}
+		})
+	}
+
+	/** Sets where the gauge of buffered bytes reads its value. */
+	watchBufferedBytes(read: () => number): void {
+		this.readBufferedBytes = read
+	}
+
+	countBufferOverflow(part: string): void {
+		this.bufferOverflows.inc({part})
+	}
+
+	countReadPause(): void {
+		this.readPauses.inc()
+	}
+
 	countRequest(kind: string, outcome: RequestOutcome): void {
 		this.requests.inc({kind, outcome})
 	}
@@ -115,6 +182,30 @@
 		this.signals.inc({signal})
 	}
 
+	countDenial(reason: string): void {
+		this.denials.inc({reason})
+	}
+
+	countQuota(result: string): void {
+		this.quotaResults.inc({result})
+	}
+
+	countConfirm(result: string): void {
+		this.confirms.inc({result})
+	}
+
+	/** Registers the age that the gauge of the proof states at each scrape. */
+	setProofAgeSource(getAgeMs: () => number): void {
+		new Gauge({
+			name: "goldcrestloom_config_proof_age_seconds",
+			help: "Time since the configuration was proven to be the newest",
+			registers: [this.registry],
+			collect() {
+				this.set(getAgeMs() / 1000)
+			}
+		})
+	}
+
 	countLoss(dependency: string): void {
 		this.dependencyLosses.inc({dependency})
 	}
@@ -128,6 +219,11 @@
 		this.estimateError.observe((actualMs - expectedMs) / 1000)
 	}
 
+	/** Records the seen by the predicted length of an answer. */
+	observeOutputPrediction(isHinted: boolean, ratio: number): void {
+		this.outputRatio.observe({hinted: String(isHinted)}, ratio)
+	}
+
 	observeFirstByte(kind: string, elapsedMs: number): void {
 		this.firstByte.observe({kind}, elapsedMs / 1000)
 	}
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -11,13 +11,16 @@
 import type {Socket} from "node:net"
 import {
 	type ForwardRoute,
+	type Member,
 	type PoolShare,
 	RouteKind
 } from "../contract/fleet.js"
+import {BufferPart} from "../policy/buffers/index.js"
 import {sleep} from "../utils/common.js"
 import {CallerExchange, CloseReason} from "./callerExchange.js"
 import {DeadlineSource, type GatewayContext} from "./gatewayContext.js"
 import {GenerationTask} from "./generationTask.js"
+import {respondDenial} from "./identity/index.js"
 import {ServiceTask} from "./serviceTask.js"
 import {RejectedRequestError, type RequestHead} from "./wire.js"
 
@@ -87,8 +90,9 @@
 	}
 
 	get isReady(): boolean {
-		const {config} = this.options.ctx.fleet
-		return this.drainStartedAt === undefined && config !== undefined
+		const {fleet, access} = this.options.ctx
+		if (this.drainStartedAt !== undefined) return false
+		return fleet.config !== undefined && access.canServeMembers
 	}
 
 	/**
@@ -165,6 +169,7 @@
 			wire,
 			log,
 			metrics,
+			callerBuffers: ctx.callerBuffers,
 			kind: route?.kind ?? "none",
 			arrivedAt,
 			getCloseReason: () => this.getCloseReason(req.socket),
@@ -178,25 +183,31 @@
 			exchange.reject(httpNotFound, "no route")
 			return
 		}
+		const {member, denial} = ctx.access.identify(head, route)
+		if (denial !== undefined) {
+			respondDenial(exchange, denial)
+			return
+		}
 		const {maxHeaderBytes, maxBodyBytes} = fleet.config.limits
 		if (sumHeaderBytes(req) > maxHeaderBytes) {
 			exchange.reject(httpHeadersTooLarge, "headers are too large")
 			return
 		}
-		readBody(req, maxBodyBytes, body => {
+		readBody(req, maxBodyBytes, exchange, body => {
 			if (!exchange.isOpen) return
 			if (body === undefined) {
 				res.setHeader("Connection", "close")
 				exchange.reject(httpTooLarge, "body is too large")
 				return
 			}
-			this.startTask(exchange, route, body, arrivedAt)
+			this.startTask(exchange, route, member, body, arrivedAt)
 		})
 	}
 
 	private startTask(
 		exchange: CallerExchange,
 		route: ForwardRoute,
+		member: Member | undefined,
 		body: Buffer,
 		arrivedAt: number
 	): void {
@@ -219,7 +230,7 @@
 		const request = {
 			exchange,
 			route,
-			member: undefined,
+			member,
 			pool,
 			body,
 			arrivedAt,
@@ -263,28 +274,44 @@
 	return req.rawHeaders.reduce((sum, text) => sum + text.length, separators)
 }
 
-/** Calls back with the whole body, or with undefined once it is too large. */
+/**
+ * Calls back with the whole body, or with undefined once it is too large. Keeps
+ * nothing of it once the exchange has ended.
+ */
 function readBody(
 	req: IncomingMessage,
 	maxBytes: number,
+	exchange: CallerExchange,
 	onBody: (body: Buffer | undefined) => void
 ): void {
+	const {buffers} = exchange
 	const chunks: Buffer[] = []
 	let size = 0
 	let isTooLarge = false
+	const drop = (): void => {
+		chunks.length = 0
+		buffers.remove(BufferPart.Upload, size)
+	}
 	req.on("data", (chunk: Buffer) => {
-		size += chunk.length
 		if (isTooLarge) return
+		if (!exchange.isOpen) {
+			drop()
+			return
+		}
+		size += chunk.length
 		if (size <= maxBytes) {
 			chunks.push(chunk)
+			buffers.add(BufferPart.Upload, chunk.length)
 			return
 		}
 		isTooLarge = true
-		chunks.length = 0
+		drop()
 		onBody(undefined)
 	})
 	req.on("end", () => {
-		if (!isTooLarge) onBody(Buffer.concat(chunks))
+		if (isTooLarge) return
+		buffers.move(BufferPart.Upload, BufferPart.Request)
+		onBody(Buffer.concat(chunks))
 	})
 	// A disconnect of the caller is handled by the response's `close` event.
 	req.on("error", () => undefined)
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -4,6 +4,7 @@
  */
 import type {Server} from "node:http"
 import type {TlsKeys} from "../link/tls.js"
+import {OutputForecast} from "../policy/costs/index.js"
 import {
 	EndpointPauses,
 	EngineChoice,
@@ -21,13 +22,16 @@
 import type {DecisionLog} from "../program/decisionLog.js"
 import {startProbeServer} from "../program/probeServer.js"
 import {AgentLinks} from "./agentLinks.js"
+import {CallerBuffers} from "./callerBuffers.js"
 import {FleetFollower} from "./fleetFollower.js"
 import {FleetPublisher} from "./fleetPublisher.js"
 import {FleetState} from "./fleetState.js"
 import type {GatewayContext} from "./gatewayContext.js"
 import {GatewayMetrics} from "./gatewayMetrics.js"
 import {GatewayServer} from "./gatewayServer.js"
+import {CallerAccess, ConfigFreshness, ProofRenewal} from "./identity/index.js"
 import {Permits} from "./permits.js"
+import {Quotas} from "./quotas/index.js"
 import {PromptGuard} from "./promptGuard.js"
 import {RetryBudgets} from "./retryBudgets.js"
 import {StreamDirectory} from "./streamDirectory.js"
@@ -66,20 +70,38 @@
 	/** Additional retries permitted in each window, over all gateways. */
 	repeatExtra: number
 	repeatWindowMs: number
+	/**
+	 * Whether keyed requests are sent only with proof that the configuration is the
+	 * newest; true by default.
+	 */
+	isRevocationStrict?: boolean
+	/** Time after which a key that was removed must not be used any more. */
+	revokeMs?: number
 	/** Timeout for connecting to an endpoint, milliseconds. */
 	connectTimeoutMs?: number
+	/** Bytes that the process may hold for its callers; see `CallerBuffers`. */
+	maxBufferedBytes?: number | undefined
+	/** Bytes that may wait for one caller before its engine is not read. */
+	maxStreamBytes?: number | undefined
 	wire: WireCodec
 	log: DecisionLog
 	tls?: TlsKeys | undefined
 	now?: () => number
+	/** Time of day in milliseconds, to notice that the host was suspended. */
+	wallNow?: () => number
 	random?: () => number
 }
 
 const maintenanceIntervalMs = 250
+const defaultRevokeMs = 5000
 
 export class GatewayTask {
 	readonly fleet: FleetState
 	readonly metrics = new GatewayMetrics()
+	/** Proof that the configuration is the newest. */
+	readonly freshness: ConfigFreshness
+	private readonly renewal: ProofRenewal
+	readonly callerBuffers: CallerBuffers
 	private readonly ctx: GatewayContext
 	private readonly crashes = new CrashRecords()
 	private readonly server: GatewayServer
@@ -93,8 +115,18 @@
 	constructor(private readonly options: GatewayTaskOptions) {
 		const now = options.now ?? (() => performance.now())
 		const {log, wire, failureDomain, tls} = options
-		const engines = new EngineChoice()
+		const random = options.random ?? Math.random
+		const engines = new EngineChoice({random})
 		this.fleet = new FleetState(log)
+		this.freshness = new ConfigFreshness({
+			fleet: this.fleet,
+			log,
+			metrics: this.metrics,
+			isStrict: options.isRevocationStrict ?? true,
+			revokeMs: options.revokeMs ?? defaultRevokeMs,
+			now,
+			wallNow: options.wallNow ?? Date.now
+		})
 		const limits = new StatedLimits()
 		const {crashes} = this
 		const notices = new NoticeBoard({
@@ -125,10 +157,20 @@
 			},
 			onPermit: (endpointId, answer) => {
 				permits.applyAnswer(endpointId, answer)
+			},
+			onQuota: (endpointId, answer) => {
+				quotas.applyAnswer(endpointId, answer)
 			}
 		})
-		const random = options.random ?? Math.random
 		const permits = new Permits({links, limits, now, random})
+		const quotas = new Quotas({
+			links,
+			fleet: this.fleet,
+			log,
+			metrics: this.metrics,
+			now,
+			random
+		})
 		const guard = new PromptGuard({
 			records: crashes,
 			notices,
@@ -139,15 +181,30 @@
 			now
 		})
 		const streams = new StreamDirectory({fleet: this.fleet, links, now})
+		this.callerBuffers = new CallerBuffers({
+			maxProcessBytes: options.maxBufferedBytes,
+			maxStreamBytes: options.maxStreamBytes,
+			metrics: this.metrics,
+			now
+		})
 		this.ctx = {
 			wire,
 			fleet: this.fleet,
+			access: new CallerAccess({
+				fleet: this.fleet,
+				freshness: this.freshness,
+				log,
+				metrics: this.metrics,
+				random
+			}),
 			links,
 			engines,
 			services: new ServiceChoice(),
+			forecast: new OutputForecast(),
 			pauses: new EndpointPauses(),
 			limits,
 			permits,
+			quotas,
 			streams,
 			notices,
 			guard,
@@ -159,6 +216,7 @@
 			}),
 			log,
 			metrics: this.metrics,
+			callerBuffers: this.callerBuffers,
 			failureDomain,
 			connectTimeoutMs: options.connectTimeoutMs,
 			now,
@@ -180,6 +238,7 @@
 				address: publishAddress,
 				fleet: this.fleet,
 				isFresh: options.isFresh ?? (() => false),
+				getProofAgeMs: () => this.freshness.ageMs,
 				tls
 			})
 		}
@@ -191,6 +250,17 @@
 			now,
 			tls
 		})
+		this.renewal = new ProofRenewal({
+			fleet: this.fleet,
+			freshness: this.freshness,
+			metrics: this.metrics,
+			listSources: () => this.follower.listConnected(),
+			confirm: (source, onAnswer) => {
+				this.follower.confirm(source, onAnswer)
+			},
+			isPublisher,
+			random
+		})
 		this.isPublisher = isPublisher
 		const {callerAddress: address, graceMs} = options
 		this.server = new GatewayServer({address, ctx: this.ctx, graceMs})
@@ -198,10 +268,12 @@
 
 	/**
 	 * Whether enough other gateways with a fresh view publish the store's changes
-	 * to this one, so that it needs no watch of its own.
+	 * to this one, and confirm its configuration where that has Members, so that it
+	 * needs no watch of its own.
 	 */
 	get isCovered(): boolean {
-		return !this.isPublisher && this.follower.isCovered
+		if (this.isPublisher || !this.follower.isCovered) return false
+		return !this.fleet.hasMembers || this.renewal.isConfirmed
 	}
 
 	async start(): Promise<void> {
@@ -215,6 +287,7 @@
 			const {registry} = this.metrics
 			this.servers.push(await startProbeServer(metricsAddress, {registry}))
 		}
+		this.renewal.start()
 		this.timer = setInterval(() => {
 			this.tick()
 		}, maintenanceIntervalMs)
@@ -223,6 +296,8 @@
 	async drain(): Promise<void> {
 		await this.server.drain()
 		clearInterval(this.timer)
+		this.ctx.quotas.close()
+		this.renewal.stop()
 		this.ctx.links.close()
 		this.publisher?.stop()
 		this.follower.stop()
@@ -230,8 +305,9 @@
 	}
 
 	private tick(): void {
-		const {links, retryBudgets, now} = this.ctx
+		const {links, quotas, retryBudgets, now} = this.ctx
 		links.tick()
+		quotas.tick()
 		this.follower.tick()
 		retryBudgets.setGateways(links.gatewayCount)
 		this.fleet.settleRegistrations(now())
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -6,6 +6,7 @@
  * the caller's stream ends only when no call is left.
  */
 import {getStartLimits, type StartLimits} from "../policy/dispatch/index.js"
+import {buffersFull} from "./callerExchange.js"
 import {CallerStream} from "./callerStream.js"
 import {CallOutcome} from "./endpointCall.js"
 import {EngineSearch, type SearchRefusal} from "./engineSearch.js"
@@ -14,6 +15,8 @@
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
 import {GenerationEnding} from "./generationEnding.js"
 import {GenerationSend, recordEngineResult} from "./generationSend.js"
+import type {Denial} from "./identity/index.js"
+import {OutputTracker} from "./outputTracker.js"
 import {PromptAdmission} from "./promptAdmission.js"
 import {RequestTask} from "./requestTask.js"
 import {SendPair} from "./sendPair.js"
@@ -36,7 +39,10 @@
 	private readonly open = new SendPair()
 	private readonly ending: GenerationEnding
 	private readonly later: LaterSearch
+	private readonly output: OutputTracker
 	private endWatch: (() => void) | undefined
+	/** Goes on after a failed send, once the caller has read enough. */
+	private goOnWithRoom: (() => void) | undefined
 
 	constructor(
 		ctx: GatewayContext,
@@ -45,6 +51,7 @@
 	) {
 		super(ctx, request)
 		this.stream = new CallerStream(ctx, request)
+		this.output = new OutputTracker(ctx, request, generation)
 		this.admission = new PromptAdmission({
 			guard: ctx.guard,
 			requestId: request.exchange.head.id,
@@ -56,6 +63,7 @@
 		this.ending = new GenerationEnding({
 			request,
 			stream: this.stream,
+			output: this.output,
 			admission: this.admission,
 			cancel: () => {
 				this.cancel()
@@ -76,6 +84,7 @@
 			request,
 			generation,
 			binding: this.stream.binding,
+			getExpectedTokens: () => this.output.expectedTokens,
 			getStartLimits: () => this.startLimits,
 			onFound: target => this.send(target),
 			onNone: refusal => {
@@ -86,6 +95,9 @@
 
 	protected override dispatch(): void {
 		const {ctx, request, stream} = this
+		request.exchange.onRoom = () => {
+			this.handleRoom()
+		}
 		const {resumption} = request.exchange.head
 		if (this.admission.isTurnedAway) {
 			this.ending.turnAway(this)
@@ -116,6 +128,30 @@
 		this.cancel()
 	}
 
+	protected override handleOverflow(): void {
+		if (this.open.wasSent) this.mayHaveRun = true
+		this.ending.fail(buffersFull, this)
+	}
+
+	/** Stops reading the engine while its caller has too much unread. */
+	private pauseIfFull(send: GenerationSend): void {
+		const {ctx, request} = this
+		if (request.exchange.hasRoom || !send.pause()) return
+		ctx.metrics.countReadPause()
+		ctx.log.request("send.paused", request.exchange.head.id, {
+			endpoint: send.target.endpoint.id,
+			lastEvent: this.stream.lastEventId
+		})
+	}
+
+	/** Reads on, or looks for the engine that is to go on, as the caller reads on. */
+	private handleRoom(): void {
+		this.open.current?.resume()
+		const {goOnWithRoom} = this
+		this.goOnWithRoom = undefined
+		goOnWithRoom?.()
+	}
+
 	/** Times that the next event has to meet. */
 	private get startLimits(): StartLimits {
 		const {route, arrivedAt, deadline, exchange} = this.request
@@ -134,6 +170,10 @@
 	/** Returns false if no repeat is left for it. */
 	private send(target: SendTarget): boolean {
 		const {ctx, request} = this
+		if (!this.tryAccess()) {
+			target.link?.notifyEnded(target.key)
+			return false
+		}
 		if (!this.admission.tryAdmit()) {
 			target.link?.notifyEnded(target.key)
 			if (this.admission.isHeld) this.hold(suspectedPrompt)
@@ -159,7 +199,9 @@
 				this.forwardEvent(from, responseHead, event)
 			},
 			onComment: (from, bytes) => {
-				if (from === this.open.current) request.exchange.writeEvent(bytes)
+				if (from !== this.open.current) return
+				request.exchange.writeEvent(bytes)
+				this.pauseIfFull(from)
 			},
 			onProven: from => {
 				this.admission.noteAnswer(from.answeredAt)
@@ -186,7 +228,9 @@
 			this.open.dropStandby()
 		} else this.open.takeOver()
 		this.stream.forward(send.target, responseHead, event)
+		this.output.noteEvent()
 		this.later.noteEvent()
+		this.pauseIfFull(send)
 	}
 
 	/**
@@ -274,7 +318,15 @@
 
 	/** Sends the request again after a failed send, or ends it. */
 	private goOn(detail: string, hasNotRun: boolean, isStandby: boolean): void {
-		if (this.isCancelled || !this.request.exchange.isOpen) return
+		const {exchange} = this.request
+		if (this.isCancelled || !exchange.isOpen) return
+		// Another engine would be cut off as well before its events are read.
+		if (!exchange.hasRoom) {
+			this.goOnWithRoom = () => {
+				this.goOn(detail, hasNotRun, isStandby)
+			}
+			return
+		}
 		if (this.search.isPending) return
 		// The standby send was promoted.
 		if (this.open.current !== undefined && !isStandby) return
@@ -358,6 +410,23 @@
 		})
 	}
 
+	protected override handleDenial(denial: Denial): void {
+		if (this.hasOpenCall) {
+			this.endWithoutSend(denial.reason)
+			return
+		}
+		const mayGoOn =
+			denial.retryAfterMs !== undefined &&
+			this.request.exchange.hasStarted &&
+			this.canResume(0)
+		if (mayGoOn && this.later.trySchedule()) return
+		this.ending.deny(denial, this)
+	}
+
+	protected override get hasOpenCall(): boolean {
+		return this.open.current !== undefined
+	}
+
 	protected override handleDeadline(): void {
 		if (this.open.wasSent) this.mayHaveRun = true
 		this.ending.fail("deadline", this, this.deadlineFields, true)
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/requestTask.ts
@@ -2,8 +2,11 @@
  * Base of the tasks that serve one caller's request each: starts the deadline
  * timer, reacts to the caller's disconnect and counts sends.
  */
+import type {Member, MemberQuota} from "../contract/fleet.js"
 import type {LogFields} from "./callerExchange.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
+import type {Denial} from "./identity/index.js"
+import {QuotaTicket} from "./quotas/index.js"
 
 export abstract class RequestTask {
 	/** Sends to endpoints, including those that the endpoint did not run. */
@@ -12,7 +15,10 @@
 	protected runs = 0
 	mayHaveRun = false
 	protected isCancelled = false
+	/** Whether the request may be sent as far as its Member's quota goes. */
+	private hasBegun = false
 	private readonly timer: NodeJS.Timeout
+	private readonly endAccessWatch: () => void
 
 	constructor(
 		protected readonly ctx: GatewayContext,
@@ -25,21 +31,88 @@
 			},
 			Math.max(1, leftMs)
 		)
-		request.exchange.onDisconnect = () => {
-			this.handleDisconnect()
+		const {exchange} = request
+		exchange.onDisconnect = () => {
+			if (this.hasBegun) this.handleDisconnect()
+			else this.cancel()
 		}
+		exchange.onOverflow = () => {
+			this.handleOverflow()
+		}
+		this.endAccessWatch = ctx.access.watch(() => {
+			this.recheckAccess()
+		})
 	}
 
+	/** Takes the request's share of its Member's quota, if that has one, and begins. */
 	start(): void {
+		const {member} = this.request
+		if (member?.quota === undefined) this.begin()
+		else this.takeQuota(member, member.quota)
+	}
+
+	private begin(): void {
+		this.hasBegun = true
 		this.ctx.retryBudgets.addRequest(this.request.pool)
 		this.dispatch()
 	}
 
+	private takeQuota(member: Member, quota: MemberQuota): void {
+		const {ctx, request} = this
+		const {exchange, deadline, configVersion} = request
+		const {id, statedTokens} = exchange.head
+		const logFields = {member: member.name, sends: this.sends}
+		const ticket = new QuotaTicket({
+			quotas: ctx.quotas,
+			query: {
+				requestId: id,
+				member,
+				quota,
+				version: configVersion,
+				statedTokens,
+				deadline
+			},
+			onTaken: ({usePercent}) => {
+				request.quotaUse = usePercent
+				this.begin()
+			},
+			onOver: retryAfterMs => {
+				if (!this.endUnsent()) return
+				exchange.refuseOverQuota(retryAfterMs, logFields)
+			},
+			onUnavailable: retryAfterMs => {
+				if (!this.endUnsent()) return
+				exchange.refuse("no agent gives quotas", retryAfterMs, logFields)
+			}
+		})
+		request.quotaTicket = ticket
+		ticket.start()
+	}
+
+	/** Ends the request unless its response has ended or begun. */
+	private endUnsent(): boolean {
+		const {exchange} = this.request
+		this.cancel()
+		return exchange.isOpen && !exchange.hasStarted
+	}
+
 	protected abstract dispatch(): void
 
 	/** Called when the request's deadline passes. */
 	protected abstract handleDeadline(): void
 
+	/**
+	 * Called when the request may not be sent. It ends unless a call is open, which
+	 * was permitted when it was sent.
+	 */
+	protected abstract handleDenial(denial: Denial): void
+
+	/** Whether a call to an endpoint is open. */
+	protected abstract get hasOpenCall(): boolean
+
+	/** Called when the request has to end because the process's buffers are full. */
+	protected abstract handleOverflow(): void
+
 	/** Called when the caller disconnects before its response is complete. */
 	protected abstract handleDisconnect(): void
 
@@ -56,6 +129,25 @@
 		return pauses.getEarliestReturn(ids, at) - at
 	}
 
+	/**
+	 * Must be called right before each send. Returns false and handles the denial if
+	 * the request may not be sent.
+	 */
+	protected tryAccess(): boolean {
+		const denial = this.ctx.access.checkSend(this.request)
+		if (denial === undefined) return true
+		this.handleDenial(denial)
+		return false
+	}
+
+	/** Ends a request at once that waits to be sent when its key is removed. */
+	private recheckAccess(): void {
+		if (this.isCancelled || !this.request.exchange.isOpen) return
+		if (this.hasOpenCall) return
+		const denial = this.ctx.access.checkKey(this.request)
+		if (denial !== undefined) this.handleDenial(denial)
+	}
+
 	/** What set the deadline, for the log line of a request that reached it. */
 	protected get deadlineFields(): LogFields {
 		const {deadlineSource, configVersion} = this.request
@@ -70,5 +162,7 @@
 
 	protected clearTimers(): void {
 		clearTimeout(this.timer)
+		this.endAccessWatch()
+		this.request.quotaTicket?.end()
 	}
 }
--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/serviceTask.ts
@@ -7,8 +7,14 @@
  */
 import {type FleetEndpoint, RouteKind} from "../contract/fleet.js"
 import {BodyBuffer} from "./bodyBuffer.js"
+import {
+	buffersFull,
+	type LogFields,
+	overflowRetryAfterMs
+} from "./callerExchange.js"
 import {CallOutcome, EndpointCall} from "./endpointCall.js"
 import {applySignals} from "./endpointSignals.js"
+import {type Denial, respondDenial} from "./identity/index.js"
 import {RequestTask} from "./requestTask.js"
 import {type ResponseHead, isServerError} from "./wire.js"
 
@@ -32,7 +38,8 @@
 	/** When the caller may return for whom no permit was left. */
 	private permitRetryAfterMs: number | undefined
 	/** Last 5xx response; forwarded unless a retry delivers a response. */
-	private errorResponse: {responseHead: ResponseHead; body: Buffer} | undefined
+	private errorResponse:
+		{responseHead: ResponseHead; received: BodyBuffer} | undefined
 
 	protected override dispatch(): void {
 		this.tryNextEndpoint("no endpoint")
@@ -117,6 +124,7 @@
 			this.endWithoutRetry(reason)
 			return
 		}
+		if (!this.tryAccess()) return
 		if (this.sends > 0 && !ctx.retryBudgets.tryRetry(request.pool)) {
 			this.endWithoutRetry(`${reason}; no repeats left`)
 			return
@@ -147,7 +155,9 @@
 		ctx.services.begin(id)
 		const endProbe = ctx.pauses.begin(id)
 		const sentAt = ctx.now()
-		const received = new BodyBuffer()
+		const {buffers} = exchange
+		const received = new BodyBuffer(buffers)
+		buffers.hold()
 		const call: EndpointCall = new EndpointCall({
 			address: endpoint.address,
 			wire: ctx.wire,
@@ -156,10 +166,12 @@
 			headers: ctx.wire.encodeRequest(exchange.head, {
 				endpointId: id,
 				leftMs: request.deadline - sentAt,
-				bodyBytes: body.length
+				bodyBytes: body.length,
+				memberName: ctx.access.describeCaller(request).memberName
 			}),
 			body,
 			handlers: {
+				onConnected: () => request.quotaTicket?.trySend() ?? true,
 				onHead: responseHead => {
 					const requestId = exchange.head.id
 					applySignals(ctx, {endpoint, requestId, sentAt}, responseHead)
@@ -173,13 +185,9 @@
 					const responseHead = call.responseHead
 					endProbe(outcome === CallOutcome.Complete)
 					this.recordResult(id, outcome, responseHead, sentAt)
-					this.handleCallEnd(
-						id,
-						outcome,
-						detail,
-						responseHead,
-						received.toBuffer()
-					)
+					this.handleCallEnd(id, outcome, detail, responseHead, received)
+					if (this.errorResponse?.received !== received) received.take()
+					buffers.release()
 				}
 			}
 		})
@@ -223,6 +231,8 @@
 		const {services, now} = this.ctx
 		const at = now()
 		if (responseHead?.load !== undefined) {
+			const {pace} = responseHead.load
+			if (pace !== undefined) services.setPace(id, pace, at)
 			services.setReportedLoad(
 				id,
 				responseHead.load.running + responseHead.load.waiting,
@@ -245,7 +255,7 @@
 		end: CallOutcome,
 		detail: string,
 		responseHead: ResponseHead | undefined,
-		body: Buffer
+		received: BodyBuffer
 	): void {
 		const {ctx, request} = this
 		const {exchange} = request
@@ -261,7 +271,7 @@
 		if (end === CallOutcome.Complete && responseHead !== undefined) {
 			const isFailure = isServerError(responseHead)
 			if (!isFailure || !mayBeAnswered) {
-				exchange.forwardResponse(responseHead, body, {
+				this.forward(responseHead, received, {
 					endpoint: id,
 					sends: this.sends
 				})
@@ -269,7 +279,8 @@
 				this.cancel()
 				return
 			}
-			this.errorResponse = {responseHead, body}
+			this.errorResponse?.received.take()
+			this.errorResponse = {responseHead, received}
 		}
 		ctx.log.request("send.failed", exchange.head.id, {
 			endpoint: id,
@@ -281,12 +292,21 @@
 		else this.endWithoutRetry(detail)
 	}
 
+	private forward(
+		responseHead: ResponseHead,
+		received: BodyBuffer,
+		logFields: LogFields
+	): void {
+		const {exchange} = this.request
+		exchange.forwardResponse(responseHead, received.take(), logFields)
+	}
+
 	/**
 	 * Ends the request without another retry, unless a call is still open: forwards
 	 * the kept error response, or reports an unknown outcome if the request may have
-	 * run, or else refuses it.
+	 * run, or else responds with `denial` or refuses it.
 	 */
-	private endWithoutRetry(reason: string): void {
+	private endWithoutRetry(reason: string, denial?: Denial): void {
 		const {exchange, route} = this.request
 		if (this.openCalls.size > 0) {
 			this.ctx.log.request("send.kept", exchange.head.id, {detail: reason})
@@ -295,12 +315,10 @@
 		this.clearTimers()
 		const logFields = {sends: this.sends, tried: [...this.tried]}
 		if (this.errorResponse !== undefined) {
-			exchange.forwardResponse(
-				this.errorResponse.responseHead,
-				this.errorResponse.body,
-				logFields
-			)
+			const {responseHead, received} = this.errorResponse
+			this.forward(responseHead, received, logFields)
 		} else if (this.mayHaveRun) exchange.respondUnknown(reason, logFields)
+		else if (denial !== undefined) respondDenial(exchange, denial, logFields)
 		else {
 			const spreadMs =
 				Math.max(minRetryAfterMs, route.objectiveMs) * (1 + this.ctx.random())
@@ -310,6 +328,24 @@
 		}
 	}
 
+	protected override handleDenial(denial: Denial): void {
+		this.endWithoutRetry(denial.reason, denial)
+	}
+
+	protected override get hasOpenCall(): boolean {
+		return this.openCalls.size > 0
+	}
+
+	protected override handleOverflow(): void {
+		const {exchange} = this.request
+		const wasSent =
+			this.mayHaveRun || [...this.openCalls].some(call => call.wasSent)
+		this.cancel()
+		const logFields = {sends: this.sends, tried: [...this.tried]}
+		if (wasSent) exchange.respondUnknown(buffersFull, logFields)
+		else exchange.refuse(buffersFull, overflowRetryAfterMs, logFields)
+	}
+
 	protected override handleDeadline(): void {
 		const {exchange} = this.request
 		const wasSent =
@@ -321,11 +357,8 @@
 			...this.deadlineFields
 		}
 		if (this.errorResponse !== undefined) {
-			exchange.forwardResponse(
-				this.errorResponse.responseHead,
-				this.errorResponse.body,
-				logFields
-			)
+			const {responseHead, received} = this.errorResponse
+			this.forward(responseHead, received, logFields)
 		} else if (wasSent) exchange.respondUnknown("deadline", logFields, true)
 		else exchange.refuse("deadline", minRetryAfterMs, logFields)
 	}
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -19,6 +19,7 @@
 import {GrantPace, LimitSource} from "./grantPace.js"
 import {PrefixCache} from "./prefixCache.js"
 import {PrefillRate} from "./prefillRate.js"
+import {RemainingWork} from "./remainingWork.js"
 import {FirstEventEstimate} from "./firstEventEstimate.js"
 import {OrderSwitch} from "./orderSwitch.js"
 import type {QueueOrder, Refusal} from "./queueOrder.js"
@@ -58,6 +59,7 @@
 	private readonly waiting = new WaitingRequests()
 	private readonly grants = new GrantTable()
 	private readonly pace = new GrantPace()
+	private readonly work = new RemainingWork()
 	private readonly estimate = new FirstEventEstimate({
 		slots: this.slots,
 		prefillRate: this.prefillRate,
@@ -178,6 +180,7 @@
 		const grant = this.grants.endPrefill(key)
 		if (grant === undefined) return []
 		grant.startedAt = now
+		this.work.start(key, now)
 		this.prefillRate.addPrefilled(grant.prefillTokens, now)
 		const {model, adapter, parts} = grant.request
 		this.prefixCache.add(slotKey(model, adapter), parts)
@@ -190,6 +193,7 @@
 		const grant = this.grants.get(key)
 		if (grant?.isPrefillEnded === true) {
 			this.estimate.addSlotHold(now - grant.grantedAt)
+			this.work.end(key, now, true)
 		}
 		this.releaseGrant(key, now)
 		return this.schedule(now)
@@ -205,8 +209,9 @@
 		this.waiting.deleteByOwner(owner)
 		for (const key of this.grants.listKeysOfOwner(owner)) {
 			// No first event will be reported: stop counting the prefill as pending.
-			if (this.grants.endPrefill(key) !== undefined)
-				this.prefillRate.dropGrant(now)
+			const grant = this.grants.endPrefill(key)
+			if (grant !== undefined)
+				this.prefillRate.dropGrant(now, grant.prefillTokens)
 			this.grants.markOrphaned(key, now)
 		}
 		return this.schedule(now)
@@ -287,6 +292,7 @@
 
 	getView(now: number): GrantSchedulerView {
 		const {slots, estimate} = this
+		this.prefillRate.update(now)
 		const readyMs = slots.models.getFirstReadyMs(now)
 		return {
 			isUsable: this.isAvailable && readyMs !== undefined,
@@ -297,7 +303,14 @@
 			tokensPerSecond: this.prefillRate.tokensPerMs * 1000,
 			freeSlots: estimate.countUnclaimedSlots(),
 			slotStepMs: estimate.getSlotStepMs(),
-			running: this.grants.size
+			running: this.grants.size,
+			work: this.work.getView(
+				slots.limits,
+				this.waiting.list(),
+				{running: this.grants.size, reservedTokens: this.grants.memoryTokens},
+				now
+			),
+			lastingTokensPerSecond: this.prefillRate.lastingTokensPerMs * 1000
 		}
 	}
 
@@ -329,7 +342,10 @@
 		if (!this.pace.tryTake(now)) return undefined
 		this.waiting.delete(request.key)
 		this.grants.add(request, prefillTokens, now)
-		this.prefillRate.addGrant(now)
+		this.prefillRate.addGrant(now, prefillTokens)
+		if ((request.expectedOutputTokens ?? 0) > 0)
+			this.prefillRate.followClosely()
+		this.work.add(request)
 		this.order.addGrant(request, now)
 		this.slots.pin(model, adapter, now)
 		return {
@@ -361,8 +377,10 @@
 
 	private releaseGrant(key: string, now: number): void {
 		const grant = this.grants.remove(key)
+		this.work.end(key, now, false)
 		if (grant === undefined) return
-		if (!grant.isPrefillEnded) this.prefillRate.dropGrant(now)
+		if (!grant.isPrefillEnded)
+			this.prefillRate.dropGrant(now, grant.prefillTokens)
 		this.slots.unpin(grant.request.model, grant.request.adapter)
 		this.orders.removeGrant(grant, now)
 	}
@@ -410,6 +428,7 @@
 		this.isLeaving = false
 		this.slots.reset()
 		this.prefillRate.reset()
+		this.work.clear()
 		this.prefixCache.clear()
 		this.grants.clear()
 		this.orders.resetEngine()
