--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -399,8 +399,7 @@
 		deadline: now + ask.deadlineLeftMs,
 		member: ask.member,
 		memberPriority: ask.memberPriority,
-		quotaUse: ask.quotaUse,
-		expectedOutputTokens: ask.expectedOutputTokens
+		quotaUse: ask.quotaUse
 	}
 }
 
--- a/src/policy/grants/types.ts
+++ b/src/policy/grants/types.ts
@@ -25,8 +25,6 @@
 	promptTokens: number
 	/** Tokens that the caller expects to generate; 0 when not stated. */
 	outputTokens: number
-	/** Predicted tokens of the answer; 0 or absent when unknown. */
-	expectedOutputTokens?: number
 	/** 0 is the most urgent. */
 	priority: number
 	/** Latency objective: a first event after this time counts as late. */
