--- a/src/policy/grants/adapterSlots.ts
+++ b/src/policy/grants/adapterSlots.ts
@@ -191,6 +191,18 @@
 		else this.pins.set(key, count - 1)
 	}
 
+	/** Whether a granted request uses the adapter. */
+	isPinned(key: string): boolean {
+		return this.pins.has(key)
+	}
+
+	/** Number of slots whose adapters granted requests use. */
+	countPinned(): number {
+		let count = 0
+		for (const key of this.slots.keys()) if (this.isPinned(key)) count += 1
+		return count
+	}
+
 	listResident(): string[] {
 		return [...this.slots]
 			.filter(([, slot]) => slot.isReady)
@@ -211,14 +223,19 @@
 		return next
 	}
 
-	/** Whether an order is in flight or the engine is executing one. */
-	get hasPendingChange(): boolean {
-		if (this.isBusy || this.orderInFlight !== undefined) return true
+	/** Whether an adapter is being loaded or unloaded. */
+	get isChanging(): boolean {
 		return [...this.slots.values()].some(
 			slot => !slot.isReady || slot.isUnloading
 		)
 	}
 
+	/** Whether an order is in flight or the engine is executing one. */
+	get hasPendingChange(): boolean {
+		if (this.isBusy || this.orderInFlight !== undefined) return true
+		return this.isChanging
+	}
+
 	/**
 	 * The next order to send: first the one whose answer was lost, then a new one.
 	 * Undefined if none is needed, while another order is in flight or the engine is
@@ -345,8 +362,4 @@
 				slotKey(order.model, order.adapter) === key
 		)
 	}
-
-	private isPinned(key: string): boolean {
-		return this.pins.has(key)
-	}
 }
