--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -35,8 +35,7 @@
 	type GrantRequest,
 	GrantScheduler,
 	type GrantDecision,
-	GrantRefusalReason,
-	type RefusedDecision
+	GrantRefusalReason
 } from "../policy/grants/index.js"
 import {StatedLimits} from "../policy/limits/index.js"
 import type {QuotaBounds} from "../policy/quotas/index.js"
@@ -334,8 +333,7 @@
 				reason: decision.reason,
 				expectedMs: Math.round(expectedMs),
 				leftMs: Math.round(request.deadline - this.now()),
-				waiting: this.scheduler.waitingCount,
-				...formatStanding(decision)
+				waiting: this.scheduler.waitingCount
 			})
 			this.links.send(request.owner, {
 				case: "refuse",
@@ -396,28 +394,7 @@
 		priority: ask.priority,
 		objectiveAt: now + ask.objectiveLeftMs,
 		startBy: now + ask.startByLeftMs,
-		deadline: now + ask.deadlineLeftMs,
-		member: ask.member,
-		memberPriority: ask.memberPriority,
-		quotaUse: ask.quotaUse
-	}
-}
-
-/** What the order by shares went by, for the log; nothing while it is not used. */
-function formatStanding({
-	standing,
-	displacedBy,
-	retryAfterMs
-}: RefusedDecision): Record<string, unknown> {
-	if (standing === undefined) return {}
-	const {member, urgency, costMs, leadMs} = standing
-	return {
-		member,
-		priority: urgency,
-		costMs: Math.round(costMs),
-		aheadOfShareMs: Math.round(leadMs),
-		retryAfterMs: Math.round(retryAfterMs),
-		...(displacedBy === undefined ? {} : {displacedBy})
+		deadline: now + ask.deadlineLeftMs
 	}
 }
 
@@ -425,7 +402,6 @@
 	// Gateways of earlier builds fail on a reason that they don't know.
 	if (reason === GrantRefusalReason.Limit) return RefuseReason.OVERLOADED
 	if (reason === GrantRefusalReason.Overloaded) return RefuseReason.OVERLOADED
-	if (reason === GrantRefusalReason.Displaced) return RefuseReason.OVERLOADED
 	if (reason === GrantRefusalReason.Deadline) return RefuseReason.DEADLINE
 	return RefuseReason.UNAVAILABLE
 }
--- a/src/policy/grants/adapterSlots.ts
+++ b/src/policy/grants/adapterSlots.ts
@@ -191,18 +191,6 @@
 		else this.pins.set(key, count - 1)
 	}
 
-	/** Whether a granted request uses the adapter. */
-	isPinned(key: string): boolean {
-		return this.pins.has(key)
-	}
-
-	/** Number of slots whose adapters granted requests use. */
-	countPinned(): number {
-		let count = 0
-		for (const key of this.slots.keys()) if (this.isPinned(key)) count += 1
-		return count
-	}
-
 	listResident(): string[] {
 		return [...this.slots]
 			.filter(([, slot]) => slot.isReady)
@@ -223,17 +211,12 @@
 		return next
 	}
 
-	/** Whether an adapter is being loaded or unloaded. */
-	get isChanging(): boolean {
-		return [...this.slots.values()].some(
-			slot => !slot.isReady || slot.isUnloading
-		)
-	}
-
 	/** Whether an order is in flight or the engine is executing one. */
 	get hasPendingChange(): boolean {
 		if (this.isBusy || this.orderInFlight !== undefined) return true
-		return this.isChanging
+		return [...this.slots.values()].some(
+			slot => !slot.isReady || slot.isUnloading
+		)
 	}
 
 	/**
@@ -362,4 +345,8 @@
 				slotKey(order.model, order.adapter) === key
 		)
 	}
+
+	private isPinned(key: string): boolean {
+		return this.pins.has(key)
+	}
 }
--- a/src/policy/grants/firstEventEstimate.ts
+++ b/src/policy/grants/firstEventEstimate.ts
@@ -40,16 +40,13 @@
 		this.slotHoldMs += slotHoldSampleWeight * (sampleMs - this.slotHoldMs)
 	}
 
-	/** Expected time to the first event of a request that arrives now, behind the
-	 * waiting requests `ahead`. */
-	getFirstEventMs(
-		request: GrantRequest,
-		ahead: readonly GrantRequest[],
-		now: number
-	): number {
-		const {slots, prefillRate, grants, countPrefillTokens} = this.options
+	/** Expected time to the first event of a request that arrives now. */
+	getFirstEventMs(request: GrantRequest, now: number): number {
+		const {slots, prefillRate, grants, waiting, countPrefillTokens} =
+			this.options
 		let aheadTokens = grants.pendingPrefillTokens
-		for (const other of ahead) aheadTokens += countPrefillTokens(other)
+		for (const other of waiting.listAhead(request, now))
+			aheadTokens += countPrefillTokens(other)
 		const prefillMs = prefillRate.getPrefillMs(
 			aheadTokens + countPrefillTokens(request)
 		)
--- a/src/policy/grants/grantScheduler.ts
+++ b/src/policy/grants/grantScheduler.ts
@@ -4,8 +4,7 @@
  * not know of each other's requests.
  *
  * - Admission control: a request whose expected first event is later than its
- *   `startBy` is refused on arrival. A `QueueOrder` decides on this and on the order
- *   of service.
+ *   `startBy` is refused on arrival.
  * - At most `maxPendingPrefillMs` of prefill work is granted ahead; a longer prompt
  *   is granted when no other prefill is pending. In a burst of requests the rest
  *   wait here, where they can still be reordered, and not in the engine.
@@ -14,15 +13,13 @@
  */
 import {slotKey} from "../../contract/fleet.js"
 import {countReservedTokens, GrantTable} from "./grantTable.js"
+import type {AdapterDemand} from "./orderPlan.js"
 import {AdapterSlots} from "./adapterSlots.js"
-import {countUsableSeats, getGrantableTokens} from "./capacity.js"
 import {GrantPace, LimitSource} from "./grantPace.js"
 import {PrefixCache} from "./prefixCache.js"
 import {PrefillRate} from "./prefillRate.js"
 import {RemainingWork} from "./remainingWork.js"
 import {FirstEventEstimate} from "./firstEventEstimate.js"
-import {OrderSwitch} from "./orderSwitch.js"
-import type {QueueOrder, Refusal} from "./queueOrder.js"
 import {
 	type EngineLimits,
 	type EngineOrder,
@@ -47,6 +44,12 @@
 /** Covers more than one prompt, so that the engine does not idle between grants.
  * A higher limit would pin adapter slots for prompts not yet in prefill. */
 const defaultMaxPendingPrefillMs = 150
+/** Seats kept free for requests sent without a grant, as gateways do when they
+ * have lost the agent. */
+const reservedSeats = 2
+/** Fraction of the engine's KV cache that grants may reserve; the rest absorbs
+ * errors of the token estimates. */
+const grantableMemoryFraction = 0.9
 /** Fraction of the engine's KV cache assumed to hold prompts of ended
  * requests. */
 const prefixCacheFraction = 0.6
@@ -56,7 +59,9 @@
 	readonly slots = new AdapterSlots()
 	private readonly prefillRate = new PrefillRate()
 	private readonly prefixCache = new PrefixCache(0)
-	private readonly waiting = new WaitingRequests()
+	private readonly waiting = new WaitingRequests(request =>
+		this.prefillRate.getPrefillMs(this.countPrefillTokens(request))
+	)
 	private readonly grants = new GrantTable()
 	private readonly pace = new GrantPace()
 	private readonly work = new RemainingWork()
@@ -67,8 +72,8 @@
 		waiting: this.waiting,
 		countPrefillTokens: request => this.countPrefillTokens(request)
 	})
-	private readonly orders: OrderSwitch
 	private readonly maxPendingPrefillMs: number
+	private readonly random: () => number
 	/** `bornAt` of the last report; 0 when unknown. */
 	private engineStartedAt = 0
 	/** False until the first report, and while the engine does not answer. */
@@ -81,19 +86,7 @@
 	constructor(options: GrantSchedulerOptions) {
 		this.maxPendingPrefillMs =
 			options.maxPendingPrefillMs ?? defaultMaxPendingPrefillMs
-		this.orders = new OrderSwitch(
-			{
-				slots: this.slots,
-				prefillRate: this.prefillRate,
-				grants: this.grants,
-				waiting: this.waiting,
-				pace: this.pace,
-				countPrefillTokens: request => this.countPrefillTokens(request),
-				getSlotStepMs: () => this.estimate.getSlotStepMs(),
-				random: options.random
-			},
-			this.estimate
-		)
+		this.random = options.random
 	}
 
 	/** Start time that the engine reported last, Unix milliseconds; 0 when unknown. */
@@ -164,22 +157,26 @@
 			return []
 		}
 		if (!this.isAvailable) {
-			const reason = GrantRefusalReason.Unavailable
-			return [this.refuse({request, reason, expectedMs: 0}, now)]
+			return [this.refuse(request, GrantRefusalReason.Unavailable, 0, now)]
+		}
+		const expectedMs = this.estimate.getFirstEventMs(request, now)
+		if (now + expectedMs > request.startBy) {
+			const reason = GrantRefusalReason.Overloaded
+			return [this.refuse(request, reason, expectedMs, now)]
+		}
+		const limitedMs = expectedMs + this.pace.getWaitMs(now, this.waiting.size)
+		if (now + limitedMs > request.startBy) {
+			const reason = GrantRefusalReason.Limit
+			return [this.refuse(request, reason, limitedMs, now)]
 		}
-		this.orders.choose(request, now)
-		const refusals = this.order.admit(request, now)
-		const refused = this.refuseAll(refusals, now)
-		if (refusals.some(refusal => refusal.request === request)) return refused
 		this.waiting.add(request)
-		return [...refused, ...this.schedule(now)]
+		return this.schedule(now)
 	}
 
 	/** Records that a granted request sent its first event: prefill is done. */
 	markStarted(key: string, now: number): GrantDecision[] {
 		const grant = this.grants.endPrefill(key)
 		if (grant === undefined) return []
-		grant.startedAt = now
 		this.work.start(key, now)
 		this.prefillRate.addPrefilled(grant.prefillTokens, now)
 		const {model, adapter, parts} = grant.request
@@ -223,48 +220,37 @@
 	 * `startBy`, and all while the engine is down.
 	 */
 	schedule(now: number): GrantDecision[] {
-		const decisions = this.isAvailable
-			? this.refuseAll(this.order.listHopeless(now), now)
-			: []
+		const decisions: GrantDecision[] = []
 		let queued = 0
-		let isRoomHeld = false
-		for (const request of this.order.rank(now)) {
+		for (const request of this.waiting.rank(now)) {
 			const baseMs = this.slots.models.getReadyMs(request.model, now) ?? 0
 			const neededMs =
 				this.prefillRate.getPrefillMs(this.countPrefillTokens(request)) + baseMs
 			if (!this.isAvailable || now + neededMs > request.startBy) {
+				this.waiting.delete(request.key)
 				const reason = this.isAvailable
 					? GrantRefusalReason.Deadline
 					: GrantRefusalReason.Unavailable
-				const refusal = {request, reason, expectedMs: neededMs}
-				decisions.push(...this.refuseAll([refusal], now))
+				decisions.push(this.refuse(request, reason, neededMs, now))
 				continue
 			}
 			const limitedMs = neededMs + this.pace.getWaitMs(now, queued)
 			if (now + limitedMs > request.startBy) {
+				this.waiting.delete(request.key)
 				const reason = GrantRefusalReason.Limit
-				const refusal = {request, reason, expectedMs: limitedMs}
-				decisions.push(...this.refuseAll([refusal], now))
-				continue
-			}
-			const version: number | undefined = isRoomHeld
-				? undefined
-				: this.getReadyVersion(request, now)
-			const decision =
-				version === undefined ? undefined : this.tryGrant(request, version, now)
-			if (decision !== undefined) {
-				decisions.push(decision)
+				decisions.push(this.refuse(request, reason, limitedMs, now))
 				continue
 			}
-			queued += 1
-			isRoomHeld ||= version !== undefined && this.order.holdsRoom
+			const decision = this.tryGrant(request, now)
+			if (decision === undefined) queued += 1
+			else decisions.push(decision)
 		}
 		return decisions
 	}
 
 	/** Plans the next order; undefined if none is needed or possible now. */
 	planOrder(now: number): EngineOrder | undefined {
-		const demands = this.order.listDemands(now)
+		const demands: AdapterDemand[] = this.waiting.rank(now)
 		return this.slots.planOrder(demands, now, this.untrackedRuns === 0)
 	}
 
@@ -314,28 +300,13 @@
 		}
 	}
 
-	private get order(): QueueOrder {
-		return this.orders.current
-	}
-
-	/** Version of the adapter to grant the request on; undefined while it is not
-	 * resident or the room is reserved for more urgent requests. */
-	private getReadyVersion(
-		request: GrantRequest,
-		now: number
-	): number | undefined {
-		const {model, adapter} = request
-		const version = this.slots.getReadyVersion(model, adapter, now)
-		if (version === undefined) return undefined
-		return this.order.leavesReserve(request, now) ? version : undefined
-	}
-
 	private tryGrant(
 		request: GrantRequest,
-		version: number,
 		now: number
 	): GrantDecision | undefined {
 		const {model, adapter} = request
+		const version = this.slots.getReadyVersion(model, adapter, now)
+		if (version === undefined) return undefined
 		const prefillTokens = this.countPrefillTokens(request)
 		if (!this.hasCapacity(prefillTokens, countReservedTokens(request)))
 			return undefined
@@ -346,7 +317,6 @@
 		if ((request.expectedOutputTokens ?? 0) > 0)
 			this.prefillRate.followClosely()
 		this.work.add(request)
-		this.order.addGrant(request, now)
 		this.slots.pin(model, adapter, now)
 		return {
 			kind: GrantDecisionKind.Grant,
@@ -361,8 +331,8 @@
 	private hasCapacity(prefillTokens: number, reservedTokens: number): boolean {
 		const limits = this.slots.limits
 		if (limits === undefined) return false
-		if (this.grants.size >= countUsableSeats(limits)) return false
-		const grantableTokens = getGrantableTokens(limits)
+		if (this.grants.size >= limits.seats - reservedSeats) return false
+		const grantableTokens = limits.memoryTokens * grantableMemoryFraction
 		const {size, memoryTokens, pendingPrefillTokens} = this.grants
 		// A request that alone exceeds one of these limits is granted while nothing
 		// else counts towards it; otherwise it could never be granted.
@@ -382,28 +352,27 @@
 		if (!grant.isPrefillEnded)
 			this.prefillRate.dropGrant(now, grant.prefillTokens)
 		this.slots.unpin(grant.request.model, grant.request.adapter)
-		this.orders.removeGrant(grant, now)
 	}
 
-	private refuseAll(
-		refusals: readonly Refusal[],
+	private refuse(
+		request: GrantRequest,
+		reason: GrantRefusalReason,
+		expectedMs: number,
 		now: number
-	): GrantDecision[] {
-		for (const {request} of refusals) this.waiting.delete(request.key)
-		return refusals.map(refusal => this.refuse(refusal, now))
-	}
-
-	private refuse(refusal: Refusal, now: number): GrantDecision {
-		const {request, expectedMs} = refusal
+	): GrantDecision {
 		return {
 			kind: GrantDecisionKind.Refuse,
-			...refusal,
-			retryAfterMs: this.getRetryAfterMs(request, expectedMs, now),
-			standing: this.order.describe(request)
+			request,
+			reason,
+			expectedMs,
+			retryAfterMs: this.getRetryAfterMs(request, expectedMs, now)
 		}
 	}
 
-	/** A turn of its own while the engine states a limit, else as the order has it. */
+	/**
+	 * A turn of its own while the engine states a limit, else the excess of the
+	 * expected time over the time left, with jitter against retry bursts.
+	 */
 	private getRetryAfterMs(
 		request: GrantRequest,
 		expectedMs: number,
@@ -415,7 +384,9 @@
 			this.waiting.size
 		)
 		if (returnMs !== undefined) return Math.max(minRetryAfterMs, returnMs)
-		return this.order.getRetryAfterMs(request, expectedMs, now)
+		const affordableMs = request.startBy - now
+		const excessMs = Math.max(minRetryAfterMs, expectedMs - affordableMs)
+		return excessMs * (1 + this.random())
 	}
 
 	private countPrefillTokens(request: GrantRequest): number {
@@ -431,7 +402,6 @@
 		this.work.clear()
 		this.prefixCache.clear()
 		this.grants.clear()
-		this.orders.resetEngine()
 		this.pace.reset()
 	}
 }
--- a/src/policy/grants/grantTable.ts
+++ b/src/policy/grants/grantTable.ts
@@ -4,8 +4,6 @@
 export interface ActiveGrant {
 	request: GrantRequest
 	grantedAt: number
-	/** When its first event was reported. */
-	startedAt?: number
 	/** Prompt tokens that were not in the prefix cache at the time of the grant. */
 	prefillTokens: number
 	/** Whether the prefill no longer counts as pending, see `endPrefill`. */
@@ -79,10 +77,6 @@
 		return grant
 	}
 
-	list(): ActiveGrant[] {
-		return [...this.grants.values()]
-	}
-
 	listKeysOfOwner(owner: string): string[] {
 		return [...this.grants.values()]
 			.filter(({request}) => request.owner === owner)
--- a/src/policy/grants/orderPlan.ts
+++ b/src/policy/grants/orderPlan.ts
@@ -34,9 +34,6 @@
 export interface AdapterDemand {
 	model: string
 	adapter: string
-	/** The smallest is the most urgent. An adapter may be evicted for a more urgent
-	 * demand although a less urgent one waits for it; undefined compares with none. */
-	urgency?: number | undefined
 }
 
 /** State of the engine that a plan depends on. */
@@ -120,8 +117,7 @@
 ): EngineOrder | undefined {
 	const capacity = view.limits?.adapterSlots ?? 0
 	const expectedSequence = view.sequence
-	for (const demand of demands) {
-		const {model, adapter} = demand
+	for (const {model, adapter} of demands) {
 		if (adapter === "" || !view.models.has(model)) continue
 		const key = slotKey(model, adapter)
 		if (view.slots.has(key)) continue
@@ -130,7 +126,7 @@
 			const version = view.newestVersions.get(key)?.version ?? 0
 			return {kind: OrderKind.Load, model, adapter, version, expectedSequence}
 		}
-		const victim = mayEvict ? findVictim(view, demands, demand) : undefined
+		const victim = mayEvict ? findVictim(view, demands) : undefined
 		if (victim === undefined) return undefined
 		return {
 			kind: OrderKind.Unload,
@@ -143,30 +139,13 @@
 	return undefined
 }
 
-/**
- * The least used resident adapter that no request has pinned or waits for; if there
- * is none, one that only less urgent requests wait for.
- */
+/** The least used resident adapter that no request has pinned or waits for. */
 function findVictim(
 	view: PlanView,
-	demands: readonly AdapterDemand[],
-	{urgency}: AdapterDemand
+	demands: readonly AdapterDemand[]
 ): AdapterSlot | undefined {
 	// An unload in progress will free a slot, so no second victim is needed.
 	if ([...view.slots.values()].some(slot => slot.isUnloading)) return undefined
-	const unwanted = findLeastUsed(view, demands)
-	if (unwanted !== undefined || urgency === undefined) return unwanted
-	return findLeastUsed(
-		view,
-		demands.filter(d => d.urgency === undefined || d.urgency <= urgency)
-	)
-}
-
-/** The least used resident adapter that is not pinned and not among the demands. */
-function findLeastUsed(
-	view: PlanView,
-	demands: readonly AdapterDemand[]
-): AdapterSlot | undefined {
 	const wanted = new Set(demands.map(d => slotKey(d.model, d.adapter)))
 	let victim: AdapterSlot | undefined
 	let least = Number.POSITIVE_INFINITY
--- a/src/policy/grants/types.ts
+++ b/src/policy/grants/types.ts
@@ -25,6 +25,8 @@
 	promptTokens: number
 	/** Tokens that the caller expects to generate; 0 when not stated. */
 	outputTokens: number
+	/** Predicted tokens of the answer; 0 or absent when unknown. */
+	expectedOutputTokens?: number
 	/** 0 is the most urgent. */
 	priority: number
 	/** Latency objective: a first event after this time counts as late. */
@@ -33,14 +35,6 @@
 	startBy: number
 	/** Time at which the caller gives up. */
 	deadline: number
-	/** Name of the Member that the request is of; absent or empty for none. */
-	member?: string | undefined
-	/** Takes precedence over `priority`. */
-	memberPriority?: number | undefined
-	/** Recent use of the Member's quota over the fleet, percent; 0 when unknown. */
-	quotaUse?: number | undefined
-	/** Predicted length of the answer; 0 when unknown. */
-	expectedOutputTokens?: number | undefined
 }
 
 export enum GrantRefusalReason {
@@ -51,9 +45,7 @@
 	/** The engine has not reported yet, or does not answer its agent. */
 	Unavailable = "unavailable",
 	/** The limit that the engine states leaves no turn before `startBy`. */
-	Limit = "limit",
-	/** While queued, requests that go first left no room before `startBy`. */
-	Displaced = "displaced"
+	Limit = "limit"
 }
 
 export enum GrantDecisionKind {
@@ -80,21 +72,6 @@
 	 * While queued, only the expected time to load the base model and to prefill.
 	 */
 	expectedMs: number
-	/** What the order by shares went by; absent while no request has a Member. */
-	standing?: RequestStanding | undefined
-	/** Key of the request whose arrival left no room for this one. */
-	displacedBy?: string | undefined
-}
-
-/** Inputs of a request's place in the order by Members' shares. */
-export interface RequestStanding {
-	member: string
-	/** The Member's priority and the route's; the smallest goes first. */
-	urgency: number
-	/** Time for which the request takes the whole of its scarcest resource. */
-	costMs: number
-	/** How far the Member is ahead of its share, by the time that its share takes. */
-	leadMs: number
 }
 
 export type GrantDecision = GrantedDecision | RefusedDecision
--- a/src/policy/grants/waitingRequests.ts
+++ b/src/policy/grants/waitingRequests.ts
@@ -1,10 +1,25 @@
-/** The requests that wait for a grant, in the order of arrival. */
-import {slotKey} from "../../contract/fleet.js"
+/**
+ * The requests that wait for a grant, in the order of service: requests that can
+ * still meet their objective go before those that can't; within each group the
+ * earliest objective goes first, after adding `priorityStepMs` per priority step.
+ * Without the first rule, late requests in a backlog delay the others until every
+ * answer is late.
+ */
 import type {GrantRequest} from "./types.js"
 
+/** Each step below the most urgent priority ranks a request as if its objective
+ * were this much later. */
+const priorityStepMs = 300
+/** Ranks a late request behind every request that can still be on time. */
+const latePenaltyMs = 1e9
+
 export class WaitingRequests {
 	private readonly requests = new Map<string, GrantRequest>()
-	private readonly adapterCounts = new Map<string, number>()
+
+	/** `getPrefillMs` returns the expected prefill time of a request's prompt. */
+	constructor(
+		private readonly getPrefillMs: (request: GrantRequest) => number
+	) {}
 
 	get size(): number {
 		return this.requests.size
@@ -16,36 +31,41 @@
 
 	add(request: GrantRequest): void {
 		this.requests.set(request.key, request)
-		this.countAdapter(request, 1)
 	}
 
 	delete(key: string): void {
-		const request = this.requests.get(key)
-		if (request === undefined) return
 		this.requests.delete(key)
-		this.countAdapter(request, -1)
 	}
 
 	deleteByOwner(owner: string): void {
 		for (const [key, request] of this.requests) {
-			if (request.owner === owner) this.delete(key)
+			if (request.owner === owner) this.requests.delete(key)
 		}
 	}
 
-	/** Whether a request other than the one of `key` waits for the adapter. */
-	isWanted(model: string, adapter: string, key: string): boolean {
-		const count = this.adapterCounts.get(slotKey(model, adapter)) ?? 0
-		return count > (this.requests.has(key) ? 1 : 0)
-	}
-
 	list(): GrantRequest[] {
 		return [...this.requests.values()]
 	}
 
-	private countAdapter({model, adapter}: GrantRequest, by: number): void {
-		const key = slotKey(model, adapter)
-		const count = (this.adapterCounts.get(key) ?? 0) + by
-		if (count === 0) this.adapterCounts.delete(key)
-		else this.adapterCounts.set(key, count)
+	/** All requests in the order of service. */
+	rank(now: number): GrantRequest[] {
+		const ranked = this.list().map(request => ({
+			request,
+			rank: this.getRankMs(request, now)
+		}))
+		ranked.sort((a, b) => a.rank - b.rank)
+		return ranked.map(({request}) => request)
+	}
+
+	/** The waiting requests that would be served before this one. */
+	listAhead(request: GrantRequest, now: number): GrantRequest[] {
+		const rank = this.getRankMs(request, now)
+		return this.list().filter(other => this.getRankMs(other, now) <= rank)
+	}
+
+	private getRankMs(request: GrantRequest, now: number): number {
+		const isLate = now + this.getPrefillMs(request) > request.objectiveAt
+		const rank = request.objectiveAt + request.priority * priorityStepMs
+		return isLate ? rank + latePenaltyMs : rank
 	}
 }
