--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -83,6 +83,8 @@
 	maxBufferedBytes?: number | undefined
 	/** Bytes that may wait for one caller before its engine is not read. */
 	maxStreamBytes?: number | undefined
+	/** Whether engines are chosen by predicted costs; true by default. */
+	predictsCosts?: boolean
 	wire: WireCodec
 	log: DecisionLog
 	tls?: TlsKeys | undefined
@@ -200,7 +202,7 @@
 			links,
 			engines,
 			services: new ServiceChoice(),
-			forecast: new OutputForecast(),
+			forecast: new OutputForecast(options.predictsCosts ?? true),
 			pauses: new EndpointPauses(),
 			limits,
 			permits,
--- a/src/policy/costs/__tests__/outputForecast.test.ts
+++ b/src/policy/costs/__tests__/outputForecast.test.ts
@@ -55,6 +55,22 @@
 }
 
 describe("OutputForecast", () => {
+	// Failure: a deployment whose callers send hints is placed by predictions that
+	// its operators did not ask for.
+	it("predicts nothing where that is not permitted", () => {
+		const forecast = new OutputForecast(false)
+		forecast.enable()
+		const subject = {
+			route: "r",
+			member: "",
+			adapter: "a",
+			lengthHint: 20,
+			maxTokens: 100
+		}
+		expect(forecast.predict(subject)).toBeUndefined()
+		expect(forecast.isEnabled).toBe(false)
+	})
+
 	// Failure: deployments without hints or paces are served in another way.
 	it("predicts nothing until a hint or a pace was seen", () => {
 		const forecast = new OutputForecast()
--- a/src/policy/costs/outputForecast.ts
+++ b/src/policy/costs/outputForecast.ts
@@ -51,20 +51,23 @@
 	}))
 	private enabled = false
 
+	/** Without permission nothing is ever predicted. */
+	constructor(private readonly isPermitted = true) {}
+
 	/** Whether a hint or an endpoint's pace was seen. */
 	get isEnabled(): boolean {
 		return this.enabled
 	}
 
 	enable(): void {
-		this.enabled = true
+		this.enabled = this.isPermitted
 	}
 
 	/** Undefined if nothing is known of such answers. */
 	predict(subject: AnswerSubject): OutputPrediction | undefined {
 		const {lengthHint: hint = 0, maxTokens} = subject
 		const isHinted = hint > 0
-		if (isHinted) this.enabled = true
+		if (isHinted) this.enable()
 		if (!this.enabled) return undefined
 		const record = this.routes.peek(subject.route)
 		const rawTokens = predictRaw(record?.history, subject, hint)
