--- a/src/policy/costs/__tests__/outputForecast.test.ts
+++ b/src/policy/costs/__tests__/outputForecast.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from "vitest"
-import {getRemainingTokens, getRequestCost, OutputForecast} from "../index.js"
+import {getRemainingTokens, OutputForecast} from "../index.js"
 import {
 	type AnswerDrawOptions,
 	createRandom,
@@ -213,17 +213,4 @@
 		expect(left(390)).toBe(10)
 		expect(left(500)).toBe(1)
 	})
-
-	it("costs prefill and decode time, a seat and memory", () => {
-		const cost = getRequestCost(
-			{prefillTokens: 1000, promptTokens: 2000, outputTokens: 100},
-			{tokensPerMs: 20, tokenMs: 10}
-		)
-		expect(cost).toEqual({
-			prefillMs: 50,
-			decodeMs: 1000,
-			seatMs: 1050,
-			memoryTokens: 2100
-		})
-	})
 })
--- a/src/policy/costs/outputForecast.ts
+++ b/src/policy/costs/outputForecast.ts
@@ -10,7 +10,8 @@
  *   what is seen: costs are sums, and the median of a skewed distribution is less
  *   than its mean.
  * - Nothing is predicted until a hint or an endpoint's pace was seen, so that
- *   deployments without them are served as before.
+ *   deployments without them are served as before; and nothing at all where operators
+ *   have not permitted it.
  */
 import {BoundedMap} from "./boundedMap.js"
 import {type AnswerSubject, RouteHistory} from "./routeHistory.js"
