Keep each pool's builds in the store for gateways that start

Callers saw: streams that broke off when all gateways were killed went on with 200 at another build, without a sign in the answer.

Cause: a caller that resumes a stream without naming its origin was refused only where the gateway itself had seen two builds. A gateway that started after the last engine of the old build had left saw one build and let the stream go on there. Callers that name an origin were refused instead, for the longest time of a stream after each start, also where there was never more than one build.

Change: the store holds the builds that may have begun streams, one record a pool, written by the gateways that read the store and read by every gateway when it starts. A stream of unknown origin, named or not, goes on only if one build has been alone for the longest time of a stream or the record names no other, and is bound to that build. A missing record, or one of an era before the store returned from a copy, names an unseen build.

--- a/src/gateway/callerStream.ts
+++ b/src/gateway/callerStream.ts
@@ -8,7 +8,7 @@
 import type {StreamEvent} from "./eventSplitter.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
 import {findBuild, type SendTarget} from "./sendTarget.js"
-import {getStreamSpanMs} from "./streamResumption.js"
+import {getStreamSpanMs} from "./streams/index.js"
 import type {ResponseHead} from "./wire.js"
 
 export class CallerStream {
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -34,7 +34,11 @@
 import {Quotas} from "./quotas/index.js"
 import {PromptGuard} from "./promptGuard.js"
 import {RetryBudgets} from "./retryBudgets.js"
-import {StreamDirectory} from "./streamDirectory.js"
+import {
+	BuildRecorder,
+	type BuildStore,
+	StreamDirectory
+} from "./streams/index.js"
 import type {WireCodec} from "./wire.js"
 
 export interface GatewayTaskOptions {
@@ -61,6 +65,10 @@
 	 * sent to followers.
 	 */
 	isFresh?: () => boolean
+	/** Where the builds of pools are kept; without it those that left are unknown. */
+	buildStore?: BuildStore
+	/** Whether the system serves for the first time; false by default. */
+	isFirstStart?: boolean
 	/** Port at which each agent listens on the host of its engine. */
 	agentPort: number
 	/** Time from SIGTERM until the process is killed, milliseconds. */
@@ -96,6 +104,8 @@
 
 const maintenanceIntervalMs = 250
 const defaultRevokeMs = 5000
+/** Several times the longest time for which a caller resumes a stream. */
+const forgetBuildsAfterMs = 60_000
 
 export class GatewayTask {
 	readonly fleet: FleetState
@@ -103,6 +113,7 @@
 	/** Proof that the configuration is the newest. */
 	readonly freshness: ConfigFreshness
 	private readonly renewal: ProofRenewal
+	private readonly recorder: BuildRecorder
 	readonly callerBuffers: CallerBuffers
 	private readonly ctx: GatewayContext
 	private readonly crashes = new CrashRecords()
@@ -182,7 +193,19 @@
 			gateway: options.host,
 			now
 		})
-		const streams = new StreamDirectory({fleet: this.fleet, links, now})
+		this.recorder = new BuildRecorder({
+			fleet: this.fleet,
+			store: options.buildStore,
+			plan: {
+				forgetAfterMs: forgetBuildsAfterMs,
+				isFirstStart: options.isFirstStart ?? false
+			},
+			isWriter: () => !this.isCovered,
+			log,
+			now
+		})
+		const {fleet, recorder} = this
+		const streams = new StreamDirectory({fleet, links, recorder, now})
 		this.callerBuffers = new CallerBuffers({
 			maxProcessBytes: options.maxBufferedBytes,
 			maxStreamBytes: options.maxStreamBytes,
@@ -290,6 +313,7 @@
 			this.servers.push(await startProbeServer(metricsAddress, {registry}))
 		}
 		this.renewal.start()
+		this.recorder.tick()
 		this.timer = setInterval(() => {
 			this.tick()
 		}, maintenanceIntervalMs)
@@ -311,6 +335,7 @@
 		links.tick()
 		quotas.tick()
 		this.follower.tick()
+		this.recorder.tick()
 		retryBudgets.setGateways(links.gatewayCount)
 		this.fleet.settleRegistrations(now())
 		this.crashes.expire(now())
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -21,7 +21,7 @@
 import {RequestTask} from "./requestTask.js"
 import {SendPair} from "./sendPair.js"
 import type {SendTarget} from "./sendTarget.js"
-import {locateStream} from "./streamResumption.js"
+import {locateStream} from "./streams/index.js"
 import {
 	type ResponseHead,
 	type GenerationHead,
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,4 +1,5 @@
 export * from "./fleetState.js"
 export * from "./gatewayTask.js"
 export * from "./identity/configFreshness.js"
+export * from "./streams/buildStore.js"
 export * from "./wire.js"
--- a/src/gateway/streams/streamDirectory.ts
+++ b/src/gateway/streams/streamDirectory.ts
@@ -7,18 +7,20 @@
 	type OriginAnswer,
 	type StreamOrigin as OriginNotice,
 	StreamOriginSchema
-} from "../contract/gen/grants_pb.js"
+} from "../../contract/gen/grants_pb.js"
 import {
 	BuildHistory,
 	type StreamOrigin,
 	StreamOrigins
-} from "../policy/streams/index.js"
-import type {AgentLinks} from "./agentLinks.js"
-import type {FleetState} from "./fleetState.js"
+} from "../../policy/streams/index.js"
+import type {AgentLinks} from "../agentLinks.js"
+import type {FleetState} from "../fleetState.js"
+import type {BuildRecorder} from "./buildRecorder.js"
 
 export interface StreamDirectoryOptions {
 	fleet: FleetState
 	links: AgentLinks
+	recorder: BuildRecorder
 	/** Monotonic milliseconds. */
 	now: () => number
 }
@@ -64,9 +66,9 @@
 		const {now} = this.options
 		const spanMs = origin.expiresAt - now()
 		this.origins.add(origin, now())
-		if (!this.isSettled(origin.pool, spanMs, true)) {
+		const {pool} = origin
+		if (this.findSettled(pool, spanMs) === undefined)
 			this.announce([origin], engineId)
-		}
 	}
 
 	/** The message that tells an agent of a stream. */
@@ -77,12 +79,18 @@
 	}
 
 	/**
-	 * Whether all streams of the last `spanMs` began at the build that the pool has
-	 * now. `countsUnseen` as in `SettledQuery`.
+	 * The build at which all streams of the last `spanMs` began: the pool's only one
+	 * for as long, or the only one of which the platform's record knows. Undefined if
+	 * there may have been another.
 	 */
-	isSettled(pool: string, spanMs: number, countsUnseen: boolean): boolean {
-		const now = this.options.now()
-		return this.builds.isSettled(pool, {now, spanMs, countsUnseen})
+	findSettled(pool: string, spanMs: number): string | undefined {
+		const {recorder, now} = this.options
+		const sole = this.builds.findSole(pool)
+		if (sole === undefined) return undefined
+		if (this.builds.isSettled(pool, {now: now(), spanMs})) return sole
+		const isRecorded =
+			!this.builds.hasChanged(pool) && recorder.isSole(pool, sole)
+		return isRecorded ? sole : undefined
 	}
 
 	/**
--- a/src/gateway/streams/streamResumption.ts
+++ b/src/gateway/streams/streamResumption.ts
@@ -1,7 +1,7 @@
 /** Decides where the stream that a caller resumes may go on, or that it may not. */
-import type {StreamBinding, StreamOrigin} from "../policy/streams/index.js"
-import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
-import type {Resumption} from "./wire.js"
+import type {StreamBinding, StreamOrigin} from "../../policy/streams/index.js"
+import type {GatewayContext, RoutedRequest} from "../gatewayContext.js"
+import type {Resumption} from "../wire.js"
 
 export interface StreamResumptionOptions {
 	ctx: GatewayContext
@@ -31,7 +31,7 @@
 			waitedMs: Math.round(ctx.now() - askedAt)
 		})
 		const reason =
-			origin === undefined ? checkUnknown(options) : bind(options, origin)
+			origin === undefined ? bindUnknown(options) : bind(options, origin)
 		if (reason === undefined) options.onPermitted()
 		else options.onRefused(reason)
 	}
@@ -40,20 +40,19 @@
 }
 
 /**
- * Returns why a stream of unknown origin can't go on. Callers that don't state the
- * origin at all are unaware of builds, and are refused only if this gateway has
- * seen more than one.
+ * Binds a request of unknown origin to the only build that can have begun its
+ * stream. Returns why the stream can't go on if there may have been another.
  */
-function checkUnknown({
+function bindUnknown({
 	ctx,
 	request,
-	resumption
+	binding
 }: StreamResumptionOptions): string | undefined {
-	const countsUnseen = resumption.originId !== ""
 	const spanMs = getStreamSpanMs(request)
-	return ctx.streams.isSettled(request.pool, spanMs, countsUnseen)
-		? undefined
-		: "unknown origin of the stream"
+	const build = ctx.streams.findSettled(request.pool, spanMs)
+	if (build === undefined) return "unknown origin of the stream"
+	binding.bind(build)
+	return undefined
 }
 
 /**
--- a/src/policy/streams/__tests__/buildHistory.test.ts
+++ b/src/policy/streams/__tests__/buildHistory.test.ts
@@ -3,12 +3,8 @@
 
 const spanMs = 100
 
-function isSettled(
-	history: BuildHistory,
-	now: number,
-	countsUnseen = true
-): boolean {
-	return history.isSettled("p", {now, spanMs, countsUnseen})
+function isSettled(history: BuildHistory, now: number): boolean {
+	return history.isSettled("p", {now, spanMs})
 }
 
 describe("the builds of a pool", () => {
@@ -24,14 +20,17 @@
 		expect(isSettled(history, 1100)).toBe(true)
 	})
 
-	it("are settled at once if builds that nobody saw here don't count", () => {
+	it("tell whether this process has seen several", () => {
 		const history = new BuildHistory()
-		expect(isSettled(history, 0, false)).toBe(false)
+		expect(history.hasChanged("p")).toBe(false)
+		expect(history.findSole("p")).toBeUndefined()
 		history.update("p", new Set(["v1"]), 0)
-		expect(isSettled(history, 0, false)).toBe(true)
+		expect(history.hasChanged("p")).toBe(false)
+		expect(history.findSole("p")).toBe("v1")
 		history.update("p", new Set(["v2"]), 10)
-		expect(isSettled(history, 20, false)).toBe(false)
-		expect(isSettled(history, 110, false)).toBe(true)
+		expect(history.hasChanged("p")).toBe(true)
+		expect(isSettled(history, 20)).toBe(false)
+		expect(isSettled(history, 110)).toBe(true)
 	})
 
 	it("are not settled by a moment without endpoints", () => {
--- a/src/policy/streams/buildHistory.ts
+++ b/src/policy/streams/buildHistory.ts
@@ -16,10 +16,6 @@
 	now: number
 	/** How long before now a stream may have begun. */
 	spanMs: number
-	/**
-	 * Whether a build that left before this process first saw the pool counts, too.
-	 */
-	countsUnseen: boolean
 }
 
 export class BuildHistory {
@@ -40,11 +36,20 @@
 		return soleBuild === undefined
 	}
 
+	/** The build of all endpoints of a pool; undefined while there are several. */
+	findSole(pool: string): string | undefined {
+		return this.pools.get(pool)?.soleBuild
+	}
+
+	/** Whether this process has seen endpoints of several builds in a pool. */
+	hasChanged(pool: string): boolean {
+		return this.pools.get(pool)?.hasChanged ?? false
+	}
+
 	/** Whether all streams that began in the span can only be of the build now. */
-	isSettled(pool: string, query: SettledQuery): boolean {
+	isSettled(pool: string, {now, spanMs}: SettledQuery): boolean {
 		const builds = this.pools.get(pool)
 		if (builds?.soleBuild === undefined) return false
-		if (!builds.hasChanged && !query.countsUnseen) return true
-		return query.now - builds.soleSince >= query.spanMs
+		return now - builds.soleSince >= spanMs
 	}
 }
--- a/src/policy/streams/index.ts
+++ b/src/policy/streams/index.ts
@@ -1,3 +1,4 @@
 export * from "./buildHistory.js"
+export * from "./buildRecord.js"
 export * from "./streamBinding.js"
 export * from "./streamOrigins.js"
