Take the build of an engine without a grant as unknown

Cause, shown by a test and suspected for the soak: a send without a grant goes by the registration, which may be that of an earlier start. An engine that restarted under its id with another build went on with a stream of the old one, or began a stream whose origin was recorded as the old build.

Change: without a grant, the build counts as known only where no other build can have begun a stream. Streams that are bound to a build pass over other engines without a grant, and streams that begin there have no known origin.

--- a/src/gateway/callerStream.ts
+++ b/src/gateway/callerStream.ts
@@ -59,7 +59,7 @@
 
 	/** Tells the agent of `target` where the stream began, if that is known. */
 	createNotice(target: SendTarget): OriginNotice | undefined {
-		const build = findBuild(this.ctx.fleet, target)
+		const build = findBuild(this.ctx, target, getStreamSpanMs(this.request))
 		if (build === undefined) return undefined
 		return this.ctx.streams.createNotice(this.createOrigin(build))
 	}
@@ -69,7 +69,7 @@
 		const {ctx, binding, request} = this
 		const {hasStarted} = request.exchange
 		if (binding.isKnown && hasStarted) return
-		const build = findBuild(ctx.fleet, target)
+		const build = findBuild(ctx, target, getStreamSpanMs(request))
 		binding.bind(build)
 		if (build === undefined) return
 		const origin = this.createOrigin(build)
--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/engineSearch.ts
@@ -14,6 +14,7 @@
 import type {LogFields} from "./callerExchange.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
 import {findBuild, type SendTarget} from "./sendTarget.js"
+import {getStreamSpanMs} from "./streams/index.js"
 import type {GenerationHead} from "./wire.js"
 
 export interface EngineSearchOptions {
@@ -124,7 +125,7 @@
 			.listReady(request.pool)
 			.filter(
 				endpoint =>
-					binding.permits(endpoint.build) &&
+					binding.permits(this.findBuild(endpoint)) &&
 					!this.refusingEngines.has(endpoint.id) &&
 					!this.usedEngines.has(endpoint.id) &&
 					ctx.pauses.isOpen(endpoint.id, ctx.now()) &&
@@ -137,6 +138,14 @@
 		return ctx.engines.choose(this.query, candidates, ctx.now())
 	}
 
+	/** Build of an engine that may be chosen, as far as it is known. */
+	private findBuild(endpoint: FleetEndpoint): string | undefined {
+		const {ctx, request} = this.options
+		const {id, bornAt} = endpoint
+		const link = ctx.engines.isLinked(id) ? ctx.links.get(id) : undefined
+		return findBuild(ctx, {endpoint, link, bornAt}, getStreamSpanMs(request))
+	}
+
 	/**
 	 * Whether the engine may only be sent what its agent grants, and the agent is not
 	 * connected: it states a limit, which others may be using up.
@@ -239,7 +248,8 @@
 		const {ctx, binding, onFound} = this.options
 		const {endpoint, link, key} = target
 		const isOpen = ctx.pauses.isOpen(endpoint.id, ctx.now())
-		const isPermitted = binding.permits(findBuild(ctx.fleet, target))
+		const spanMs = getStreamSpanMs(this.options.request)
+		const isPermitted = binding.permits(findBuild(ctx, target, spanMs))
 		if (isOpen && isPermitted && ctx.fleet.isReady(endpoint)) {
 			this.exclude(endpoint.id, onFound(target))
 			return
--- a/src/gateway/sendTarget.ts
+++ b/src/gateway/sendTarget.ts
@@ -1,7 +1,7 @@
 /** The engine that was chosen for one send of a generation request. */
 import type {FleetEndpoint} from "../contract/fleet.js"
 import type {AgentLink} from "./agentLink.js"
-import type {FleetState} from "./fleetState.js"
+import type {GatewayContext} from "./gatewayContext.js"
 
 /**
  * Engine and adapter version of a send: those of an agent's grant or, while the
@@ -29,14 +29,20 @@
 
 /**
  * Build of the engine; undefined while the registration is that of another start,
- * which may have had another build.
+ * which may have had another build. Without a grant, only the registration tells the
+ * start, and it may be outdated: then the build counts as known if no other build can
+ * have begun a stream of the last `spanMs`.
  */
 export function findBuild(
-	fleet: FleetState,
-	{endpoint, bornAt}: SendTarget
+	{fleet, streams}: Pick<GatewayContext, "fleet" | "streams">,
+	{endpoint, link, bornAt}: Pick<SendTarget, "endpoint" | "link" | "bornAt">,
+	spanMs: number
 ): string | undefined {
 	const registered = fleet.getEndpoint(endpoint.id) ?? endpoint
+	const {pool, build} = registered
+	if (link === undefined && streams.findSettled(pool, spanMs) !== build)
+		return undefined
 	const isSameStart =
 		bornAt === 0 || registered.bornAt === 0 || registered.bornAt === bornAt
-	return isSameStart ? registered.build : undefined
+	return isSameStart ? build : undefined
 }
