Keep a pause that was stated again while probes were on their way

Endpoints that turned work away with a Retry-After saw requests of the same gateway during the pause.

Cause: after a pause the gateway permits twice as many requests with each success, and forgets the pause after five. When an endpoint paused again while eight requests were on their way, the successes of those ended the new pause.

Change: only successes of requests that began since the last statement count.

Evidence: the new test fails before (the endpoint is open 1 ms before the end of its second pause) and passes now.

--- a/src/policy/dispatch/__tests__/endpointPauses.test.ts
+++ b/src/policy/dispatch/__tests__/endpointPauses.test.ts
@@ -28,6 +28,20 @@
 		expect(pauses.isOpen("a", 200)).toBe(true)
 	})
 
+	it("isn't ended by requests that were on their way when it was stated again", () => {
+		const pauses = new EndpointPauses()
+		pauses.pause("a", 100, 0)
+		for (const count of [1, 2, 4])
+			for (let n = 0; n < count; n++) pauses.begin("a")(n === 0)
+		const running = Array.from({length: 8}, () => pauses.begin("a"))
+		pauses.pause("a", 500, 200)
+		for (const end of running) end(true)
+		expect(pauses.isOpen("a", 499)).toBe(false)
+		expect(pauses.isOpen("a", 500)).toBe(true)
+		pauses.begin("a")
+		expect(pauses.isOpen("a", 500)).toBe(false)
+	})
+
 	it("stays at one request while probes fail", () => {
 		const pauses = new EndpointPauses()
 		pauses.pause("a", 100, 0)
--- a/src/policy/dispatch/endpointPauses.ts
+++ b/src/policy/dispatch/endpointPauses.ts
@@ -15,6 +15,8 @@
 	/** Requests at a time that are permitted after `until`. */
 	limit: number
 	inFlight: number
+	/** Number of the last statement; successes of earlier requests prove nothing. */
+	statement: number
 }
 
 export class EndpointPauses {
@@ -27,7 +29,8 @@
 		this.pauses.set(id, {
 			until: Math.max(bounded, known?.until ?? 0),
 			limit: 1,
-			inFlight: known?.inFlight ?? 0
+			inFlight: known?.inFlight ?? 0,
+			statement: (known?.statement ?? 0) + 1
 		})
 	}
 
@@ -43,8 +46,9 @@
 		const pause = this.pauses.get(id)
 		if (pause === undefined) return () => undefined
 		pause.inFlight += 1
+		const {statement} = pause
 		return isSuccess => {
-			this.end(id, isSuccess)
+			this.end(id, isSuccess, statement)
 		}
 	}
 
@@ -60,11 +64,11 @@
 		}
 	}
 
-	private end(id: string, isSuccess: boolean): void {
+	private end(id: string, isSuccess: boolean, statement: number): void {
 		const pause = this.pauses.get(id)
 		if (pause === undefined) return
 		pause.inFlight = Math.max(0, pause.inFlight - 1)
-		if (!isSuccess) return
+		if (!isSuccess || pause.statement !== statement) return
 		pause.limit *= 2
 		if (pause.limit > recoveredLimit) this.pauses.delete(id)
 	}
