--- a/bench/deployment/childProcess.ts
+++ b/bench/deployment/childProcess.ts
@@ -1,7 +1,7 @@
 /** One child process of a bench or test, controlled by its pid. */
 import {type ChildProcess as NodeChild, spawn} from "node:child_process"
 import {once} from "node:events"
-import {readFileSync} from "node:fs"
+import {closeSync, openSync, readFileSync} from "node:fs"
 
 export interface ChildOptions {
 	name: string
@@ -9,6 +9,8 @@
 	program: string
 	args?: string[]
 	env?: Record<string, string>
+	/** File to which all starts append their standard output; dropped by default. */
+	logPath?: string | undefined
 }
 
 /** How a process ended: `signal` is null when it exited by itself. */
@@ -55,18 +57,20 @@
 
 	start(): void {
 		if (this.isRunning) throw new Error(`${this.name} is running already`)
-		const {program, args = [], env = {}} = this.options
+		const {program, args = [], env = {}, logPath} = this.options
+		const log = logPath === undefined ? undefined : openSync(logPath, "a")
 		const child = spawn(process.execPath, [program, ...args], {
 			env: {...process.env, ...env},
-			stdio: ["ignore", "ignore", "pipe"]
+			stdio: ["ignore", log ?? "ignore", "pipe"]
 		})
+		if (log !== undefined) closeSync(log)
 		this.child = child
 		this.exit = once(child, "exit").then(([code, signal]) => ({
 			code: code as number | null,
 			signal: signal as NodeJS.Signals | null
 		}))
-		child.stderr.setEncoding("utf8")
-		child.stderr.on("data", (text: string) => {
+		child.stderr?.setEncoding("utf8")
+		child.stderr?.on("data", (text: string) => {
 			this.text = (this.text + text).slice(-maxStderrChars)
 		})
 		running.add(this)
--- a/bench/soak/deployment.ts
+++ b/bench/soak/deployment.ts
@@ -67,17 +67,20 @@
 		private readonly block: number,
 		private readonly random: () => number,
 		/** Undefined if the configuration has no Members. */
-		readonly members: SoakMembers | undefined
+		readonly members: SoakMembers | undefined,
+		/** Folder for the logs of the processes; they are dropped without it. */
+		private readonly logDir: string | undefined
 	) {}
 
 	static async start(
 		sizes: SoakSizes,
 		block: number,
 		random: () => number,
-		members?: SoakMembers
+		members?: SoakMembers,
+		logDir?: string
 	): Promise<SoakDeployment> {
 		const store = await FleetStore.start(`127.${block}.9.1`)
-		const deployment = new SoakDeployment(store, block, random, members)
+		const deployment = new SoakDeployment(store, block, random, members, logDir)
 		deployment.applyConfig()
 		for (let n = 1; n <= sizes.engines; n++) {
 			await deployment.addSite(`engine${n}`, "writers", n)
@@ -324,7 +327,9 @@
 		return new ChildProcess({
 			name,
 			program: `dist/platform/bin/${program}.js`,
-			env: {GOLDCRESTLOOM_CONFIG: path}
+			env: {GOLDCRESTLOOM_CONFIG: path},
+			logPath:
+				this.logDir === undefined ? undefined : join(this.logDir, `${name}.log`)
 		})
 	}
 }
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -1,4 +1,6 @@
 /** `npm run soak -- --seed N --minutes M`: faults against the real programs. */
+import {mkdirSync} from "node:fs"
+import {join} from "node:path"
 import {cac} from "cac"
 import {exitOnSignal} from "../deployment/childProcess.js"
 import {FaultSet} from "./faults.js"
@@ -16,17 +18,27 @@
 cli.option("--faults <set>", Object.values(FaultSet).join(", "), {
 	default: FaultSet.Prompts
 })
+cli.option("--logs <dir>", "folder for the logs of the processes, one a seed")
 cli.option("--verbose", "print each fault as it begins")
 cli.help()
 const {options} = cli.parse()
 
 const msPerMinute = 60_000
 
+function createLogDir(seed: number): string | undefined {
+	if (options.logs === undefined) return undefined
+	const dir = join(String(options.logs), String(seed))
+	mkdirSync(dir, {recursive: true})
+	return dir
+}
+
 async function main(): Promise<void> {
 	let failed = 0
 	for (let n = 0; n < Number(options.seeds); n++) {
+		const seed = Number(options.seed) + n
 		const report = await runSoak({
-			seed: Number(options.seed) + n,
+			seed,
+			logDir: createLogDir(seed),
 			durationMs: Number(options.minutes) * msPerMinute,
 			sizes: {
 				gateways: Number(options.gateways),
@@ -40,7 +52,7 @@
 				if (options.verbose === true) console.log(`  ${text}`)
 			}
 		})
-		const {seed, faults, calls, answered, recovered, breaches} = report
+		const {faults, calls, answered, recovered, breaches} = report
 		console.log(
 			`seed ${seed}: ${faults.length} faults, ${calls} calls, ${answered} answered, ${recovered.toFixed(2)} after recovery, ${breaches.length} breaches`
 		)
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -17,6 +17,8 @@
 	faults?: FaultSet
 	/** Second number of the loopback addresses, one for each soak at a time. */
 	block?: number
+	/** Folder for the logs of the processes; they are dropped without it. */
+	logDir?: string | undefined
 	onProgress?: (text: string) => void
 }
 
@@ -50,7 +52,13 @@
 	const block = options.block ?? defaultBlock
 	const members =
 		options.faults === FaultSet.Members ? new SoakMembers() : undefined
-	const deployment = await SoakDeployment.start(sizes, block, workers, members)
+	const deployment = await SoakDeployment.start(
+		sizes,
+		block,
+		workers,
+		members,
+		options.logDir
+	)
 	const callers = new Callers(deployment, draws)
 	try {
 		await sleep(startupMs)
