Attribute what an engine states to the engine that a grant names

Cause: after the store returned from a copy, registrations of earlier starts of an engine are listed again, under other ids and at the same address. Its agent grants for each of them and names the engine that runs now, but the gateway kept pauses, probes and leaving under the id of the registration that it had chosen.

Change: pauses, probes, leaving and limits belong to the engine that the grant names; a grant is passed over while that engine pauses or is not ready; its build is that of its own registration. A pause outlives a registration that is missing.

Ruled out: answers lost on a cut link, by a trial that recorded them.

--- a/src/gateway/endpointSignals.ts
+++ b/src/gateway/endpointSignals.ts
@@ -9,7 +9,8 @@
 import type {ResponseHead} from "./wire.js"
 
 export interface SignalSource {
-	endpoint: FleetEndpoint
+	/** The endpoint that answers, whichever registration it was chosen by. */
+	endpoint: Pick<FleetEndpoint, "id" | "bornAt">
 	requestId: string
 	/** Time at which the request was sent. */
 	sentAt: number
--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/engineSearch.ts
@@ -13,7 +13,7 @@
 import type {AgentLink, AgentRefusal} from "./agentLink.js"
 import type {LogFields} from "./callerExchange.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
-import {findBuild, type SendTarget} from "./sendTarget.js"
+import {findBuild, findRegistration, type SendTarget} from "./sendTarget.js"
 import {getStreamSpanMs} from "./streams/index.js"
 import type {GenerationHead} from "./wire.js"
 
@@ -143,7 +143,8 @@
 		const {ctx, request} = this.options
 		const {id, bornAt} = endpoint
 		const link = ctx.engines.isLinked(id) ? ctx.links.get(id) : undefined
-		return findBuild(ctx, {endpoint, link, bornAt}, getStreamSpanMs(request))
+		const target = {endpoint, engineId: id, link, bornAt}
+		return findBuild(ctx, target, getStreamSpanMs(request))
 	}
 
 	/**
@@ -246,11 +247,15 @@
 
 	private useGrant(target: SendTarget): void {
 		const {ctx, binding, onFound} = this.options
-		const {endpoint, link, key} = target
-		const isOpen = ctx.pauses.isOpen(endpoint.id, ctx.now())
+		const {endpoint, engineId, link, key} = target
+		const isOpen = ctx.pauses.isOpen(engineId, ctx.now())
 		const spanMs = getStreamSpanMs(this.options.request)
 		const isPermitted = binding.permits(findBuild(ctx, target, spanMs))
-		if (isOpen && isPermitted && ctx.fleet.isReady(endpoint)) {
+		const registered = findRegistration(ctx.fleet, target)
+		const isReady =
+			ctx.fleet.isReady(endpoint) &&
+			(registered === undefined || ctx.fleet.isReady(registered))
+		if (isOpen && isPermitted && isReady) {
 			this.exclude(endpoint.id, onFound(target))
 			return
 		}
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -251,7 +251,7 @@
 			onEndpoints: () => {
 				const ids = new Set(this.fleet.listEndpoints().map(({id}) => id))
 				this.ctx.services.retain(ids)
-				this.ctx.pauses.retain(ids)
+				this.ctx.pauses.retain(ids, now())
 				this.ctx.limits.retain(ids)
 				permits.retain(ids)
 			}
--- a/src/gateway/generationSend.ts
+++ b/src/gateway/generationSend.ts
@@ -10,7 +10,7 @@
 import {applySignals} from "./endpointSignals.js"
 import {EventSplitter, type StreamEvent} from "./eventSplitter.js"
 import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
-import type {SendTarget} from "./sendTarget.js"
+import {identifyEngine, type SendTarget} from "./sendTarget.js"
 import type {ResponseHead} from "./wire.js"
 
 export interface GenerationSendOptions {
@@ -100,7 +100,7 @@
 					applySignals(
 						ctx,
 						{
-							endpoint: target.endpoint,
+							endpoint: identifyEngine(target),
 							requestId: exchange.head.id,
 							sentAt: this.sentAt
 						},
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/generationTask.ts
@@ -187,7 +187,7 @@
 		}
 		this.sends += 1
 		ctx.engines.begin(target.endpoint.id)
-		const endProbe = ctx.pauses.begin(target.endpoint.id)
+		const endProbe = ctx.pauses.begin(target.engineId)
 		const send = new GenerationSend({
 			ctx,
 			request,
--- a/src/gateway/sendTarget.ts
+++ b/src/gateway/sendTarget.ts
@@ -1,6 +1,7 @@
 /** The engine that was chosen for one send of a generation request. */
 import type {FleetEndpoint} from "../contract/fleet.js"
 import type {AgentLink} from "./agentLink.js"
+import type {FleetState} from "./fleetState.js"
 import type {GatewayContext} from "./gatewayContext.js"
 
 /**
@@ -14,6 +15,10 @@
 	link: AgentLink | undefined
 	/** Key of the grant; empty without an agent. */
 	key: string
+	/**
+	 * Id of the engine that receives the request. It differs from that of `endpoint`
+	 * if the engine restarted under another id since it was registered.
+	 */
 	engineId: string
 	/** Start time of the engine that was chosen; 0 when unknown. */
 	bornAt: number
@@ -27,6 +32,24 @@
 	ratedMs: number
 }
 
+/** The engine that answers, whichever registration it was chosen by. */
+export function identifyEngine({
+	endpoint,
+	engineId,
+	bornAt
+}: SendTarget): Pick<FleetEndpoint, "id" | "bornAt"> {
+	return engineId === endpoint.id ? endpoint : {id: engineId, bornAt}
+}
+
+/** Registration of the engine that receives the request, if it is known. */
+export function findRegistration(
+	fleet: FleetState,
+	{endpoint, engineId}: Pick<SendTarget, "endpoint" | "engineId">
+): FleetEndpoint | undefined {
+	const registered = fleet.getEndpoint(engineId)
+	return engineId === endpoint.id ? (registered ?? endpoint) : registered
+}
+
 /**
  * Build of the engine; undefined while the registration is that of another start,
  * which may have had another build. Without a grant, only the registration tells the
@@ -35,11 +58,13 @@
  */
 export function findBuild(
 	{fleet, streams}: Pick<GatewayContext, "fleet" | "streams">,
-	{endpoint, link, bornAt}: Pick<SendTarget, "endpoint" | "link" | "bornAt">,
+	target: Pick<SendTarget, "endpoint" | "engineId" | "link" | "bornAt">,
 	spanMs: number
 ): string | undefined {
-	const registered = fleet.getEndpoint(endpoint.id) ?? endpoint
+	const registered = findRegistration(fleet, target)
+	if (registered === undefined) return undefined
 	const {pool, build} = registered
+	const {link, bornAt} = target
 	if (link === undefined && streams.findSettled(pool, spanMs) !== build)
 		return undefined
 	const isSameStart =
--- a/src/policy/dispatch/endpointPauses.ts
+++ b/src/policy/dispatch/endpointPauses.ts
@@ -58,9 +58,10 @@
 		return Math.max(now, Math.min(...times))
 	}
 
-	retain(ids: ReadonlySet<string>): void {
-		for (const id of this.pauses.keys()) {
-			if (!ids.has(id)) this.pauses.delete(id)
+	/** Forgets other endpoints than these, also unregistered ones once they may return. */
+	retain(ids: ReadonlySet<string>, now: number): void {
+		for (const [id, {until}] of this.pauses) {
+			if (!ids.has(id) && now >= until) this.pauses.delete(id)
 		}
 	}
 
