Group the files of the gateway by what they serve

Files move to callers, sends, links, fleet, prompts and streams, their tests with them; nothing but paths of imports changes.

--- a/src/gateway/__tests__/callerOutput.test.ts
+++ b/src/gateway/callers/__tests__/callerOutput.test.ts
@@ -3,7 +3,7 @@
 import {describe, expect, it} from "vitest"
 import {CallerBuffers} from "../callerBuffers.js"
 import {CallerOutput} from "../callerOutput.js"
-import {GatewayMetrics} from "../gatewayMetrics.js"
+import {GatewayMetrics} from "../../gatewayMetrics.js"
 
 /** A response whose writes end when the test says so. */
 class ScriptedResponse extends EventEmitter {
--- a/src/gateway/bodyBuffer.ts
+++ b/src/gateway/callers/bodyBuffer.ts
@@ -3,7 +3,7 @@
  * that sends without end can't use up the memory of the gateway.
  */
 
-import {BufferPart} from "../policy/buffers/index.js"
+import {BufferPart} from "../../policy/buffers/index.js"
 import type {RequestBuffers} from "./callerBuffers.js"
 
 /** Longest body or event that an endpoint may send: the default limit on requests. */
--- a/src/gateway/callerBuffers.ts
+++ b/src/gateway/callers/callerBuffers.ts
@@ -7,8 +7,8 @@
 	BufferLedger,
 	type BufferOverflow,
 	BufferPart
-} from "../policy/buffers/index.js"
-import type {GatewayMetrics} from "./gatewayMetrics.js"
+} from "../../policy/buffers/index.js"
+import type {GatewayMetrics} from "../gatewayMetrics.js"
 
 export interface CallerBuffersOptions {
 	/** Bytes held for all callers together. */
--- a/src/gateway/callerExchange.ts
+++ b/src/gateway/callers/callerExchange.ts
@@ -3,17 +3,17 @@
  * the request's end and counts its outcome exactly once.
  */
 import type {IncomingMessage, ServerResponse} from "node:http"
-import {type BufferOverflow, BufferPart} from "../policy/buffers/index.js"
-import type {DecisionLog} from "../program/decisionLog.js"
+import {type BufferOverflow, BufferPart} from "../../policy/buffers/index.js"
+import type {DecisionLog} from "../../program/decisionLog.js"
 import type {CallerBuffers, RequestBuffers} from "./callerBuffers.js"
 import {CallerOutput} from "./callerOutput.js"
-import {type GatewayMetrics, RequestOutcome} from "./gatewayMetrics.js"
+import {type GatewayMetrics, RequestOutcome} from "../gatewayMetrics.js"
 import {
 	type ResponseHead,
 	isServerError,
 	type RequestHead,
 	type WireCodec
-} from "./wire.js"
+} from "../wire.js"
 
 export interface CallerExchangeOptions {
 	req: IncomingMessage
--- a/src/gateway/callerOutput.ts
+++ b/src/gateway/callers/callerOutput.ts
@@ -4,7 +4,7 @@
  * slow caller shows.
  */
 import type {ServerResponse} from "node:http"
-import {BufferPart} from "../policy/buffers/index.js"
+import {BufferPart} from "../../policy/buffers/index.js"
 import type {RequestBuffers} from "./callerBuffers.js"
 
 export interface CallerOutputOptions {
--- a/src/gateway/__tests__/fleetState.test.ts
+++ b/src/gateway/fleet/__tests__/fleetState.test.ts
@@ -5,15 +5,15 @@
 	EndpointState,
 	type FleetConfig,
 	type FleetEndpoint
-} from "../../contract/fleet.js"
-import type {ConfirmAnswer} from "../../contract/gen/fleet_pb.js"
-import {withholdMs} from "../../policy/registrations/index.js"
-import {DecisionLog} from "../../program/decisionLog.js"
+} from "../../../contract/fleet.js"
+import type {ConfirmAnswer} from "../../../contract/gen/fleet_pb.js"
+import {withholdMs} from "../../../policy/registrations/index.js"
+import {DecisionLog} from "../../../program/decisionLog.js"
 import {FleetFollower} from "../fleetFollower.js"
 import {FleetPublisher} from "../fleetPublisher.js"
 import {FleetState} from "../fleetState.js"
 import * as publishedConfig from "../publishedConfig.js"
-import {createLoopbackIp} from "./loopback.js"
+import {createLoopbackIp} from "../../__tests__/loopback.js"
 
 vi.mock("../publishedConfig.js", {spy: true})
 
--- a/src/gateway/__tests__/publishedConfig.test.ts
+++ b/src/gateway/fleet/__tests__/publishedConfig.test.ts
@@ -1,5 +1,5 @@
 import {describe, expect, it} from "vitest"
-import type {FleetConfig, Member} from "../../contract/fleet.js"
+import type {FleetConfig, Member} from "../../../contract/fleet.js"
 import {
 	decodePublishedConfig,
 	encodePublishedConfig
--- a/src/gateway/fleetFollower.ts
+++ b/src/gateway/fleet/fleetFollower.ts
@@ -3,16 +3,16 @@
  * store. While at least two of them state that their view of it is fresh, this
  * gateway needs no watch of its own, since each of them delivers every change.
  */
-import {EndpointState, type FleetEndpoint} from "../contract/fleet.js"
+import {EndpointState, type FleetEndpoint} from "../../contract/fleet.js"
 import type {
 	ConfirmAnswer,
 	EndpointNotice,
 	FleetUpdate
-} from "../contract/gen/fleet_pb.js"
-import {openFollowStream, type OpenFollowStream} from "../link/fleetLink.js"
-import type {TlsKeys} from "../link/tls.js"
-import type {DecisionLog} from "../program/decisionLog.js"
-import {messageOf} from "../utils/common.js"
+} from "../../contract/gen/fleet_pb.js"
+import {openFollowStream, type OpenFollowStream} from "../../link/fleetLink.js"
+import type {TlsKeys} from "../../link/tls.js"
+import type {DecisionLog} from "../../program/decisionLog.js"
+import {messageOf} from "../../utils/common.js"
 import type {FleetState} from "./fleetState.js"
 import {decodePublishedConfig} from "./publishedConfig.js"
 
--- a/src/gateway/fleetPublisher.ts
+++ b/src/gateway/fleet/fleetPublisher.ts
@@ -5,14 +5,14 @@
  */
 import type * as grpc from "@grpc/grpc-js"
 import {create, type MessageInitShape} from "@bufbuild/protobuf"
-import {EndpointState, type FleetEndpoint} from "../contract/fleet.js"
+import {EndpointState, type FleetEndpoint} from "../../contract/fleet.js"
 import {
 	type ConfirmAnswer,
 	ConfirmAnswerSchema,
 	FleetUpdateSchema
-} from "../contract/gen/fleet_pb.js"
-import {type FollowCall, startFollowServer} from "../link/fleetLink.js"
-import type {TlsKeys} from "../link/tls.js"
+} from "../../contract/gen/fleet_pb.js"
+import {type FollowCall, startFollowServer} from "../../link/fleetLink.js"
+import type {TlsKeys} from "../../link/tls.js"
 import {encodePublishedConfig} from "./publishedConfig.js"
 import type {FleetState} from "./fleetState.js"
 
--- a/src/gateway/fleetState.ts
+++ b/src/gateway/fleet/fleetState.ts
@@ -13,7 +13,7 @@
 	type FleetEndpoint,
 	type ForwardRoute,
 	type Member
-} from "../contract/fleet.js"
+} from "../../contract/fleet.js"
 import {
 	compareRevisions,
 	Departures,
@@ -21,8 +21,8 @@
 	Standing,
 	type StoreRevision,
 	withholdMs
-} from "../policy/registrations/index.js"
-import type {DecisionLog} from "../program/decisionLog.js"
+} from "../../policy/registrations/index.js"
+import type {DecisionLog} from "../../program/decisionLog.js"
 
 export interface FleetListener {
 	onConfig?(config: FleetConfig): void
--- a/src/gateway/publishedConfig.ts
+++ b/src/gateway/fleet/publishedConfig.ts
@@ -2,7 +2,7 @@
  * Encodes and decodes the configuration that gateways publish to each other as JSON.
  * Gateways of builds without Members publish configurations without the field.
  */
-import type {FleetConfig, Member} from "../contract/fleet.js"
+import type {FleetConfig, Member} from "../../contract/fleet.js"
 
 type PublishedConfig = Omit<FleetConfig, "members"> & {
 	/** Null without Members; absent if the publishing gateway doesn't know them. */
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -17,11 +17,11 @@
 } from "../contract/fleet.js"
 import {BufferPart} from "../policy/buffers/index.js"
 import {sleep} from "../utils/common.js"
-import {CallerExchange, CloseReason} from "./callerExchange.js"
+import {CallerExchange, CloseReason} from "./callers/callerExchange.js"
 import {DeadlineSource, type GatewayContext} from "./gatewayContext.js"
-import {GenerationTask} from "./generationTask.js"
+import {GenerationTask} from "./sends/generationTask.js"
 import {respondDenial} from "./identity/index.js"
-import {ServiceTask} from "./serviceTask.js"
+import {ServiceTask} from "./sends/serviceTask.js"
 import {RejectedRequestError, type RequestHead} from "./wire.js"
 
 export interface GatewayServerOptions {
--- a/src/gateway/identity/callerAccess.ts
+++ b/src/gateway/identity/callerAccess.ts
@@ -5,7 +5,7 @@
 import type {ForwardRoute, Member} from "../../contract/fleet.js"
 import {Access, decideAccess} from "../../policy/freshness/index.js"
 import type {DecisionLog} from "../../program/decisionLog.js"
-import type {FleetState} from "../fleetState.js"
+import type {FleetState} from "../fleet/fleetState.js"
 import type {RoutedRequest} from "../gatewayContext.js"
 import type {GatewayMetrics} from "../gatewayMetrics.js"
 import type {RequestHead} from "../wire.js"
--- a/src/gateway/identity/configFreshness.ts
+++ b/src/gateway/identity/configFreshness.ts
@@ -7,7 +7,7 @@
 	getMaxProofAgeMs
 } from "../../policy/freshness/index.js"
 import type {DecisionLog} from "../../program/decisionLog.js"
-import type {FleetState} from "../fleetState.js"
+import type {FleetState} from "../fleet/fleetState.js"
 import type {GatewayMetrics} from "../gatewayMetrics.js"
 
 export interface ConfigFreshnessOptions {
--- a/src/gateway/identity/denial.ts
+++ b/src/gateway/identity/denial.ts
@@ -1,5 +1,5 @@
 /** Responses to requests that may not be sent because of their key. */
-import type {CallerExchange, LogFields} from "../callerExchange.js"
+import type {CallerExchange, LogFields} from "../callers/callerExchange.js"
 
 export interface Denial {
 	reason: string
--- a/src/gateway/identity/proofRenewal.ts
+++ b/src/gateway/identity/proofRenewal.ts
@@ -4,7 +4,7 @@
  */
 import type {ConfirmAnswer} from "../../contract/gen/fleet_pb.js"
 import {ConfirmPlan} from "../../policy/freshness/index.js"
-import type {FleetState} from "../fleetState.js"
+import type {FleetState} from "../fleet/fleetState.js"
 import type {GatewayMetrics} from "../gatewayMetrics.js"
 import type {ConfigFreshness} from "./configFreshness.js"
 
--- a/src/gateway/index.ts
+++ b/src/gateway/index.ts
@@ -1,4 +1,4 @@
-export * from "./fleetState.js"
+export * from "./fleet/fleetState.js"
 export * from "./gatewayTask.js"
 export * from "./identity/configFreshness.js"
 export * from "./streams/buildStore.js"
--- a/src/gateway/__tests__/agentLink.test.ts
+++ b/src/gateway/links/__tests__/agentLink.test.ts
@@ -7,11 +7,11 @@
 	AskSchema,
 	EngineStateSchema,
 	RefuseReason
-} from "../../contract/gen/grants_pb.js"
-import {type GrantCall, startGrantServer} from "../../link/fleetLink.js"
-import {chooseLinkIntervals, grantLinkPace} from "../../policy/index.js"
+} from "../../../contract/gen/grants_pb.js"
+import {type GrantCall, startGrantServer} from "../../../link/fleetLink.js"
+import {chooseLinkIntervals, grantLinkPace} from "../../../policy/index.js"
 import {AgentLink} from "../agentLink.js"
-import {createLoopbackIp} from "./loopback.js"
+import {createLoopbackIp} from "../../__tests__/loopback.js"
 
 const cleanups: (() => void)[] = []
 
--- a/src/gateway/agentLink.ts
+++ b/src/gateway/links/agentLink.ts
@@ -21,18 +21,18 @@
 	type QuotaUse,
 	RefuseReason,
 	type StreamOrigin
-} from "../contract/gen/grants_pb.js"
-import {type OpenGrantStream, openGrantStream} from "../link/fleetLink.js"
-import type {TlsKeys} from "../link/tls.js"
-import {isNotice, type Notice} from "../notices/index.js"
+} from "../../contract/gen/grants_pb.js"
+import {type OpenGrantStream, openGrantStream} from "../../link/fleetLink.js"
+import type {TlsKeys} from "../../link/tls.js"
+import {isNotice, type Notice} from "../../notices/index.js"
 import {
 	activeHeartbeatMs,
 	chooseLinkIntervals,
 	grantLinkPace,
 	grantLinkTimeoutHeartbeats,
 	type LinkIntervals
-} from "../policy/index.js"
-import {getSuspendedMs, type Moment} from "../utils/index.js"
+} from "../../policy/index.js"
+import {getSuspendedMs, type Moment} from "../../utils/index.js"
 
 /** The agent's permission to send one request to its engine. */
 export interface AgentGrant {
--- a/src/gateway/agentLinks.ts
+++ b/src/gateway/links/agentLinks.ts
@@ -4,7 +4,7 @@
  * address changes, and passes each agent's `EngineState` to the engine choice.
  */
 import {create} from "@bufbuild/protobuf"
-import {slotKey, type FleetEndpoint} from "../contract/fleet.js"
+import {slotKey, type FleetEndpoint} from "../../contract/fleet.js"
 import {
 	type EngineLimits,
 	EngineLimitsSchema,
@@ -12,23 +12,23 @@
 	type OriginAnswer,
 	type PermitAnswer,
 	type QuotaAnswer
-} from "../contract/gen/grants_pb.js"
-import type {TlsKeys} from "../link/tls.js"
+} from "../../contract/gen/grants_pb.js"
+import type {TlsKeys} from "../../link/tls.js"
 import {
 	getNoticeEndpoint,
 	getNoticeKey,
 	type Notice,
 	type NoticeBoard
-} from "../notices/index.js"
-import type {EngineChoice, EngineWork} from "../policy/dispatch/index.js"
+} from "../../notices/index.js"
+import type {EngineChoice, EngineWork} from "../../policy/dispatch/index.js"
 import {
 	chooseLinkIntervals,
 	grantLinkPace,
 	rankByRendezvous
-} from "../policy/index.js"
-import type {DecisionLog} from "../program/decisionLog.js"
+} from "../../policy/index.js"
+import type {DecisionLog} from "../../program/decisionLog.js"
 import {AgentLink, pausedReason} from "./agentLink.js"
-import type {FleetState} from "./fleetState.js"
+import type {FleetState} from "../fleet/fleetState.js"
 
 export interface AgentLinksOptions {
 	/** Host name of this gateway. */
--- a/src/gateway/leaseAsks.ts
+++ b/src/gateway/links/leaseAsks.ts
@@ -3,7 +3,7 @@
  * lease: finds that agent, follows one redirect, and passes over agents that don't
  * answer. Permits for plain endpoints and the tokens of quotas are its two uses.
  */
-import {getSuspendedMs, type Moment} from "../utils/index.js"
+import {getSuspendedMs, type Moment} from "../../utils/index.js"
 import type {AgentLink} from "./agentLink.js"
 import type {AgentLinks} from "./agentLinks.js"
 
--- a/src/gateway/permits.ts
+++ b/src/gateway/links/permits.ts
@@ -7,11 +7,11 @@
 	type PermitAnswer,
 	type PermitAsk,
 	PermitAskSchema
-} from "../contract/gen/grants_pb.js"
-import type {FleetEndpoint} from "../contract/fleet.js"
-import {createLimitNotice} from "../notices/index.js"
-import type {StatedLimits} from "../policy/limits/index.js"
-import type {Moment} from "../utils/index.js"
+} from "../../contract/gen/grants_pb.js"
+import type {FleetEndpoint} from "../../contract/fleet.js"
+import {createLimitNotice} from "../../notices/index.js"
+import type {StatedLimits} from "../../policy/limits/index.js"
+import type {Moment} from "../../utils/index.js"
 import type {AgentLink} from "./agentLink.js"
 import type {AgentLinks} from "./agentLinks.js"
 import {LeaseAsks, type LeaseAsksOptions} from "./leaseAsks.js"
--- a/src/gateway/promptAdmission.ts
+++ b/src/gateway/prompts/promptAdmission.ts
@@ -1,5 +1,5 @@
 /** Whether one request may be sent to engines, by the shared parts of its prompt. */
-import {PromptVerdict} from "../policy/crashes/index.js"
+import {PromptVerdict} from "../../policy/crashes/index.js"
 import type {BrokenSend, PromptGuard} from "./promptGuard.js"
 
 export interface PromptAdmissionOptions {
--- a/src/gateway/promptGuard.ts
+++ b/src/gateway/prompts/promptGuard.ts
@@ -8,20 +8,20 @@
 	createTrialNotice,
 	type Notice,
 	type NoticeBoard
-} from "../notices/index.js"
+} from "../../notices/index.js"
 import {
 	type CrashRecords,
 	hasSuspect,
 	judgePrompt,
 	listAccusedParts,
 	type PromptJudgement
-} from "../policy/crashes/index.js"
-import {hashString} from "../policy/index.js"
-import type {DecisionLog} from "../program/decisionLog.js"
-import type {AgentLinks} from "./agentLinks.js"
-import {ProbeResult, probeAddress} from "./connectionProbe.js"
-import type {GatewayMetrics} from "./gatewayMetrics.js"
-import type {SendTarget} from "./sendTarget.js"
+} from "../../policy/crashes/index.js"
+import {hashString} from "../../policy/index.js"
+import type {DecisionLog} from "../../program/decisionLog.js"
+import type {AgentLinks} from "../links/agentLinks.js"
+import {ProbeResult, probeAddress} from "../sends/connectionProbe.js"
+import type {GatewayMetrics} from "../gatewayMetrics.js"
+import type {SendTarget} from "../sends/sendTarget.js"
 
 export interface PromptGuardOptions {
 	records: CrashRecords
--- a/src/gateway/quotas/quotas.ts
+++ b/src/gateway/quotas/quotas.ts
@@ -20,11 +20,15 @@
 	RefusalMemory
 } from "../../policy/quotas/index.js"
 import type {DecisionLog} from "../../program/decisionLog.js"
-import type {AgentLink} from "../agentLink.js"
-import type {AgentLinks} from "../agentLinks.js"
-import type {FleetState} from "../fleetState.js"
+import type {AgentLink} from "../links/agentLink.js"
+import type {AgentLinks} from "../links/agentLinks.js"
+import type {FleetState} from "../fleet/fleetState.js"
 import type {GatewayMetrics} from "../gatewayMetrics.js"
-import {type AskOrigin, LeaseAsks, type LeaseAsksOptions} from "../leaseAsks.js"
+import {
+	type AskOrigin,
+	LeaseAsks,
+	type LeaseAsksOptions
+} from "../links/leaseAsks.js"
 import {UseReports} from "./useReports.js"
 
 export interface QuotasOptions extends LeaseAsksOptions {
--- a/src/gateway/endpointCall.ts
+++ b/src/gateway/sends/endpointCall.ts
@@ -10,8 +10,8 @@
 import {type ClientRequest, request as httpRequest} from "node:http"
 import type {IncomingMessage} from "node:http"
 import {connect, type Socket} from "node:net"
-import {findReset, isFramed} from "../link/connectionEnd.js"
-import type {ResponseHead, RequestHead, WireCodec} from "./wire.js"
+import {findReset, isFramed} from "../../link/connectionEnd.js"
+import type {ResponseHead, RequestHead, WireCodec} from "../wire.js"
 
 /** How a call to an endpoint ended. */
 export enum CallOutcome {
--- a/src/gateway/endpointSignals.ts
+++ b/src/gateway/sends/endpointSignals.ts
@@ -1,12 +1,12 @@
 /** Applies what an endpoint states about itself in the head of a response. */
 import {create} from "@bufbuild/protobuf"
-import type {FleetEndpoint} from "../contract/fleet.js"
-import {LeavingNoticeSchema} from "../contract/gen/grants_pb.js"
-import {createLimitNotice, type Notice} from "../notices/index.js"
-import {maxPauseMs} from "../policy/dispatch/index.js"
-import type {GatewayContext} from "./gatewayContext.js"
-import {EndpointSignal} from "./gatewayMetrics.js"
-import type {ResponseHead} from "./wire.js"
+import type {FleetEndpoint} from "../../contract/fleet.js"
+import {LeavingNoticeSchema} from "../../contract/gen/grants_pb.js"
+import {createLimitNotice, type Notice} from "../../notices/index.js"
+import {maxPauseMs} from "../../policy/dispatch/index.js"
+import type {GatewayContext} from "../gatewayContext.js"
+import {EndpointSignal} from "../gatewayMetrics.js"
+import type {ResponseHead} from "../wire.js"
 
 export interface SignalSource {
 	/** The endpoint that answers, whichever registration it was chosen by. */
--- a/src/gateway/engineSearch.ts
+++ b/src/gateway/sends/engineSearch.ts
@@ -2,20 +2,20 @@
  * Finds an engine for one generation request: rates the engines that are left and
  * asks the agent of the best one for a grant, then the next one's.
  */
-import {slotKey, type FleetEndpoint} from "../contract/fleet.js"
-import {RefuseReason} from "../contract/gen/grants_pb.js"
+import {slotKey, type FleetEndpoint} from "../../contract/fleet.js"
+import {RefuseReason} from "../../contract/gen/grants_pb.js"
 import type {
 	EngineQuery,
 	EngineRating,
 	StartLimits
-} from "../policy/dispatch/index.js"
-import type {StreamBinding} from "../policy/streams/index.js"
-import type {AgentLink, AgentRefusal} from "./agentLink.js"
-import type {LogFields} from "./callerExchange.js"
-import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
+} from "../../policy/dispatch/index.js"
+import type {StreamBinding} from "../../policy/streams/index.js"
+import type {AgentLink, AgentRefusal} from "../links/agentLink.js"
+import type {LogFields} from "../callers/callerExchange.js"
+import type {GatewayContext, RoutedRequest} from "../gatewayContext.js"
 import {findBuild, findRegistration, type SendTarget} from "./sendTarget.js"
-import {getStreamSpanMs} from "./streams/index.js"
-import type {GenerationHead} from "./wire.js"
+import {getStreamSpanMs} from "../streams/index.js"
+import type {GenerationHead} from "../wire.js"
 
 export interface EngineSearchOptions {
 	ctx: GatewayContext
--- a/src/gateway/generationEnding.ts
+++ b/src/gateway/sends/generationEnding.ts
@@ -2,14 +2,14 @@
  * How a generation ends for its caller: with the complete response of an engine, cut
  * after its first events, as unknown, or refused because it has not run.
  */
-import type {LogFields} from "./callerExchange.js"
-import type {CallerStream} from "./callerStream.js"
-import type {RoutedRequest} from "./gatewayContext.js"
+import type {LogFields} from "../callers/callerExchange.js"
+import type {CallerStream} from "../streams/callerStream.js"
+import type {RoutedRequest} from "../gatewayContext.js"
 import type {GenerationSend} from "./generationSend.js"
 import type {OutputTracker} from "./outputTracker.js"
-import type {PromptAdmission} from "./promptAdmission.js"
-import {type Denial, respondDenial} from "./identity/index.js"
-import {isServerError, type ResponseHead} from "./wire.js"
+import type {PromptAdmission} from "../prompts/promptAdmission.js"
+import {type Denial, respondDenial} from "../identity/index.js"
+import {isServerError, type ResponseHead} from "../wire.js"
 
 export interface GenerationEndingOptions {
 	request: RoutedRequest
--- a/src/gateway/generationSend.ts
+++ b/src/gateway/sends/generationSend.ts
@@ -2,16 +2,16 @@
  * One send of a generation request to an engine. Splits the response into
  * complete events, and reports when no event arrives in time.
  */
-import type {StreamOrigin} from "../contract/gen/grants_pb.js"
-import {BufferPart} from "../policy/buffers/index.js"
-import type {LogFields} from "./callerExchange.js"
-import {BodyBuffer, maxBufferedBytes} from "./bodyBuffer.js"
+import type {StreamOrigin} from "../../contract/gen/grants_pb.js"
+import {BufferPart} from "../../policy/buffers/index.js"
+import type {LogFields} from "../callers/callerExchange.js"
+import {BodyBuffer, maxBufferedBytes} from "../callers/bodyBuffer.js"
 import {CallOutcome, EndpointCall} from "./endpointCall.js"
 import {applySignals} from "./endpointSignals.js"
 import {EventSplitter, type StreamEvent} from "./eventSplitter.js"
-import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
+import type {GatewayContext, RoutedRequest} from "../gatewayContext.js"
 import {identifyEngine, type SendTarget} from "./sendTarget.js"
-import type {ResponseHead} from "./wire.js"
+import type {ResponseHead} from "../wire.js"
 
 export interface GenerationSendOptions {
 	ctx: GatewayContext
--- a/src/gateway/generationTask.ts
+++ b/src/gateway/sends/generationTask.ts
@@ -5,28 +5,28 @@
  * silent, its call stays open until another engine has delivered an event, so that
  * the caller's stream ends only when no call is left.
  */
-import {getStartLimits, type StartLimits} from "../policy/dispatch/index.js"
-import {buffersFull} from "./callerExchange.js"
-import {CallerStream} from "./callerStream.js"
+import {getStartLimits, type StartLimits} from "../../policy/dispatch/index.js"
+import {buffersFull} from "../callers/callerExchange.js"
+import {CallerStream} from "../streams/callerStream.js"
 import {CallOutcome} from "./endpointCall.js"
 import {EngineSearch, type SearchRefusal} from "./engineSearch.js"
 import {LaterSearch} from "./laterSearch.js"
 import type {StreamEvent} from "./eventSplitter.js"
-import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
+import type {GatewayContext, RoutedRequest} from "../gatewayContext.js"
 import {GenerationEnding} from "./generationEnding.js"
 import {GenerationSend, recordEngineResult} from "./generationSend.js"
-import type {Denial} from "./identity/index.js"
+import type {Denial} from "../identity/index.js"
 import {OutputTracker} from "./outputTracker.js"
-import {PromptAdmission} from "./promptAdmission.js"
+import {PromptAdmission} from "../prompts/promptAdmission.js"
 import {RequestTask} from "./requestTask.js"
 import {SendPair} from "./sendPair.js"
 import type {SendTarget} from "./sendTarget.js"
-import {locateStream} from "./streams/index.js"
+import {locateStream} from "../streams/index.js"
 import {
 	type ResponseHead,
 	type GenerationHead,
 	listSharedParts
-} from "./wire.js"
+} from "../wire.js"
 
 /** Limit on sends of one request, including those an engine did not run. */
 const maxSends = 4
--- a/src/gateway/outputTracker.ts
+++ b/src/gateway/sends/outputTracker.ts
@@ -3,15 +3,15 @@
  * first engine is searched, counts the events that the caller receives and lets the
  * forecast learn from the end.
  */
-import {slotKey} from "../contract/fleet.js"
+import {slotKey} from "../../contract/fleet.js"
 import {
 	type AnswerSubject,
 	getRemainingTokens,
 	type OutputPrediction
-} from "../policy/costs/index.js"
-import type {LogFields} from "./callerExchange.js"
-import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
-import type {GenerationHead} from "./wire.js"
+} from "../../policy/costs/index.js"
+import type {LogFields} from "../callers/callerExchange.js"
+import type {GatewayContext, RoutedRequest} from "../gatewayContext.js"
+import type {GenerationHead} from "../wire.js"
 
 export class OutputTracker {
 	private readonly subject: AnswerSubject
--- a/src/gateway/requestTask.ts
+++ b/src/gateway/sends/requestTask.ts
@@ -2,11 +2,11 @@
  * Base of the tasks that serve one caller's request each: starts the deadline
  * timer, reacts to the caller's disconnect and counts sends.
  */
-import type {Member, MemberQuota} from "../contract/fleet.js"
-import type {LogFields} from "./callerExchange.js"
-import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
-import type {Denial} from "./identity/index.js"
-import {QuotaTicket} from "./quotas/index.js"
+import type {Member, MemberQuota} from "../../contract/fleet.js"
+import type {LogFields} from "../callers/callerExchange.js"
+import type {GatewayContext, RoutedRequest} from "../gatewayContext.js"
+import type {Denial} from "../identity/index.js"
+import {QuotaTicket} from "../quotas/index.js"
 
 export abstract class RequestTask {
 	/** Sends to endpoints, including those that the endpoint did not run. */
--- a/src/gateway/retryBudgets.ts
+++ b/src/gateway/sends/retryBudgets.ts
@@ -3,7 +3,7 @@
  * request after its first counts as a retry, also one that the endpoint rejects
  * without running it.
  */
-import {RetryBudget} from "../policy/retryBudget.js"
+import {RetryBudget} from "../../policy/retryBudget.js"
 
 export interface RetryBudgetsOptions {
 	/** Retries permitted for each request. */
--- a/src/gateway/sendTarget.ts
+++ b/src/gateway/sends/sendTarget.ts
@@ -1,8 +1,8 @@
 /** The engine that was chosen for one send of a generation request. */
-import type {FleetEndpoint} from "../contract/fleet.js"
-import type {AgentLink} from "./agentLink.js"
-import type {FleetState} from "./fleetState.js"
-import type {GatewayContext} from "./gatewayContext.js"
+import type {FleetEndpoint} from "../../contract/fleet.js"
+import type {AgentLink} from "../links/agentLink.js"
+import type {FleetState} from "../fleet/fleetState.js"
+import type {GatewayContext} from "../gatewayContext.js"
 
 /**
  * Engine and adapter version of a send: those of an agent's grant or, while the
--- a/src/gateway/serviceTask.ts
+++ b/src/gateway/sends/serviceTask.ts
@@ -5,18 +5,18 @@
  * counts; the silent endpoint's call stays open until then. Endpoints that state a
  * limit are used with a permit only, and after those that state none.
  */
-import {type FleetEndpoint, RouteKind} from "../contract/fleet.js"
-import {BodyBuffer} from "./bodyBuffer.js"
+import {type FleetEndpoint, RouteKind} from "../../contract/fleet.js"
+import {BodyBuffer} from "../callers/bodyBuffer.js"
 import {
 	buffersFull,
 	type LogFields,
 	overflowRetryAfterMs
-} from "./callerExchange.js"
+} from "../callers/callerExchange.js"
 import {CallOutcome, EndpointCall} from "./endpointCall.js"
 import {applySignals} from "./endpointSignals.js"
-import {type Denial, respondDenial} from "./identity/index.js"
+import {type Denial, respondDenial} from "../identity/index.js"
 import {RequestTask} from "./requestTask.js"
-import {type ResponseHead, isServerError} from "./wire.js"
+import {type ResponseHead, isServerError} from "../wire.js"
 
 /** Limit on sends of one request, including those the endpoint did not run. */
 const maxSends = 3
--- a/src/gateway/streams/buildRecorder.ts
+++ b/src/gateway/streams/buildRecorder.ts
@@ -10,7 +10,7 @@
 } from "../../policy/streams/index.js"
 import type {DecisionLog} from "../../program/decisionLog.js"
 import {messageOf} from "../../utils/common.js"
-import type {FleetState} from "../fleetState.js"
+import type {FleetState} from "../fleet/fleetState.js"
 import type {BuildStore} from "./buildStore.js"
 
 export interface BuildRecorderOptions {
--- a/src/gateway/callerStream.ts
+++ b/src/gateway/streams/callerStream.ts
@@ -2,14 +2,14 @@
  * The stream of events that the caller of a generation receives: forwards events,
  * keeps the last one's id and binds the stream to the build that began it.
  */
-import type {StreamOrigin as OriginNotice} from "../contract/gen/grants_pb.js"
-import {StreamBinding, type StreamOrigin} from "../policy/streams/index.js"
-import type {LogFields} from "./callerExchange.js"
-import type {StreamEvent} from "./eventSplitter.js"
-import type {GatewayContext, RoutedRequest} from "./gatewayContext.js"
-import {findBuild, type SendTarget} from "./sendTarget.js"
-import {getStreamSpanMs} from "./streams/index.js"
-import type {ResponseHead} from "./wire.js"
+import type {StreamOrigin as OriginNotice} from "../../contract/gen/grants_pb.js"
+import {StreamBinding, type StreamOrigin} from "../../policy/streams/index.js"
+import type {LogFields} from "../callers/callerExchange.js"
+import type {StreamEvent} from "../sends/eventSplitter.js"
+import type {GatewayContext, RoutedRequest} from "../gatewayContext.js"
+import {findBuild, type SendTarget} from "../sends/sendTarget.js"
+import {getStreamSpanMs} from "./index.js"
+import type {ResponseHead} from "../wire.js"
 
 export class CallerStream {
 	/** Builds that may go on with the stream. */
--- a/src/gateway/streams/streamDirectory.ts
+++ b/src/gateway/streams/streamDirectory.ts
@@ -13,8 +13,8 @@
 	type StreamOrigin,
 	StreamOrigins
 } from "../../policy/streams/index.js"
-import type {AgentLinks} from "../agentLinks.js"
-import type {FleetState} from "../fleetState.js"
+import type {AgentLinks} from "../links/agentLinks.js"
+import type {FleetState} from "../fleet/fleetState.js"
 import type {BuildRecorder} from "./buildRecorder.js"
 
 export interface StreamDirectoryOptions {
