Permit streams of unknown origin only with a fresh view of the fleet

Change: while a gateway neither reads the store nor has two fresh sources, no build counts as the only one, nor does the record read at its start prove it; the time starts again once the view is fresh. It also starts again when a stream begins at an engine whose start is not registered.

--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -62,7 +62,7 @@
 	sources?: readonly string[]
 	/**
 	 * Whether this gateway has recently read every kind of object from the store;
-	 * sent to followers.
+	 * sent to followers. Without it, its view counts as fresh for itself.
 	 */
 	isFresh?: () => boolean
 	/** Where the builds of pools are kept; without it those that left are unknown. */
@@ -205,7 +205,14 @@
 			now
 		})
 		const {fleet, recorder} = this
-		const streams = new StreamDirectory({fleet, links, recorder, now})
+		const {isFresh} = options
+		const streams = new StreamDirectory({
+			fleet,
+			links,
+			recorder,
+			isViewFresh: () => isFresh?.() !== false || this.follower.isCovered,
+			now
+		})
 		this.callerBuffers = new CallerBuffers({
 			maxProcessBytes: options.maxBufferedBytes,
 			maxStreamBytes: options.maxStreamBytes,
@@ -331,11 +338,12 @@
 	}
 
 	private tick(): void {
-		const {links, quotas, retryBudgets, now} = this.ctx
+		const {links, quotas, retryBudgets, streams, now} = this.ctx
 		links.tick()
 		quotas.tick()
 		this.follower.tick()
 		this.recorder.tick()
+		streams.tick()
 		retryBudgets.setGateways(links.gatewayCount)
 		this.fleet.settleRegistrations(now())
 		this.crashes.expire(now())
--- a/src/gateway/streams/callerStream.ts
+++ b/src/gateway/streams/callerStream.ts
@@ -71,7 +71,11 @@
 		if (binding.isKnown && hasStarted) return
 		const build = findBuild(ctx, target, getStreamSpanMs(request))
 		binding.bind(build)
-		if (build === undefined) return
+		if (build === undefined) {
+			// Without a grant, the build is unknown for lack of proof only.
+			if (target.link !== undefined) ctx.streams.noteUnknownBuild(request.pool)
+			return
+		}
 		const origin = this.createOrigin(build)
 		ctx.streams.add(origin, target.endpoint.id)
 		// The first event told the agent of no build.
--- a/src/gateway/streams/streamDirectory.ts
+++ b/src/gateway/streams/streamDirectory.ts
@@ -21,6 +21,8 @@
 	fleet: FleetState
 	links: AgentLinks
 	recorder: BuildRecorder
+	/** Whether changes of the endpoints reach this gateway. */
+	isViewFresh: () => boolean
 	/** Monotonic milliseconds. */
 	now: () => number
 }
@@ -78,15 +80,26 @@
 		return create(StreamOriginSchema, {requestId, pool, build, keepMs})
 	}
 
+	/** Notes that changes of the endpoints may be missed. To be called regularly. */
+	tick(): void {
+		const {isViewFresh, now} = this.options
+		if (!isViewFresh()) this.builds.noteUnseen(now())
+	}
+
+	/** Records that a stream of the pool began at an engine of unknown build. */
+	noteUnknownBuild(pool: string): void {
+		this.builds.noteUnseen(this.options.now(), pool)
+	}
+
 	/**
 	 * The build at which all streams of the last `spanMs` began: the pool's only one
 	 * for as long, or the only one of which the platform's record knows. Undefined if
 	 * there may have been another.
 	 */
 	findSettled(pool: string, spanMs: number): string | undefined {
-		const {recorder, now} = this.options
+		const {recorder, isViewFresh, now} = this.options
 		const sole = this.builds.findSole(pool)
-		if (sole === undefined) return undefined
+		if (sole === undefined || !isViewFresh()) return undefined
 		if (this.builds.isSettled(pool, {now: now(), spanMs})) return sole
 		const isRecorded =
 			!this.builds.hasChanged(pool) && recorder.isSole(pool, sole)
--- a/src/policy/streams/buildHistory.ts
+++ b/src/policy/streams/buildHistory.ts
@@ -8,7 +8,7 @@
 	soleBuild: string | undefined
 	/** Time at which `soleBuild` became the only one, or was first seen so. */
 	soleSince: number
-	/** Whether this process has seen another build. */
+	/** Whether this process has seen another build, or may have missed one. */
 	hasChanged: boolean
 }
 
@@ -36,12 +36,23 @@
 		return soleBuild === undefined
 	}
 
+	/**
+	 * Records that endpoints of builds that this process has not seen may serve: of one
+	 * pool, or of all.
+	 */
+	noteUnseen(now: number, pool?: string): void {
+		for (const [name, builds] of this.pools) {
+			if (pool !== undefined && name !== pool) continue
+			this.pools.set(name, {...builds, soleSince: now, hasChanged: true})
+		}
+	}
+
 	/** The build of all endpoints of a pool; undefined while there are several. */
 	findSole(pool: string): string | undefined {
 		return this.pools.get(pool)?.soleBuild
 	}
 
-	/** Whether this process has seen endpoints of several builds in a pool. */
+	/** Whether this process has seen several builds of a pool, or may have missed one. */
 	hasChanged(pool: string): boolean {
 		return this.pools.get(pool)?.hasChanged ?? false
 	}
