Name an engine's crash by the engine that a grant names

Cause, from its logs: gateways report crashes under the registration by which they chose the engine. One crash, of the start, was reported as one of engine3-2 and one of engine3-3. A part that was at one of several engines that crash together explains less, so that gateway-4 accused the part at 34:30.5, after its fifth crash at 34:25.9.

Change: the report names the engine of the grant; its agent then knows that the crash is its engine's.

--- a/src/gateway/prompts/promptGuard.ts
+++ b/src/gateway/prompts/promptGuard.ts
@@ -111,7 +111,8 @@
 	async checkCrash(send: BrokenSend): Promise<boolean> {
 		const {log, now} = this.options
 		const {requestId, target, sharedParts, hasBegun} = send
-		const {id} = target.endpoint
+		// Several registrations may lead to one engine, whose crash counts once.
+		const {engineId: id, bornAt} = target
 		const at = now()
 		const {hasEnded, shownBy} = await this.findEnd(target)
 		if (!hasEnded) {
@@ -120,14 +121,14 @@
 		}
 		log.request("engine.crashed", requestId, {
 			endpoint: id,
-			bornAt: target.bornAt,
+			bornAt,
 			parts: sharedParts,
 			hasBegun,
 			shownBy
 		})
 		const report = {
 			endpointId: id,
-			bornAt: target.bornAt,
+			bornAt,
 			at,
 			begunParts: hasBegun ? sharedParts : [],
 			waitingParts: hasBegun ? [] : sharedParts,
