Log a refusal of a request that may have run

A refusal states that its request has not run, but request.ended says only how many calls its task had begun; a call that the refusal itself cancels leaves no line.

Each exchange now keeps a record of the calls for which a connection was established and of those of which the endpoint said that they did not run. A refusal in spite of an open count logs refusal.late with its status and reason. What callers get is unchanged.

--- a/src/gateway/callers/callerExchange.ts
+++ b/src/gateway/callers/callerExchange.ts
@@ -7,6 +7,7 @@
 import type {DecisionLog} from "../../program/decisionLog.js"
 import type {CallerBuffers, RequestBuffers} from "./callerBuffers.js"
 import {CallerOutput} from "./callerOutput.js"
+import {RunRecord} from "./runRecord.js"
 import {type GatewayMetrics, RequestOutcome} from "../gatewayMetrics.js"
 import {
 	type ResponseHead,
@@ -67,6 +68,8 @@
 	onRoom: (() => void) | undefined
 	/** What the gateway holds in memory for this request. */
 	readonly buffers: RequestBuffers
+	/** Whether an endpoint may have run it. */
+	readonly runs = new RunRecord()
 	private readonly output: CallerOutput
 	private hasEnded = false
 	private isHeadWritten = false
@@ -159,6 +162,7 @@
 
 	/** Responds that the request did not and will not run, and when to retry. */
 	refuse(reason: string, retryAfterMs: number, logFields: LogFields): void {
+		this.logLateRefusal(httpServiceUnavailable, reason)
 		const headers = this.options.wire.encodeRefusal(retryAfterMs)
 		this.respondWithText(httpServiceUnavailable, reason, headers)
 		this.recordOutcome(RequestOutcome.Refused, {
@@ -173,6 +177,7 @@
 	 * quota, and when the quota has room for it.
 	 */
 	refuseOverQuota(retryAfterMs: number, logFields: LogFields): void {
+		this.logLateRefusal(httpTooManyRequests, "over the quota")
 		const headers = this.options.wire.encodeRefusal(retryAfterMs)
 		this.respondWithText(httpTooManyRequests, "over the quota", headers)
 		this.recordOutcome(RequestOutcome.OverQuota, {retryAfterMs, ...logFields})
@@ -207,6 +212,13 @@
 		this.recordOutcome(RequestOutcome.Rejected, {status, reason, ...logFields})
 	}
 
+	/** Logs that a request is refused as not run though it may have run. */
+	private logLateRefusal(status: number, reason: string): void {
+		if (this.hasEnded || !this.runs.mayHaveRun) return
+		const {log, head} = this.options
+		log.request("refusal.late", head.id, {status, reason})
+	}
+
 	/** Ends the request in whatever state it is, so that its buffers are freed. */
 	private endForOverflow({part, bytes, waitedMs}: BufferOverflow): void {
 		const {log, head, metrics, res} = this.options
--- a/src/gateway/sends/endpointCall.ts
+++ b/src/gateway/sends/endpointCall.ts
@@ -11,6 +11,7 @@
 import type {IncomingMessage} from "node:http"
 import {connect, type Socket} from "node:net"
 import {findReset, isFramed} from "../../link/connectionEnd.js"
+import type {RunRecord} from "../callers/runRecord.js"
 import type {ResponseHead, RequestHead, WireCodec} from "../wire.js"
 
 /** How a call to an endpoint ended. */
@@ -54,6 +55,8 @@
 	/** Alternating header names and values. */
 	headers: readonly string[]
 	body: Buffer
+	/** Is told when the request may run, and when it didn't. */
+	runs: RunRecord
 	handlers: CallHandlers
 	/** Timeout for establishing the connection, milliseconds. */
 	connectTimeoutMs?: number | undefined
@@ -107,6 +110,7 @@
 				return
 			}
 			this.isConnected = true
+			options.runs.addCall()
 			clearTimeout(this.connectTimer)
 		})
 		this.req = httpRequest({
@@ -211,6 +215,7 @@
 		if (this.isSettled) return
 		this.isSettled = true
 		clearTimeout(this.connectTimer)
+		if (outcome === CallOutcome.NotRun) this.options.runs.removeCall()
 		// Without a listener, a socket error after this point would be thrown.
 		this.socket.on("error", () => undefined)
 		this.req.destroy()
--- a/src/gateway/sends/generationSend.ts
+++ b/src/gateway/sends/generationSend.ts
@@ -94,6 +94,7 @@
 				...ctx.access.describeCaller(request)
 			}),
 			body,
+			runs: exchange.runs,
 			handlers: {
 				onConnected: () => request.quotaTicket?.trySend() ?? true,
 				onHead: responseHead => {
--- a/src/gateway/sends/serviceTask.ts
+++ b/src/gateway/sends/serviceTask.ts
@@ -170,6 +170,7 @@
 				memberName: ctx.access.describeCaller(request).memberName
 			}),
 			body,
+			runs: exchange.runs,
 			handlers: {
 				onConnected: () => request.quotaTicket?.trySend() ?? true,
 				onHead: responseHead => {
