Reproduce refusals of requests that run

A request whose quota is being renewed as it is sent is answered 503 when the agents freeze and 429 when its Member is over its quota, while an engine runs it; a stream that has begun goes on without end. The second case needs no fault of any host: the answer to the renewal only has to arrive after the send, and the Member to be over its quota a second later.

--- a/src/gateway/quotas/__tests__/quotaTicket.test.ts
+++ b/src/gateway/quotas/__tests__/quotaTicket.test.ts
@@ -186,6 +186,29 @@
 		expect(ticket.trySend()).toBe(true)
 	})
 
+	it("isn't refused any more once the request was sent during a renewal", async () => {
+		const ticket = startTicket()
+		answerLast(taken)
+		await advance(1000)
+		expect(asks.at(-1)?.ask.isRenewal).toBe(true)
+		expect(ticket.trySend()).toBe(true)
+		for (let n = 0; n < 3; n += 1) answerLast(over)
+		await advance(2000)
+		expect(results).toEqual(["taken"])
+		expect(asks).toHaveLength(2)
+	})
+
+	it("isn't renewed again once the request was sent during a renewal", async () => {
+		const ticket = startTicket()
+		answerLast(taken)
+		await advance(1000)
+		expect(ticket.trySend()).toBe(true)
+		answerLast(taken)
+		await advance(2000)
+		expect(results).toEqual(["taken"])
+		expect(asks).toHaveLength(2)
+	})
+
 	it("is taken from another part when its holder no longer answers", async () => {
 		const ticket = startTicket()
 		answerLast(taken)
