Let no refusal follow a call that may have run

A refusal promises its caller that the request has not run and never will. Each task derived that from its own counts, and whoever else ended a request, as the quota's ticket does, could say it without asking. Callers got 429 or 503 for requests that an engine ran, and streams that had begun were neither continued nor ended.

The exchange now decides it. A call registers before its first byte is written, and only the endpoint's statement that it did not run the request takes that back. From then on refuse, refuseOverQuota and turnAway answer 502, or cut a response that has begun, and log refusal.late with what was to be said; goldcrestloom_late_refusals_total counts them. In the other direction, a refused exchange lets no call begin: one whose connection is established after the refusal sends nothing.

--- a/src/gateway/callers/__tests__/callerExchange.test.ts
+++ b/src/gateway/callers/__tests__/callerExchange.test.ts
@@ -86,7 +86,7 @@
 describe.each(refusals)("%s", (_, status, refuse) => {
 	it("is answered as unknown once a call has begun", () => {
 		const {exchange, res, lines} = createExchange()
-		exchange.runs.addCall()
+		exchange.runs.tryAddCall()
 		refuse(exchange)
 		expect(res.status).toBe(502)
 		expect(lines).toEqual(["refusal.late", "request.ended"])
@@ -94,13 +94,19 @@
 
 	it("stands where each endpoint said that it did not run the request", () => {
 		const {exchange, res, lines} = createExchange()
-		exchange.runs.addCall()
+		exchange.runs.tryAddCall()
 		exchange.runs.removeCall()
 		refuse(exchange)
 		expect(res.status).toBe(status)
 		expect(lines).toEqual(["request.ended"])
 	})
 
+	it("keeps calls from being begun after it", () => {
+		const {exchange} = createExchange()
+		refuse(exchange)
+		expect(exchange.runs.tryAddCall()).toBe(false)
+	})
+
 	it("cuts a stream that has begun", () => {
 		const {exchange, res} = createExchange()
 		const head: Partial<ResponseHead> = {status: 200, headers: []}
--- a/src/gateway/callers/callerExchange.ts
+++ b/src/gateway/callers/callerExchange.ts
@@ -51,6 +51,7 @@
 const httpServiceUnavailable = 503
 const httpBadGateway = 502
 const httpGatewayTimeout = 504
+const overQuota = "over the quota"
 /** Why a request ends whose bytes the process can't hold any longer. */
 export const buffersFull = "buffers are full"
 /** Slow callers at the bound are gone by then. */
@@ -162,7 +163,8 @@
 
 	/** Responds that the request did not and will not run, and when to retry. */
 	refuse(reason: string, retryAfterMs: number, logFields: LogFields): void {
-		this.logLateRefusal(httpServiceUnavailable, reason)
+		if (this.endIfLate(httpServiceUnavailable, reason, logFields)) return
+		this.runs.close()
 		const headers = this.options.wire.encodeRefusal(retryAfterMs)
 		this.respondWithText(httpServiceUnavailable, reason, headers)
 		this.recordOutcome(RequestOutcome.Refused, {
@@ -177,9 +179,10 @@
 	 * quota, and when the quota has room for it.
 	 */
 	refuseOverQuota(retryAfterMs: number, logFields: LogFields): void {
-		this.logLateRefusal(httpTooManyRequests, "over the quota")
+		if (this.endIfLate(httpTooManyRequests, overQuota, logFields)) return
+		this.runs.close()
 		const headers = this.options.wire.encodeRefusal(retryAfterMs)
-		this.respondWithText(httpTooManyRequests, "over the quota", headers)
+		this.respondWithText(httpTooManyRequests, overQuota, headers)
 		this.recordOutcome(RequestOutcome.OverQuota, {retryAfterMs, ...logFields})
 	}
 
@@ -188,6 +191,8 @@
 	 * valid and may be served another day, so that no status for invalid requests fits.
 	 */
 	turnAway(reason: string, logFields: LogFields): void {
+		if (this.endIfLate(httpInternalError, reason, logFields)) return
+		this.runs.close()
 		this.respondWithText(httpInternalError, reason, {})
 		this.recordOutcome(RequestOutcome.TurnedAway, {reason, ...logFields})
 	}
@@ -212,11 +217,23 @@
 		this.recordOutcome(RequestOutcome.Rejected, {status, reason, ...logFields})
 	}
 
-	/** Logs that a request is refused as not run though it may have run. */
-	private logLateRefusal(status: number, reason: string): void {
-		if (this.hasEnded || !this.runs.mayHaveRun) return
-		const {log, head} = this.options
+	/**
+	 * Ends a request that is to be answered as not run although it may have run or its
+	 * response has begun: nothing of that kind may be said any more.
+	 */
+	private endIfLate(
+		status: number,
+		reason: string,
+		logFields: LogFields
+	): boolean {
+		if (this.hasEnded) return true
+		if (!this.runs.mayHaveRun && !this.isHeadWritten) return false
+		const {log, head, metrics} = this.options
+		metrics.countLateRefusal(status)
 		log.request("refusal.late", head.id, {status, reason})
+		if (this.isHeadWritten) this.abortStream({detail: reason, ...logFields})
+		else this.respondUnknown(reason, logFields)
+		return true
 	}
 
 	/** Ends the request in whatever state it is, so that its buffers are freed. */
--- a/src/gateway/callers/runRecord.ts
+++ b/src/gateway/callers/runRecord.ts
@@ -5,16 +5,25 @@
  */
 export class RunRecord {
 	private calls = 0
+	private isClosed = false
 
 	get mayHaveRun(): boolean {
 		return this.calls > 0
 	}
 
-	addCall(): void {
+	/** Returns false if the request must not be sent, since its caller was refused. */
+	tryAddCall(): boolean {
+		if (this.isClosed) return false
 		this.calls += 1
+		return true
 	}
 
 	removeCall(): void {
 		this.calls -= 1
 	}
+
+	/** Called when the caller is told that the request has not run and never will. */
+	close(): void {
+		this.isClosed = true
+	}
 }
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -132,6 +132,12 @@
 		help: "Pauses in reading an engine whose caller had too much unread",
 		registers: [this.registry]
 	})
+	private readonly lateRefusals = new Counter({
+		name: "goldcrestloom_late_refusals_total",
+		help: "Requests that were to be refused as not run although they may have run",
+		labelNames: ["status"],
+		registers: [this.registry]
+	})
 	private readBufferedBytes: () => number = () => 0
 	/** Parts of prompts with which requests are turned away. */
 	readonly accusedParts = new Gauge({
@@ -170,6 +176,10 @@
 		this.readPauses.inc()
 	}
 
+	countLateRefusal(status: number): void {
+		this.lateRefusals.inc({status})
+	}
+
 	countRequest(kind: string, outcome: RequestOutcome): void {
 		this.requests.inc({kind, outcome})
 	}
--- a/src/gateway/sends/endpointCall.ts
+++ b/src/gateway/sends/endpointCall.ts
@@ -109,8 +109,11 @@
 				this.settle(CallOutcome.NeverSent, "no longer permitted")
 				return
 			}
+			if (!options.runs.tryAddCall()) {
+				this.settle(CallOutcome.NeverSent, "caller was refused")
+				return
+			}
 			this.isConnected = true
-			options.runs.addCall()
 			clearTimeout(this.connectTimer)
 		})
 		this.req = httpRequest({
--- a/src/gateway/sends/requestTask.ts
+++ b/src/gateway/sends/requestTask.ts
@@ -77,11 +77,11 @@
 				this.begin()
 			},
 			onOver: retryAfterMs => {
-				if (!this.endUnsent()) return
+				this.cancel()
 				exchange.refuseOverQuota(retryAfterMs, logFields)
 			},
 			onUnavailable: retryAfterMs => {
-				if (!this.endUnsent()) return
+				this.cancel()
 				exchange.refuse("no agent gives quotas", retryAfterMs, logFields)
 			}
 		})
@@ -89,13 +89,6 @@
 		ticket.start()
 	}
 
-	/** Ends the request unless its response has ended or begun. */
-	private endUnsent(): boolean {
-		const {exchange} = this.request
-		this.cancel()
-		return exchange.isOpen && !exchange.hasStarted
-	}
-
 	protected abstract dispatch(): void
 
 	/** Called when the request's deadline passes. */
