End the renewal of a quota once its request is sent

Requests that had waited for longer than a second were answered 429 or 503 while an engine ran them, and streams stalled: trySend stopped the timer of the renewal, but not one that had been asked, and the answer to it started the timer again. A second later the holder was asked to renew an amount that it had been told was sent. It took the amount anew, so that the Member was charged twice, or refused it if the Member was over its quota; then the ticket tried the other parts and at last ended the request.

trySend now ends the ask as well. An answer that still arrives is a late one, which returns what it took; the holder hears of the send first, so that a renewal of the amount itself isn't returned.

--- a/src/gateway/quotas/__tests__/quotaTicket.test.ts
+++ b/src/gateway/quotas/__tests__/quotaTicket.test.ts
@@ -207,6 +207,9 @@
 		await advance(2000)
 		expect(results).toEqual(["taken"])
 		expect(asks).toHaveLength(2)
+		// The holder hears of the send before what the renewal took is returned.
+		const [first] = uses
+		expect(first?.sent.map(({key}) => key)).toEqual([asks[0]?.ask.key])
 	})
 
 	it("is taken from another part when its holder no longer answers", async () => {
--- a/src/gateway/quotas/quotaTicket.ts
+++ b/src/gateway/quotas/quotaTicket.ts
@@ -82,7 +82,7 @@
 			return false
 		}
 		this.hasBeenSent = true
-		clearTimeout(this.renewTimer)
+		this.stopAsking()
 		options.quotas.reportSent(taken)
 		return true
 	}
@@ -195,10 +195,15 @@
 		this.start()
 	}
 
-	private dropAmount(): void {
+	/** Ends a renewal that was asked as well; what it takes is returned. */
+	private stopAsking(): void {
 		clearTimeout(this.renewTimer)
 		this.cancelAsk?.()
 		this.cancelAsk = undefined
+	}
+
+	private dropAmount(): void {
+		this.stopAsking()
 		if (this.taken !== undefined && !this.hasBeenSent)
 			this.options.quotas.giveBack(this.taken)
 		this.taken = undefined
