--- a/src/gateway/sends/endpointCall.ts
+++ b/src/gateway/sends/endpointCall.ts
@@ -11,6 +11,7 @@
 import type {IncomingMessage} from "node:http"
 import {connect, type Socket} from "node:net"
 import {findReset, isFramed} from "../../link/connectionEnd.js"
+import type {RunRecord} from "../callers/runRecord.js"
 import type {ResponseHead, RequestHead, WireCodec} from "../wire.js"
 
 /** How a call to an endpoint ended. */
@@ -54,6 +55,8 @@
 	/** Alternating header names and values. */
 	headers: readonly string[]
 	body: Buffer
+	/** Is told when the request may run, and when it didn't. */
+	runs: RunRecord
 	handlers: CallHandlers
 	/** Timeout for establishing the connection, milliseconds. */
 	connectTimeoutMs?: number | undefined
@@ -106,6 +109,10 @@
 				this.settle(CallOutcome.NeverSent, "no longer permitted")
 				return
 			}
+			if (!options.runs.tryAddCall()) {
+				this.settle(CallOutcome.NeverSent, "caller was refused")
+				return
+			}
 			this.isConnected = true
 			clearTimeout(this.connectTimer)
 		})
@@ -211,6 +218,7 @@
 		if (this.isSettled) return
 		this.isSettled = true
 		clearTimeout(this.connectTimer)
+		if (outcome === CallOutcome.NotRun) this.options.runs.removeCall()
 		// Without a listener, a socket error after this point would be thrown.
 		this.socket.on("error", () => undefined)
 		this.req.destroy()
