--- a/standins/__tests__/relay.test.ts
+++ b/standins/__tests__/relay.test.ts
@@ -6,9 +6,9 @@
 	type Server,
 	type Socket
 } from "node:net"
-import {afterEach, beforeEach, expect, test} from "vitest"
+import {afterEach, beforeEach, expect, test, vi} from "vitest"
 import {sleep} from "../../src/utils/common.js"
-import {Cut, type Relay, startRelay} from "../index.js"
+import {Cut, type Relay, SlowLink, startRelay} from "../index.js"
 
 let target: Server
 let relay: Relay
@@ -164,3 +164,21 @@
 	target.listen(0, "127.0.0.1")
 	await once(target, "listening")
 })
+
+// Guards against links that are slower for each connection but not in all.
+test("connections that share a slow link divide its rate", async () => {
+	const link = new SlowLink(1_000_000)
+	const shared = await startRelay({target: relay.address, link})
+	const [ip = "", port = ""] = shared.address.split(":")
+	const clients = [0, 1].map(() => new Client(connect(Number(port), ip)))
+	const startedAt = performance.now()
+	for (const {socket} of clients) socket.write("a".repeat(100_000))
+	await vi.waitFor(
+		() => {
+			for (const {text} of clients) expect(text).toHaveLength(100_000)
+		},
+		{timeout: 4000}
+	)
+	expect(performance.now() - startedAt).toBeGreaterThanOrEqual(195)
+	await shared.close()
+})
--- a/standins/relay.ts
+++ b/standins/relay.ts
@@ -1,7 +1,7 @@
 /**
  * A TCP relay that simulates network faults between two processes: it can
  * discard the bytes of one or both directions, delay them, and reset
- * connections.
+ * connections. Several relays may share a slow link.
  */
 import {once} from "node:events"
 import {
@@ -17,6 +17,8 @@
 export interface RelayOptions extends ListenOptions {
 	/** `ip:port` that connections are forwarded to. */
 	target: string
+	/** What the bytes to clients pass through; without it they pass at once. */
+	link?: SlowLink
 }
 
 /** Directions in which a relay discards bytes, as a network partition does. */
@@ -38,6 +40,23 @@
 	discardedBytes: number
 }
 
+/** Passes bytes on at a fixed rate, in the order of their arrival. */
+export class SlowLink {
+	private freeAt = 0
+
+	constructor(private readonly bytesPerSecond: number) {}
+
+	/** Time at which the last of these bytes has passed, in monotonic milliseconds. */
+	pass(bytes: number): number {
+		const beginAt = Math.max(this.freeAt, performance.now())
+		this.freeAt = beginAt + (bytes / this.bytesPerSecond) * 1000
+		return this.freeAt
+	}
+}
+
+/** A sender may have as much on its way before it has to wait. */
+const linkWindowBytes = 65_536
+
 /** The two sockets of a relayed connection. */
 interface Connection {
 	client: Socket
@@ -48,7 +67,7 @@
 
 export async function startRelay(options: RelayOptions): Promise<Relay> {
 	const {ip = "127.0.0.1", port = 0} = options
-	const relay = new Relay(options.target)
+	const relay = new Relay(options.target, options.link)
 	await relay.listen(ip, port)
 	return relay
 }
@@ -64,7 +83,10 @@
 	private forwardedBytes = 0
 	private discardedBytes = 0
 
-	constructor(target: string) {
+	constructor(
+		target: string,
+		private readonly link?: SlowLink
+	) {
 		const separator = target.lastIndexOf(":")
 		this.targetIp = target.slice(0, separator)
 		this.targetPort = Number(target.slice(separator + 1))
@@ -144,15 +166,22 @@
 		direction: Cut
 	): void {
 		let sent = Promise.resolve()
-		const enqueue = (send: () => void): void => {
-			const dueAt = performance.now() + this.delayMs
+		let waitingBytes = 0
+		const link = direction === Cut.ToClient ? this.link : undefined
+		const enqueue = (send: () => void, bytes = 0): void => {
+			const arrivedAt = link?.pass(bytes) ?? performance.now()
+			const dueAt = arrivedAt + this.delayMs
 			sent = sent.then(() => waitUntil(dueAt)).then(send)
 		}
 		from.setNoDelay(true)
 		from.on("data", chunk => {
+			waitingBytes += chunk.length
+			if (link !== undefined && waitingBytes >= linkWindowBytes) from.pause()
 			enqueue(() => {
+				waitingBytes -= chunk.length
+				if (waitingBytes < linkWindowBytes) from.resume()
 				this.forwardChunk(connection, to, chunk, direction)
-			})
+			}, chunk.length)
 		})
 		from.on("error", () => undefined)
 		from.on("close", hadError => {
