Send configurations to other gateways compressed, and only once

Callers of gateways with slow links got 404 for added routes, or 503 for lack of proof, for seconds after a configuration had grown.

Cause: each of three sources sent the configuration as plain JSON (0.5 MB for 1,890 routes). Heartbeats and answers about proof waited behind it on a link of 7 Mbit/s, so that sources counted as silent after 1.5 s. Once connected again, each sent all of it anew, beside the reads of the store that the gateway began itself.

Change: configurations are compressed with deflate, once for all followers. Of several copies of a version one is unpacked. Gateways of builds before this one get plain JSON, as they send it.

Unit tests: fleetPublisher.test.ts (3), fleetState and publishedConfig (20) pass.

--- /dev/null
+++ b/src/gateway/fleet/__tests__/fleetPublisher.test.ts
@@ -0,0 +1,143 @@
+import {once} from "node:events"
+import {Writable} from "node:stream"
+import * as grpc from "@grpc/grpc-js"
+import {create} from "@bufbuild/protobuf"
+import winston from "winston"
+import {afterEach, beforeEach, describe, expect, it, vi} from "vitest"
+import type {FleetConfig} from "../../../contract/fleet.js"
+import {
+	FollowRequestSchema,
+	type FleetUpdate
+} from "../../../contract/gen/fleet_pb.js"
+import {fleetMethods} from "../../../link/methods.js"
+import {openFollowStream} from "../../../link/fleetLink.js"
+import {DecisionLog} from "../../../program/decisionLog.js"
+import {createLoopbackIp} from "../../__tests__/loopback.js"
+import {FleetPublisher} from "../fleetPublisher.js"
+import {FleetState} from "../fleetState.js"
+import {
+	decodePublishedConfig,
+	inflatePublishedConfig
+} from "../publishedConfig.js"
+
+function createConfig(version: number): FleetConfig {
+	const limits = {
+		maxHeaderBytes: 1,
+		maxBodyBytes: 1,
+		headerTimeoutMs: 1,
+		idleTimeoutMs: 1
+	}
+	return {version, routes: [], pools: [], limits, members: undefined}
+}
+
+let address: string
+let fleet: FleetState
+let publisher: FleetPublisher
+let isFresh: boolean
+const closes: (() => void)[] = []
+
+beforeEach(async () => {
+	const stream = new Writable({
+		write: (_chunk, _encoding, done) => {
+			done()
+		}
+	})
+	const transport = new winston.transports.Stream({stream})
+	// eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
+	fleet = new FleetState(new DecisionLog({role: "test", host: "h", transport}))
+	address = `${createLoopbackIp()}:9203`
+	isFresh = true
+	publisher = new FleetPublisher({
+		address,
+		fleet,
+		isFresh: () => isFresh,
+		getProofAgeMs: () => 0
+	})
+	await publisher.start()
+	fleet.applyConfig(createConfig(3), "store")
+})
+
+afterEach(() => {
+	for (const close of closes.splice(0)) close()
+	publisher.stop()
+})
+
+/** Subscribes, and lists what was received. */
+function follow(configVersion?: number): FleetUpdate[] {
+	const updates: FleetUpdate[] = []
+	const open = openFollowStream(address, {gateway: "g", configVersion})
+	open.stream.on("error", () => undefined)
+	open.stream.on("data", (update: FleetUpdate) => updates.push(update))
+	closes.push(() => {
+		open.close()
+	})
+	return updates
+}
+
+function listVersions(updates: readonly FleetUpdate[]): number[] {
+	return updates
+		.filter(({compressedConfig}) => compressedConfig.length > 0)
+		.map(({configVersion}) => configVersion)
+}
+
+async function waitForUpdates(
+	updates: readonly FleetUpdate[],
+	count: number
+): Promise<void> {
+	await vi.waitFor(
+		() => {
+			expect(updates.length).toBeGreaterThanOrEqual(count)
+		},
+		{timeout: 4000}
+	)
+}
+
+describe("a gateway that publishes its configuration", () => {
+	it("sends it compressed to a gateway that has none", async () => {
+		const updates = follow()
+		await waitForUpdates(updates, 1)
+		expect(updates[0]?.config).toHaveLength(0)
+		const bytes = inflatePublishedConfig(
+			updates[0]?.compressedConfig ?? new Uint8Array()
+		)
+		expect(decodePublishedConfig(bytes)).toEqual(createConfig(3))
+	})
+
+	// Guards against copies that hold up heartbeats each time a source is connected.
+	it("sends nothing that a gateway has, also once its view is fresh again", async () => {
+		const updates = follow(3)
+		isFresh = false
+		await waitForUpdates(updates, 3)
+		isFresh = true
+		await vi.waitFor(
+			() => {
+				expect(updates.filter(({isWhole}) => isWhole)).toHaveLength(2)
+			},
+			{timeout: 4000}
+		)
+		expect(listVersions(updates)).toEqual([])
+		fleet.applyConfig(createConfig(5), "store")
+		await vi.waitFor(() => {
+			expect(listVersions(updates)).toEqual([5])
+		})
+	})
+
+	it("sends it as it is to a gateway of an earlier build", async () => {
+		const client = new grpc.Client(address, grpc.credentials.createInsecure())
+		const {path, requestSerialize, responseDeserialize} = fleetMethods.follow
+		const stream = client.makeServerStreamRequest(
+			path,
+			requestSerialize,
+			responseDeserialize,
+			create(FollowRequestSchema, {gateway: "g"})
+		)
+		stream.on("error", () => undefined)
+		closes.push(() => {
+			stream.cancel()
+			client.close()
+		})
+		const [update] = (await once(stream, "data")) as [FleetUpdate]
+		expect(update.compressedConfig).toHaveLength(0)
+		expect(decodePublishedConfig(update.config)).toEqual(createConfig(3))
+	})
+})
--- a/src/gateway/fleet/fleetFollower.ts
+++ b/src/gateway/fleet/fleetFollower.ts
@@ -14,7 +14,10 @@
 import type {DecisionLog} from "../../program/decisionLog.js"
 import {messageOf} from "../../utils/common.js"
 import type {FleetState} from "./fleetState.js"
-import {decodePublishedConfig} from "./publishedConfig.js"
+import {
+	decodePublishedConfig,
+	inflatePublishedConfig
+} from "./publishedConfig.js"
 
 export interface FleetFollowerOptions {
 	/** Host name of this gateway. */
@@ -106,9 +109,10 @@
 	}
 
 	private connect(source: Source): void {
-		const {gateway, tls, now} = this.options
+		const {gateway, fleet, tls, now} = this.options
 		source.openedAt = now()
-		const open = openFollowStream(source.address, gateway, tls)
+		const {version: configVersion} = fleet.config ?? {}
+		const open = openFollowStream(source.address, {gateway, configVersion, tls})
 		const {stream} = open
 		source.open = open
 		source.knowsMembers = true
@@ -144,7 +148,7 @@
 			log.decide(event, {source: source.address, era, known: fleet.era})
 		}
 		if (isFresh) fleet.noteEra(update.era, source.address)
-		this.applyConfig(update.config, source)
+		this.applyConfig(update, source)
 		for (const version of update.versions) fleet.applyVersion(version)
 		// A source that lost the store may still list removed endpoints, so its list
 		// is used only while this gateway knows no endpoints.
@@ -156,11 +160,17 @@
 		)
 	}
 
-	private applyConfig(bytes: Uint8Array, source: Source): void {
-		if (bytes.length === 0) return
+	private applyConfig(update: FleetUpdate, source: Source): void {
 		const {fleet, log} = this.options
+		const {config: plain, compressedConfig, configVersion} = update
+		const isCompressed = compressedConfig.length > 0
+		if (!isCompressed && plain.length === 0) return
+		const known = fleet.config?.version ?? Number.NEGATIVE_INFINITY
+		if (isCompressed && configVersion <= known) return
 		try {
-			const config = decodePublishedConfig(bytes)
+			const config = decodePublishedConfig(
+				isCompressed ? inflatePublishedConfig(compressedConfig) : plain
+			)
 			if (config !== undefined) fleet.applyConfig(config, source.address)
 			else if (source.knowsMembers) {
 				source.knowsMembers = false
--- a/src/gateway/fleet/fleetPublisher.ts
+++ b/src/gateway/fleet/fleetPublisher.ts
@@ -5,7 +5,11 @@
  */
 import type * as grpc from "@grpc/grpc-js"
 import {create, type MessageInitShape} from "@bufbuild/protobuf"
-import {EndpointState, type FleetEndpoint} from "../../contract/fleet.js"
+import {
+	EndpointState,
+	type FleetConfig,
+	type FleetEndpoint
+} from "../../contract/fleet.js"
 import {
 	type ConfirmAnswer,
 	ConfirmAnswerSchema,
@@ -13,8 +17,11 @@
 } from "../../contract/gen/fleet_pb.js"
 import {type FollowCall, startFollowServer} from "../../link/fleetLink.js"
 import type {TlsKeys} from "../../link/tls.js"
-import {encodePublishedConfig} from "./publishedConfig.js"
 import type {FleetState} from "./fleetState.js"
+import {
+	compressPublishedConfig,
+	encodePublishedConfig
+} from "./publishedConfig.js"
 
 export interface FleetPublisherOptions {
 	/** `ip:port`. */
@@ -34,6 +41,12 @@
 
 type Update = MessageInitShape<typeof FleetUpdateSchema>
 
+interface ConfigFields {
+	config?: Uint8Array
+	compressedConfig?: Uint8Array
+	configVersion?: number
+}
+
 export class FleetPublisher {
 	private readonly subscribers = new Set<FollowCall>()
 	/**
@@ -44,6 +57,7 @@
 	private readonly publishedFields = new Map<string, string>()
 	private server: grpc.Server | undefined
 	private timer: NodeJS.Timeout | undefined
+	private compressed: {version: number; bytes: Uint8Array} | undefined
 	private isPublishScheduled = false
 	/** Whether the view was fresh at the last heartbeat. */
 	private wasFresh = false
@@ -51,7 +65,7 @@
 	constructor(private readonly options: FleetPublisherOptions) {
 		options.fleet.addListener({
 			onConfig: config => {
-				this.publish({config: encodePublishedConfig(config)})
+				this.publishConfig(config)
 			},
 			onVersion: version => {
 				this.publish({versions: [version]})
@@ -90,7 +104,31 @@
 		call.on("cancelled", remove)
 		call.on("error", remove)
 		this.subscribers.add(call)
-		call.write(create(FleetUpdateSchema, this.createSnapshot()))
+		const {config} = this.options.fleet
+		const {configVersion = Number.NEGATIVE_INFINITY} = call.request
+		const isNews = config !== undefined && config.version > configVersion
+		const fields = isNews ? this.encodeConfig(config, call) : {}
+		this.send([call], this.createSnapshot(fields))
+	}
+
+	/** Sends a configuration to the followers, which each get it once. */
+	private publishConfig(config: FleetConfig): void {
+		for (const call of this.subscribers)
+			this.send([call], this.encodeConfig(config, call))
+	}
+
+	private encodeConfig(
+		config: FleetConfig,
+		{request}: FollowCall
+	): ConfigFields {
+		if (!request.acceptsCompressed)
+			return {config: encodePublishedConfig(config)}
+		const {version: configVersion} = config
+		if (this.compressed?.version !== configVersion) {
+			const bytes = compressPublishedConfig(encodePublishedConfig(config))
+			this.compressed = {version: configVersion, bytes}
+		}
+		return {compressedConfig: this.compressed.bytes, configVersion}
 	}
 
 	private confirm(): ConfirmAnswer {
@@ -102,23 +140,20 @@
 			: create(ConfirmAnswerSchema, {hasProof: true, version, ageMs})
 	}
 
-	private createSnapshot(): Update {
-		const {fleet, isFresh} = this.options
-		const {config, era} = fleet
+	private createSnapshot(configFields: ConfigFields = {}): Update {
+		const {fleet} = this.options
 		return {
-			isFresh: isFresh(),
-			era,
+			...configFields,
 			isWhole: true,
 			endpoints: fleet.listEndpoints().map(encodeEndpoint),
 			gone: fleet.listRemovals(),
-			versions: fleet.listVersions(),
-			...(config === undefined ? {} : {config: encodePublishedConfig(config)})
+			versions: fleet.listVersions()
 		}
 	}
 
 	/**
-	 * Publishes a heartbeat, or everything if the view became fresh: followers
-	 * ignore the endpoint changes that are published while it is not.
+	 * Publishes a heartbeat, or all but the configuration if the view became fresh:
+	 * followers ignore the endpoint changes that are published while it is not.
 	 */
 	private beat(): void {
 		const isFresh = this.options.isFresh()
@@ -160,14 +195,17 @@
 	}
 
 	private publish(update: Update): void {
-		if (this.subscribers.size === 0) return
+		if (this.subscribers.size > 0) this.send(this.subscribers, update)
+	}
+
+	private send(calls: Iterable<FollowCall>, update: Update): void {
 		const {fleet, isFresh} = this.options
 		const message = create(FleetUpdateSchema, {
 			...update,
 			isFresh: isFresh(),
 			era: fleet.era
 		})
-		for (const call of this.subscribers) call.write(message)
+		for (const call of calls) call.write(message)
 	}
 }
 
--- a/src/gateway/fleet/publishedConfig.ts
+++ b/src/gateway/fleet/publishedConfig.ts
@@ -2,6 +2,7 @@
  * Encodes and decodes the configuration that gateways publish to each other as JSON.
  * Gateways of builds without Members publish configurations without the field.
  */
+import {constants, deflateRawSync, inflateRawSync} from "node:zlib"
 import type {FleetConfig, Member} from "../../contract/fleet.js"
 
 type PublishedConfig = Omit<FleetConfig, "members"> & {
@@ -9,6 +10,9 @@
 	members?: readonly Member[] | null
 }
 
+/** Many times what the store holds. */
+const maxPublishedBytes = 32 * 1024 * 1024
+
 export function encodePublishedConfig(config: FleetConfig): Uint8Array {
 	const published: PublishedConfig = {
 		...config,
@@ -31,6 +35,16 @@
 	return {...rest, members: members ?? undefined}
 }
 
+/** Compresses an encoded configuration: routes are alike but for their names. */
+export function compressPublishedConfig(bytes: Uint8Array): Uint8Array {
+	return deflateRawSync(bytes, {level: constants.Z_BEST_SPEED})
+}
+
+/** Throws if the bytes were not compressed, or are too large. */
+export function inflatePublishedConfig(bytes: Uint8Array): Uint8Array {
+	return inflateRawSync(bytes, {maxOutputLength: maxPublishedBytes})
+}
+
 function parsePublished(text: string): PublishedConfig {
 	try {
 		return JSON.parse(text) as PublishedConfig
--- a/src/link/fleetLink.ts
+++ b/src/link/fleetLink.ts
@@ -70,11 +70,18 @@
  */
 const confirmTimeoutMs = 2000
 
+export interface FollowOptions {
+	/** Host name of the gateway that subscribes. */
+	gateway: string
+	/** Version of its configuration, which it doesn't need to get. */
+	configVersion: number | undefined
+	tls?: TlsKeys | undefined
+}
+
 /** Subscribes to the fleet updates of a gateway that watches the platform. */
 export function openFollowStream(
 	address: string,
-	gateway: string,
-	tls?: TlsKeys
+	{gateway, configVersion, tls}: FollowOptions
 ): OpenFollowStream {
 	const client = openClient(address, tls)
 	const {path, requestSerialize, responseDeserialize} = fleetMethods.follow
@@ -82,7 +89,11 @@
 		path,
 		requestSerialize,
 		responseDeserialize,
-		create(FollowRequestSchema, {gateway})
+		create(FollowRequestSchema, {
+			gateway,
+			acceptsCompressed: true,
+			...(configVersion === undefined ? {} : {configVersion})
+		})
 	)
 	return {
 		stream,
