Let a store call go on while parts of its answer arrive

A gateway with a slow link that has to read a large configuration from the store never got it: its callers were served by the version before, or not at all.

Cause: a call had 0.9 s for its whole answer. The 1 MiB that an object may have takes 1.2 s over 7 Mbit/s, and each attempt began anew.

--- a/src/link/httpCall.ts
+++ b/src/link/httpCall.ts
@@ -25,6 +25,18 @@
 	payload?: Uint8Array | undefined
 	/** Limit for the whole call, until the last byte of the response. */
 	timeoutMs: number
+	/**
+	 * Limits for a body that may take long to arrive. With them, `timeoutMs` ends with
+	 * the head of the response.
+	 */
+	bodyLimits?: BodyLimits
+}
+
+export interface BodyLimits {
+	/** For the wait for each part of the body. */
+	stallMs: number
+	/** For the whole body. */
+	totalMs: number
 }
 
 export interface HttpResponse {
@@ -35,11 +47,11 @@
 
 /**
  * Resolves with the complete response, whatever its status. Rejects when it does
- * not arrive within the timeout, and then destroys the connection so that no other
+ * not arrive within the limits, and then destroys the connection so that no other
  * call reuses it.
  */
 export function callHttp(options: HttpCallOptions): Promise<HttpResponse> {
-	const {address, agent, method, path, timeoutMs} = options
+	const {address, agent, method, path, timeoutMs, bodyLimits} = options
 	const [host, port] = address.split(":")
 	const payload = encodePayload(options)
 	const headers = {...options.headers}
@@ -50,9 +62,10 @@
 	if (options.body !== undefined) headers["Content-Type"] = "application/json"
 	return new Promise((resolve, reject) => {
 		const req = httpRequest({host, port, method, path, headers, agent})
-		const timer = setTimeout(() => {
+		const endLate = (): void => {
 			req.destroy(new Error("no complete response within the timeout"))
-		}, timeoutMs)
+		}
+		let timer = setTimeout(endLate, timeoutMs)
 		let received: IncomingMessage | undefined
 		const failIfReset = (): void => {
 			if (received === undefined || isFramed(received.headers)) return
@@ -77,7 +90,18 @@
 				return
 			}
 			const chunks: Buffer[] = []
-			res.on("data", (chunk: Buffer) => chunks.push(chunk))
+			const bodyDeadline = performance.now() + (bodyLimits?.totalMs ?? 0)
+			const awaitPart = (): void => {
+				if (bodyLimits === undefined) return
+				clearTimeout(timer)
+				const leftMs = bodyDeadline - performance.now()
+				timer = setTimeout(endLate, Math.min(bodyLimits.stallMs, leftMs))
+			}
+			awaitPart()
+			res.on("data", (chunk: Buffer) => {
+				chunks.push(chunk)
+				awaitPart()
+			})
 			res.on("error", fail)
 			res.on("end", () => {
 				finish()
