Answer on an unreadable connection only where nothing is served

A caller whose connection carried malformed bytes, or headers that did not become complete in time, behind a request that was being served was answered 400 or 408 in the place of that request. 408 promises that it has not run, while an endpoint ran it. node:http writes these answers itself unless a server listens for clientError; it looks only at whether the response under way has written its head.

The gateway listens now. Requests that were read completely are answered, the last of them with Connection: close where its head is not written yet, and the connection closes; a request that becomes complete after that is not passed on. Where nothing is being served, the answers are those of Node.js. connection.unreadable logs the parser's code. readBody moves to a file of its own. headerCheckMs is an option so that a test need not wait for the 30 s between two checks.

--- /dev/null
+++ b/src/gateway/callers/unreadableConnections.ts
@@ -0,0 +1,71 @@
+/**
+ * Callers' connections whose bytes can't be read as a request any more. By default
+ * Node.js answers 400, 408 or 431 at once and closes the connection, even while earlier
+ * requests of it are being served: their callers would take that answer for theirs.
+ */
+import type {ServerResponse} from "node:http"
+import type {Socket} from "node:net"
+import type {DecisionLog} from "../../program/decisionLog.js"
+
+export interface UnreadableConnectionsOptions {
+	log: Pick<DecisionLog, "request">
+}
+
+const badRequest = "400 Bad Request"
+/** Answers by the code of the parser's error. */
+const answers: Partial<Record<string, string>> = {
+	ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+	HPE_CHUNK_EXTENSIONS_OVERFLOW: "413 Payload Too Large",
+	HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large"
+}
+
+export class UnreadableConnections {
+	/** Responses of each connection that have not ended. */
+	private readonly open = new WeakMap<Socket, Set<ServerResponse>>()
+	/** Connections that close once their open responses have ended. */
+	private readonly closing = new WeakSet<Socket>()
+
+	constructor(private readonly options: UnreadableConnectionsOptions) {}
+
+	/** Returns false if the request must be ignored, since its connection is closing. */
+	tryOpen(socket: Socket, res: ServerResponse): boolean {
+		if (this.closing.has(socket)) return false
+		const responses = this.open.get(socket) ?? new Set()
+		this.open.set(socket, responses)
+		responses.add(res)
+		res.once("close", () => {
+			responses.delete(res)
+			if (!this.closing.has(socket)) return
+			if (listComplete(responses).length === 0) socket.destroySoon()
+		})
+		return true
+	}
+
+	/** Lets requests that were read completely be answered, then closes. */
+	handleError({code = ""}: NodeJS.ErrnoException, socket: Socket): void {
+		if (!socket.writable) {
+			socket.destroy()
+			return
+		}
+		if (this.closing.has(socket)) return
+		this.closing.add(socket)
+		const served = listComplete(this.open.get(socket) ?? new Set())
+		const last = served.at(-1)
+		this.options.log.request("connection.unreadable", "", {
+			code,
+			serving: served.length
+		})
+		if (last === undefined) {
+			const status = answers[code] ?? badRequest
+			socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`)
+			socket.destroySoon()
+		} else if (!last.headersSent) last.setHeader("Connection", "close")
+	}
+}
+
+/** Responses to requests that were read completely, in their order. */
+function listComplete(
+	responses: ReadonlySet<ServerResponse>
+): ServerResponse[] {
+	return [...responses].filter(({req}) => req.complete)
+}
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -15,9 +15,10 @@
 	type PoolShare,
 	RouteKind
 } from "../contract/fleet.js"
-import {BufferPart} from "../policy/buffers/index.js"
 import {sleep} from "../utils/common.js"
 import {CallerExchange, CloseReason} from "./callers/callerExchange.js"
+import {readBody} from "./callers/readBody.js"
+import {UnreadableConnections} from "./callers/unreadableConnections.js"
 import {DeadlineSource, type GatewayContext} from "./gatewayContext.js"
 import {GenerationTask} from "./sends/generationTask.js"
 import {respondDenial} from "./identity/index.js"
@@ -30,6 +31,11 @@
 	ctx: GatewayContext
 	/** Time from SIGTERM until the process is killed, milliseconds. */
 	graceMs: number
+	/**
+	 * Time between two checks for requests whose headers are late, milliseconds; the
+	 * default of Node.js if absent.
+	 */
+	headerCheckMs?: number | undefined
 }
 
 /**
@@ -58,11 +64,20 @@
 	private drainStartedAt: number | undefined
 	/** Connections that the gateway closed because they were idle. */
 	private readonly idleSockets = new WeakSet<Socket>()
+	private readonly unreadable: UnreadableConnections
 	private isClosingAll = false
 
 	constructor(private readonly options: GatewayServerOptions) {
+		const {ctx, headerCheckMs} = options
+		this.unreadable = new UnreadableConnections({log: ctx.log})
 		this.server = createServer(
-			{maxHeaderSize: parserMaxHeaderBytes, noDelay: true},
+			{
+				maxHeaderSize: parserMaxHeaderBytes,
+				noDelay: true,
+				...(headerCheckMs === undefined
+					? {}
+					: {connectionsCheckingInterval: headerCheckMs})
+			},
 			(req, res) => {
 				this.handleRequest(req, res)
 			}
@@ -73,7 +88,10 @@
 		this.server.on("timeout", (socket: Socket) => {
 			this.closeIdleSocket(socket)
 		})
-		options.ctx.fleet.addListener({
+		this.server.on("clientError", (err, socket: Socket) => {
+			this.unreadable.handleError(err, socket)
+		})
+		ctx.fleet.addListener({
 			onConfig: ({limits}) => {
 				this.server.keepAliveTimeout = limits.idleTimeoutMs
 				this.server.headersTimeout = limits.headerTimeoutMs
@@ -134,6 +152,10 @@
 	private handleRequest(req: IncomingMessage, res: ServerResponse): void {
 		const {ctx} = this.options
 		const arrivedAt = ctx.now()
+		if (!this.unreadable.tryOpen(req.socket, res)) {
+			req.resume()
+			return
+		}
 		this.activeRequests += 1
 		ctx.metrics.activeRequests.set(this.activeRequests)
 		res.once("close", () => {
@@ -274,49 +296,6 @@
 	return req.rawHeaders.reduce((sum, text) => sum + text.length, separators)
 }
 
-/**
- * Calls back with the whole body, or with undefined once it is too large. Keeps
- * nothing of it once the exchange has ended.
- */
-function readBody(
-	req: IncomingMessage,
-	maxBytes: number,
-	exchange: CallerExchange,
-	onBody: (body: Buffer | undefined) => void
-): void {
-	const {buffers} = exchange
-	const chunks: Buffer[] = []
-	let size = 0
-	let isTooLarge = false
-	const drop = (): void => {
-		chunks.length = 0
-		buffers.remove(BufferPart.Upload, size)
-	}
-	req.on("data", (chunk: Buffer) => {
-		if (isTooLarge) return
-		if (!exchange.isOpen) {
-			drop()
-			return
-		}
-		size += chunk.length
-		if (size <= maxBytes) {
-			chunks.push(chunk)
-			buffers.add(BufferPart.Upload, chunk.length)
-			return
-		}
-		isTooLarge = true
-		drop()
-		onBody(undefined)
-	})
-	req.on("end", () => {
-		if (isTooLarge) return
-		buffers.move(BufferPart.Upload, BufferPart.Request)
-		onBody(Buffer.concat(chunks))
-	})
-	// A disconnect of the caller is handled by the response's `close` event.
-	req.on("error", () => undefined)
-}
-
 function respondWithText(
 	req: IncomingMessage,
 	res: ServerResponse,
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -78,6 +78,8 @@
 	/** Additional retries permitted in each window, over all gateways. */
 	repeatExtra: number
 	repeatWindowMs: number
+	/** See `GatewayServerOptions`. */
+	headerCheckMs?: number | undefined
 	/**
 	 * Whether keyed requests are sent only with proof that the configuration is the
 	 * newest; true by default.
@@ -295,7 +297,12 @@
 		})
 		this.isPublisher = isPublisher
 		const {callerAddress: address, graceMs} = options
-		this.server = new GatewayServer({address, ctx: this.ctx, graceMs})
+		this.server = new GatewayServer({
+			address,
+			ctx: this.ctx,
+			graceMs,
+			headerCheckMs: options.headerCheckMs
+		})
 	}
 
 	/**
