Call a generation not run at an entry only if no attempt may have run

GenerationCall answered with the outcome of its last attempt. A resumable request whose first attempt was lost while an engine may have run it, and whose second was refused, was answered not_run (429 or 503), which the interface defines as: the request has certainly not run. Only idempotent requests are sent again after an unknown outcome, so that nothing ran twice.

A refusal after an unknown outcome is an unknown outcome now, as ServiceCall has it for plain calls.

generationCall.test.ts: not_run before, unknown now. endToEnd.test.ts and faults/drafts.test.ts with it: 17 passed; src/entry passes.

--- a/src/entry/generationCall.ts
+++ b/src/entry/generationCall.ts
@@ -103,6 +103,8 @@
 	private hasForwardedStart = false
 	/** True once an engine has started the current attempt. */
 	private hasAttemptStarted = false
+	/** True once an attempt ended without a statement that it did not run. */
+	private mayHaveRun = false
 
 	constructor(private readonly options: GenerationCallOptions) {}
 
@@ -124,13 +126,20 @@
 				this.options.sink.finish(attempt.finished, this.forwardedText)
 				return undefined
 			}
-			failed = attempt.failed
-			if (!this.canRetry(failed)) return failed
+			failed = this.toFinalOutcome(attempt.failed)
+			if (!this.canRetry(attempt.failed)) return failed
 			this.excluded.add(link.hostId)
 			this.options.counters.add("retry.generation")
 		}
 	}
 
+	/** A refusal speaks for its own attempt only, not for those before it. */
+	private toFinalOutcome(failed: FailedOutcome): FailedOutcome {
+		this.mayHaveRun ||= isUnknown(failed)
+		if (isUnknown(failed) || !this.mayHaveRun) return failed
+		return unknownOutcome(Step.Forward, failed.peer, failed.detail)
+	}
+
 	private chooseLink(): EndpointLink | undefined {
 		const {fleet, router, query, route, hostId} = this.options
 		if (hostId !== undefined) {
