Call a generation not run at an endpoint only if no run was lost

An endpoint process runs an idempotent generation again whose run was lost before its first word. If the host left before the second run, or the engine rejected that one, the entry was told not_run, although the engine may have run the generation the first time. Only idempotent generations are tried again, so that nothing ran twice.

The generation remembers a run that was lost, and a refusal after it ends it as unknown, whoever asks for the refusal: drain, scheduler or engine.

--- a/src/endpoint/engineHost.ts
+++ b/src/endpoint/engineHost.ts
@@ -29,7 +29,6 @@
 import {assertNever, messageOf} from "../utils/common.js"
 import {type EngineWorker, RunEnd, type RunResult} from "./engineWorker.js"
 import {
-	createNotRunEvent,
 	createUnknownEvent,
 	Generation,
 	GenerationState,
@@ -348,7 +347,10 @@
 			const {id} = generation.draft
 			this.step({kind: SchedulerEventKind.RunEnded, worker, id})
 		}
-		if (isRetry) this.scheduleRetry(generation)
+		if (!isRetry) return
+		if (result.end === RunEnd.LostBeforeText)
+			generation.lostRun = {step: result.end, worker}
+		this.scheduleRetry(generation)
 	}
 
 	private endGeneration(
@@ -372,7 +374,10 @@
 			this.generations.removeAfterRetention(generation)
 			return
 		}
-		generation.end(toTerminalEvent(result, worker))
+		const {end, detail} = result
+		if (end === RunEnd.Refused)
+			generation.refuse(NotRunReason.ENDPOINT_REFUSED, detail)
+		else generation.end(createUnknownEvent(end, worker, detail))
 		this.generations.removeAfterRetention(generation)
 	}
 
@@ -425,13 +430,3 @@
 		return worker
 	}
 }
-
-function toTerminalEvent(
-	result: RunResult,
-	worker: string
-): ReturnType<typeof createNotRunEvent> {
-	if (result.end === RunEnd.Refused) {
-		return createNotRunEvent(NotRunReason.ENDPOINT_REFUSED, result.detail)
-	}
-	return createUnknownEvent(result.end, worker, result.detail)
-}
--- a/src/endpoint/generation.ts
+++ b/src/endpoint/generation.ts
@@ -33,6 +33,8 @@
 	/** Engine that runs the generation; empty while it waits. */
 	worker = ""
 	attempts = 0
+	/** Set once a run was lost that an engine may have begun. */
+	lostRun: {step: string; worker: string} | undefined
 	/** Aborted at the deadline, or when no reader resumes in time. */
 	readonly abort = new AbortController()
 	private text = ""
@@ -95,8 +97,12 @@
 		}
 	}
 
+	/** Ends it as not run, or as unknown if an engine may have begun a run of it. */
 	refuse(reason: NotRunReason, detail: string, retryAfterMs = 0): void {
-		this.end(createNotRunEvent(reason, detail, retryAfterMs))
+		if (this.lostRun !== undefined) {
+			const {step, worker} = this.lostRun
+			this.end(createUnknownEvent(step, worker, detail))
+		} else this.end(createNotRunEvent(reason, detail, retryAfterMs))
 	}
 
 	private sendUnreadText(reader: Reader): void {
