End the runs of all requests on a connection that its caller closed

Runs went on after their callers had left, until their end or the deadline, in two cases:

- A caller sent several requests at once on a connection.
Node.js emits no `close` of a response that waits for an earlier one, so that only the run of the first was cancelled.
The others also counted as active: their bytes stayed counted, and a drain waited for them to its end.
- A caller ended its side while it had not read what was sent.
Node.js then closes the connection once everything is written, which a caller that reads nothing prevents.

Change: CallerConnections closes the unfinished responses of a connection as soon as its caller ends it, and reports the close of those that Node.js forgets.

--- a/src/gateway/callers/callerExchange.ts
+++ b/src/gateway/callers/callerExchange.ts
@@ -82,7 +82,7 @@
 			maxBytes: callerBuffers.maxStreamBytes,
 			onRoom: () => this.onRoom?.()
 		})
-		res.on("close", () => {
+		res.once("close", () => {
 			this.buffers.release()
 			if (this.hasEnded) return
 			this.recordClose()
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -17,6 +17,7 @@
 } from "../contract/fleet.js"
 import {BufferPart} from "../policy/buffers/index.js"
 import {sleep} from "../utils/common.js"
+import {CallerConnections} from "./callers/callerConnections.js"
 import {CallerExchange, CloseReason} from "./callers/callerExchange.js"
 import {DeadlineSource, type GatewayContext} from "./gatewayContext.js"
 import {GenerationTask} from "./sends/generationTask.js"
@@ -54,6 +55,7 @@
 
 export class GatewayServer {
 	private readonly server: Server
+	private readonly connections = new CallerConnections()
 	private activeRequests = 0
 	private drainStartedAt: number | undefined
 	/** Connections that the gateway closed because they were idle. */
@@ -134,6 +136,7 @@
 	private handleRequest(req: IncomingMessage, res: ServerResponse): void {
 		const {ctx} = this.options
 		const arrivedAt = ctx.now()
+		this.connections.add(req.socket, res)
 		this.activeRequests += 1
 		ctx.metrics.activeRequests.set(this.activeRequests)
 		res.once("close", () => {
