Cancel a search that is put off twice, and a request for a grant that is replaced

A request could be sent to an engine after its caller had left, with nobody left to cancel it, so that it ran to its end.

Cause: the search for an engine to go on at could be put off twice, as when a stream lost two calls at nearly the same time, or two configurations without its key came. Only the later timer was known; the earlier one searched once more, also after the caller's close. And a search that began while an agent had yet to answer forgot that it had asked, so that the grant was used whenever it came.

Change: LaterSearch clears its timer before it sets another one. A search ends the one before.

The second part of the change has no test of its own.

--- a/src/gateway/sends/engineSearch.ts
+++ b/src/gateway/sends/engineSearch.ts
@@ -70,6 +70,8 @@
 
 	/** Searches among the engines that neither refused nor were sent the request. */
 	start(): void {
+		// A grant that nobody waits for would be used as well.
+		this.cancel()
 		this.asks = 0
 		this.tryNextEngine()
 	}
--- a/src/gateway/sends/laterSearch.ts
+++ b/src/gateway/sends/laterSearch.ts
@@ -40,6 +40,7 @@
 		const {getStartBy, onSearch, now} = this.options
 		this.resumeBy ??= getStartBy()
 		if (now() + searchIntervalMs >= this.resumeBy) return false
+		clearTimeout(this.timer)
 		this.timer = setTimeout(onSearch, searchIntervalMs)
 		return true
 	}
