--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -16,6 +16,7 @@
 	RouteKind
 } from "../contract/fleet.js"
 import {sleep} from "../utils/common.js"
+import {CallerConnections} from "./callers/callerConnections.js"
 import {CallerExchange, CloseReason} from "./callers/callerExchange.js"
 import {readBody} from "./callers/readBody.js"
 import {UnreadableConnections} from "./callers/unreadableConnections.js"
@@ -60,6 +61,7 @@
 
 export class GatewayServer {
 	private readonly server: Server
+	private readonly connections = new CallerConnections()
 	private activeRequests = 0
 	private drainStartedAt: number | undefined
 	/** Connections that the gateway closed because they were idle. */
@@ -156,6 +158,7 @@
 			req.resume()
 			return
 		}
+		this.connections.add(req.socket, res)
 		this.activeRequests += 1
 		ctx.metrics.activeRequests.set(this.activeRequests)
 		res.once("close", () => {
