Keep logs and evidence of soaks that fail

Change: a soak writes the logs of its processes into a folder of its own, which is removed unless something broke; the breaches name it. Beside the logs stand the answers of each second since the last fault ended, by status and reason, which processes run and are ready, and for each second the delay, the use and the processor time of the event loop that all callers and stand-ins share.

Measured before this change: soak.test.ts twice, first beside other work only (load 4 to 17), then beside four busy processes as well (load 15 to 26). Two tests failed in the first run, one of them with 0.90 answered (the text of the other was not kept), and four in the second: 0.48, 0.63, 0.76 and 0.78 answered, four of the five soaks that start first. In both runs the event loop of the tests was used to 0.95 to 1.00 while these five ran.

--- a/bench/soak/callers.ts
+++ b/bench/soak/callers.ts
@@ -20,6 +20,8 @@
 	sentAt: number
 	endedAt: number
 	status: number
+	/** Text of an answer other than 200, or the error that ended the call. */
+	reason?: string | undefined
 	/** Key that was sent, if the configuration has Members. */
 	credential?: string | undefined
 	/** Tokens that were stated. */
@@ -39,13 +41,19 @@
 }
 
 type LastEvent = Pick<CutStream, "lastEvent" | "build">
-type End = (how: CallEnd, status: number, last?: LastEvent) => void
+type End = (how: CallEnd, status: number, details?: EndDetails) => void
+
+interface EndDetails {
+	last?: LastEvent | undefined
+	reason?: string | undefined
+}
 
 const kinds = ["draft", "draft", "book", "status"]
 export const adapterCount = 9
 const eventCount = 6
 /** Well beyond the longest time-out of a route. */
 const patienceMs = 8000
+const reasonChars = 80
 
 export class Callers {
 	readonly records: CallRecord[] = []
@@ -120,14 +128,14 @@
 		const sentAt = performance.now()
 		const [host, port] = address.split(":")
 		return new Promise(resolve => {
-			const end: End = (how, status, last) => {
+			const end: End = (how, status, {last, reason} = {}) => {
 				clearTimeout(timer)
 				const endedAt = performance.now()
 				const gateway = address
 				const isCut = last !== undefined && last.lastEvent < eventCount
 				const cut = isCut ? {...last, headers} : undefined
 				const call = {id, gateway, kind, end: how, sentAt, endedAt, status}
-				resolve({...call, cut, ...shownFields})
+				resolve({...call, reason, cut, ...shownFields})
 			}
 			const req = request({
 				host,
@@ -141,8 +149,8 @@
 				this.breaches.push(`${id}: ${kind} has no end after ${patienceMs} ms`)
 				req.destroy()
 			}, patienceMs)
-			req.on("error", () => {
-				end(CallEnd.Unknown, 0)
+			req.on("error", err => {
+				end(CallEnd.Unknown, 0, {reason: err.message})
 			})
 			req.on("response", res => {
 				this.receive(res, id, kind, end, first?.cut)
@@ -166,13 +174,15 @@
 			const body = Buffer.concat(chunks).toString()
 			const isStream = kind === "draft" && status === 200
 			const last = isStream ? this.checkStream(id, body, resumed) : undefined
-			if (!res.complete) end(CallEnd.Unknown, status, last)
-			else if (status === 200) {
+			const text = body.trim().slice(0, reasonChars)
+			if (!res.complete) {
+				end(CallEnd.Unknown, status, {last, reason: "broken off"})
+			} else if (status === 200) {
 				this.check(res, id, kind, body, last)
 				end(CallEnd.Answered, status)
 			} else if (status === 503 || status === 429 || status === 401) {
-				end(CallEnd.Refused, status)
-			} else end(CallEnd.Unknown, status)
+				end(CallEnd.Refused, status, {reason: text})
+			} else end(CallEnd.Unknown, status, {reason: text})
 		})
 	}
 
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -3,6 +3,12 @@
 import {Random} from "../load/random.js"
 import {CallEnd, Callers, type CallRecord} from "./callers.js"
 import {SoakDeployment, type SoakSizes} from "./deployment.js"
+import {
+	createLogDir,
+	LoopSampler,
+	removeLogDir,
+	writeEvidence
+} from "./evidence.js"
 import {type Fault, FaultSet, pickFault} from "./faults.js"
 import {judgeIdentities} from "./identities.js"
 import {memberBounds, SoakMembers} from "./members.js"
@@ -17,7 +23,10 @@
 	faults?: FaultSet
 	/** Second number of the loopback addresses, one for each soak at a time. */
 	block?: number
-	/** Folder for the logs of the processes; they are dropped without it. */
+	/**
+	 * Folder for the logs of the processes and what else explains a breach. Without
+	 * it they are kept in the temporary directory after a breach only.
+	 */
 	logDir?: string | undefined
 	onProgress?: (text: string) => void
 }
@@ -52,18 +61,21 @@
 	const block = options.block ?? defaultBlock
 	const members =
 		options.faults === FaultSet.Members ? new SoakMembers() : undefined
+	const logDir = options.logDir ?? createLogDir(seed)
 	const deployment = await SoakDeployment.start(
 		sizes,
 		block,
 		workers,
 		members,
-		options.logDir
+		logDir
 	)
 	const callers = new Callers(deployment, draws)
+	const loop = new LoopSampler()
 	try {
 		await sleep(startupMs)
 		callers.start(options.callers ?? 12)
 		const faults = await runFaults(deployment, random, options, durationMs)
+		const healedAt = performance.now()
 		await sleep(recoveryMs)
 		const judgedAt = performance.now()
 		await sleep(judgedMs)
@@ -89,10 +101,17 @@
 		if (recovered < minRecovered) {
 			breaches.push(`only ${recovered.toFixed(2)} answered after recovery`)
 		}
+		const {samples} = loop
+		if (breaches.length > 0 || options.logDir !== undefined) {
+			const seen = {deployment, records, samples, faults, breaches, healedAt}
+			await writeEvidence(logDir, seen)
+			breaches.push(...(breaches.length > 0 ? [`logs are in ${logDir}`] : []))
+		} else removeLogDir(logDir)
 		const answered = records.filter(r => r.end === CallEnd.Answered).length
 		const calls = records.length
 		return {seed, faults, calls, answered, recovered, breaches}
 	} finally {
+		loop.stop()
 		await callers.stop()
 		await deployment.stop()
 	}
