Judge a soak by the processes that it started

A soak whose parent was killed leaves its gateways and agents running. A later soak with the same addresses passed on them: its own gateways and agents ended at once with EADDRINUSE, which nothing noticed, the ones of the earlier soak answered its callers, and no fault of a process reached them.

Change: a process that ended although nobody asked it to is a breach, with what it last wrote to standard error. The same holds for a crash of the product.

The new test of ChildProcess and that of judgeProcesses pass; neither exists without the change.

--- a/bench/deployment/__tests__/deployment.test.ts
+++ b/bench/deployment/__tests__/deployment.test.ts
@@ -55,6 +55,15 @@
 		expect(await child.kill()).toEqual({code: 3, signal: null})
 	})
 
+	it("records each end that nobody asked for", async () => {
+		const {child} = await startFake()
+		process.kill(child.pid, "SIGKILL")
+		await child.exited
+		child.start()
+		await child.kill()
+		expect(child.unaskedEnds).toEqual([{code: null, signal: "SIGKILL"}])
+	})
+
 	it("freezes and thaws", async () => {
 		const {child, url} = await startFake()
 		child.freeze()
--- a/bench/deployment/childProcess.ts
+++ b/bench/deployment/childProcess.ts
@@ -24,10 +24,14 @@
 
 export class ChildProcess {
 	readonly name: string
+	/** How processes ended that nobody had asked to end. */
+	readonly unaskedEnds: ChildExit[] = []
 	private readonly options: ChildOptions
 	private child: NodeChild | undefined
 	private exit: Promise<ChildExit> = Promise.resolve({code: 0, signal: null})
 	private text = ""
+	/** The last process that was asked to end. */
+	private asked: NodeChild | undefined
 	/** CPU time of the processes that ended before the current one. */
 	private endedCpuMs = 0
 
@@ -74,7 +78,10 @@
 			this.text = (this.text + text).slice(-maxStderrChars)
 		})
 		running.add(this)
-		void this.exit.then(() => running.delete(this))
+		void this.exit.then(exit => {
+			running.delete(this)
+			if (this.asked !== child) this.unaskedEnds.push(exit)
+		})
 	}
 
 	/** Ends the process at once and waits until it is gone. */
@@ -111,7 +118,10 @@
 	}
 
 	private async endWith(signal: NodeJS.Signals): Promise<ChildExit> {
-		if (this.isRunning) this.endedCpuMs += this.readCurrentCpuMs()
+		if (this.isRunning) {
+			this.endedCpuMs += this.readCurrentCpuMs()
+			this.asked = this.child
+		}
 		this.signal(signal)
 		return this.exit
 	}
--- /dev/null
+++ b/bench/soak/__tests__/processes.test.ts
@@ -0,0 +1,27 @@
+import {describe, expect, it} from "vitest"
+import type {ChildProcess} from "../../deployment/childProcess.js"
+import type {SoakDeployment} from "../deployment.js"
+import {judgeProcesses} from "../soak.js"
+
+function createDeployment(gateway: Partial<ChildProcess>): SoakDeployment {
+	const agent = {name: "agent-engine1", unaskedEnds: [], stderr: ""}
+	const process = {name: "gateway-1", unaskedEnds: [], stderr: "", ...gateway}
+	const sites = [{agent}, {agent: undefined}]
+	return {gateways: [{process}], sites} as unknown as SoakDeployment
+}
+
+describe("the processes of a soak", () => {
+	it("may not end by themselves, so that no others answer at their addresses", () => {
+		const deployment = createDeployment({
+			unaskedEnds: [{code: 1, signal: null}],
+			stderr: "warning\nlisten EADDRINUSE 127.1.4.1:9202\n"
+		})
+		expect(judgeProcesses(deployment)).toEqual([
+			"gateway-1 ended by itself: exit code 1 listen EADDRINUSE 127.1.4.1:9202"
+		])
+	})
+
+	it("may end by what the soak does to them", () => {
+		expect(judgeProcesses(createDeployment({}))).toEqual([])
+	})
+})
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -89,6 +89,7 @@
 		const breaches = [
 			...callers.breaches,
 			...deployment.sites.flatMap(({worker}) => worker.violations),
+			...judgeProcesses(deployment),
 			...judgeRuns(deployment, records),
 			...(members === undefined ? [] : judgeMembers(deployment, records)),
 			...judgeStatements({
@@ -165,6 +166,27 @@
 	})
 }
 
+/**
+ * A process that ended by itself is a fault of its own, and others may have its
+ * addresses, which would then answer in its place.
+ */
+export function judgeProcesses({
+	gateways,
+	sites
+}: Pick<SoakDeployment, "gateways" | "sites">): string[] {
+	const children = [
+		...gateways.map(({process}) => process),
+		...sites.flatMap(({agent}) => agent ?? [])
+	]
+	return children.flatMap(({name, unaskedEnds, stderr}) =>
+		unaskedEnds.map(({code, signal}) => {
+			const how = signal ?? `exit code ${code ?? ""}`
+			const lastLine = stderr.trim().split("\n").at(-1) ?? ""
+			return `${name} ended by itself: ${how} ${lastLine}`.trim()
+		})
+	)
+}
+
 /** What workers saw, against what callers were told. */
 function judgeRuns(
 	deployment: SoakDeployment,
