Keep the answers of a failed soak to one readable line a second

A line named each pair of reason, kind and gateway, and was up to a few hundred words long. It now counts the ends by status and reason first, then the ones other than 200 by kind and gateway.

--- a/bench/soak/evidence.ts
+++ b/bench/soak/evidence.ts
@@ -114,29 +114,43 @@
 	return `${second}: longest delay ${Math.round(maxDelayMs)} ms, busy ${busy.toFixed(2)}, processor ${cpu.toFixed(2)}`
 }
 
-/** One line for each second in which calls were sent. */
+/** One line for each second in which calls were sent: how they ended, and where not with 200. */
 export function describeAnswers(
 	records: readonly CallRecord[],
 	since: number
 ): string[] {
-	const seconds = new Map<number, Map<string, number>>()
-	for (const {sentAt, gateway, kind, status, reason} of records) {
-		if (sentAt < since) continue
-		const second = Math.floor((sentAt - since) / msPerSecond)
-		const counts = seconds.get(second) ?? new Map<string, number>()
-		seconds.set(second, counts)
-		const outcome = reason === undefined ? `${status}` : `${status} ${reason}`
-		const text = status === 200 ? outcome : `${outcome} (${kind}, ${gateway})`
-		counts.set(text, (counts.get(text) ?? 0) + 1)
+	const seconds = new Map<number, CallRecord[]>()
+	for (const record of records) {
+		const second = Math.floor((record.sentAt - since) / msPerSecond)
+		if (second < 0) continue
+		const known = seconds.get(second)
+		if (known === undefined) seconds.set(second, [record])
+		else known.push(record)
 	}
 	return [...seconds]
 		.sort(([a], [b]) => a - b)
-		.map(([second, counts]) => {
-			const parts = [...counts].map(([text, count]) => `${count} x ${text}`)
-			return `${second}: ${parts.join(", ")}`
+		.map(([second, sent]) => {
+			const failed = sent.filter(({status}) => status !== 200)
+			const ends = countTexts(
+				sent.map(({status, reason = ""}) => `${status} ${reason}`.trim())
+			)
+			if (failed.length === 0) return `${second}: ${ends}`
+			const where = countTexts(
+				failed.map(({kind, gateway}) => `${kind} at ${gateway}`)
+			)
+			return `${second}: ${ends}; not 200: ${where}`
 		})
 }
 
+function countTexts(texts: readonly string[]): string {
+	const counts = new Map<string, number>()
+	for (const text of texts) counts.set(text, (counts.get(text) ?? 0) + 1)
+	return [...counts]
+		.sort(([, a], [, b]) => b - a)
+		.map(([text, count]) => `${count} x ${text}`)
+		.join(", ")
+}
+
 async function describeProcesses({
 	gateways,
 	sites
