End the processes of a test when SIGTERM ends the test's own process

vitest ends each of its workers with SIGTERM, after which Node.js emits no "exit": processes that a test had not stopped, because it failed or timed out, went on and kept their addresses, where a later test or soak could meet them.

Change: SIGTERM kills the processes that are left, then ends the process as it would have.

--- a/bench/deployment/__tests__/deployment.test.ts
+++ b/bench/deployment/__tests__/deployment.test.ts
@@ -1,4 +1,4 @@
-import {readFileSync} from "node:fs"
+import {existsSync, readFileSync} from "node:fs"
 import {join} from "node:path"
 import {afterAll, afterEach, beforeAll, describe, expect, it} from "vitest"
 import {HostState} from "../../../src/host/host.js"
@@ -64,6 +64,27 @@
 		expect(child.unaskedEnds).toEqual([{code: null, signal: "SIGKILL"}])
 	})
 
+	it("ends with the process that started it, also when SIGTERM ends that", async () => {
+		const source = `
+			const {ChildProcess} = await import("./dist/bench/deployment/childProcess.js")
+			const args = ["setInterval(() => 0, 1000)"]
+			const child = new ChildProcess({name: "child", program: "-e", args})
+			child.start()
+			console.error(child.pid)`
+		const args = ["--eval", source]
+		const parent = new ChildProcess({
+			name: "parent",
+			program: "--input-type=module",
+			args
+		})
+		started.push(parent)
+		parent.start()
+		while (!parent.stderr.endsWith("\n")) await sleep(10)
+		const pid = Number(parent.stderr)
+		expect(await parent.terminate()).toEqual({code: null, signal: "SIGTERM"})
+		while (existsSync(`/proc/${pid}`)) await sleep(10)
+	})
+
 	it("freezes and thaws", async () => {
 		const {child, url} = await startFake()
 		child.freeze()
--- a/bench/deployment/childProcess.ts
+++ b/bench/deployment/childProcess.ts
@@ -148,6 +148,13 @@
 	}
 }
 
-process.once("exit", () => {
+function killRunning(): void {
 	for (const child of running) child.signal("SIGKILL")
+}
+
+process.once("exit", killRunning)
+// Without a listener, as in a worker of vitest, SIGTERM ends a process at once.
+process.once("SIGTERM", () => {
+	killRunning()
+	process.kill(process.pid, "SIGTERM")
 })
