Run each soak of the tests in a process of its own

soak.test.ts runs five soaks at a time. Their callers, relays, stores and workers shared one event loop, which the five that start first, with 96 callers, used to 0.95 to 1.00 even on a machine with load 4; the five regression seeds, with 60 callers and started one after the other, used 0.2 to 0.6 of it. So the stand-ins of the first five were all late at once: by 20 to 130 ms a turn beside other work, and a call to the store, which has 900 ms, takes some six turns.

Change: a test starts its soak in a process of its own and gets its report over the channel to it; a soak ends with the process that started it.

Processes that get a tenth of a core still fail: this change takes away what the soaks did to each other, not what the machine does to all.

--- a/bench/soak/__tests__/soak.test.ts
+++ b/bench/soak/__tests__/soak.test.ts
@@ -1,6 +1,6 @@
 import {describe, expect, it} from "vitest"
 import {FaultSet} from "../faults.js"
-import {runSoak} from "../soak.js"
+import {runSoakProcess} from "../soakProcess.js"
 
 /** Seeds that failed once, with what they found. */
 const regressions = [
@@ -16,13 +16,17 @@
 
 describe.concurrent("a fault soak", () => {
 	it("keeps every promise through a short series of faults", async () => {
-		const report = await runSoak({seed: 1, durationMs: 10_000, block: 78})
+		const report = await runSoakProcess({
+			seed: 1,
+			durationMs: 10_000,
+			block: 78
+		})
 		expect(report.breaches).toEqual([])
 		expect(report.answered).toBeGreaterThan(50)
 	}, 120_000)
 
 	it("heeds eras of the store, leaving workers and pauses", async () => {
-		const report = await runSoak({
+		const report = await runSoakProcess({
 			seed: 2,
 			durationMs: 15_000,
 			block: 84,
@@ -32,7 +36,7 @@
 	}, 120_000)
 
 	it("keeps gateways together to the limits that workers state", async () => {
-		const report = await runSoak({
+		const report = await runSoakProcess({
 			seed: 28,
 			durationMs: 15_000,
 			block: 85,
@@ -43,7 +47,7 @@
 	}, 120_000)
 
 	it("keeps prompts from engines that they would crash", async () => {
-		const report = await runSoak({
+		const report = await runSoakProcess({
 			seed: 31,
 			durationMs: 15_000,
 			block: 86,
@@ -54,7 +58,7 @@
 	}, 120_000)
 
 	it("keeps to the keys and quotas of changing configurations", async () => {
-		const report = await runSoak({
+		const report = await runSoakProcess({
 			seed: 41,
 			durationMs: 15_000,
 			block: 87,
@@ -67,7 +71,7 @@
 	it.each(regressions)(
 		"keeps every promise with seed $seed, which failed once",
 		async ({seed, block}) => {
-			const report = await runSoak({seed, durationMs: 15_000, block})
+			const report = await runSoakProcess({seed, durationMs: 15_000, block})
 			expect(report.breaches).toEqual([])
 		},
 		120_000
--- a/bench/soak/main.ts
+++ b/bench/soak/main.ts
@@ -4,7 +4,7 @@
 import {cac} from "cac"
 import {exitOnSignal} from "../deployment/childProcess.js"
 import {FaultSet} from "./faults.js"
-import {runSoak} from "./soak.js"
+import {runSoak, type SoakReport} from "./soak.js"
 
 const cli = cac("soak")
 cli.option("--seed <n>", "first seed", {default: Date.now() % 1_000_000})
@@ -32,6 +32,14 @@
 	return dir
 }
 
+/** Passes a report to the process that started this one, if it listens for it. */
+function sendReport(report: SoakReport): Promise<unknown> {
+	return new Promise(resolve => {
+		if (process.send === undefined) resolve(undefined)
+		else process.send(report, resolve)
+	})
+}
+
 async function main(): Promise<void> {
 	let failed = 0
 	for (let n = 0; n < Number(options.seeds); n++) {
@@ -52,6 +60,7 @@
 				if (options.verbose === true) console.log(`  ${text}`)
 			}
 		})
+		await sendReport(report)
 		const {faults, calls, answered, recovered, breaches} = report
 		console.log(
 			`seed ${seed}: ${faults.length} faults, ${calls} calls, ${answered} answered, ${recovered.toFixed(2)} after recovery, ${breaches.length} breaches`
@@ -64,5 +73,6 @@
 
 if (options.help !== true) {
 	exitOnSignal()
+	process.once("disconnect", () => process.exit(1))
 	await main()
 }
