Let late stand-ins of a soak count as a fault until they answer in time

What answers callers after recovery was judged 12 s after the last fault, however late the soak's own store and relays were. The platform's store answers within 250 ms when it is slow, and the last fault was over, so this store was a fault that the soak did not count.

Change: a probe over a relay to a server that does nothing takes the way of a call to the store. An answer that takes longer than 250 ms is a fault like the others: the 12 s begin after the last one, at most 40 s after the last fault of the series. The bounds are the same, a soak on a machine that is late for all that time fails as before, and the breach says how late the stand-ins were.

--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -12,6 +12,7 @@
 import {type Fault, FaultSet, pickFault} from "./faults.js"
 import {judgeIdentities} from "./identities.js"
 import {memberBounds, SoakMembers} from "./members.js"
+import {StandInProbe} from "./standInProbe.js"
 import {judgeStatements} from "./statements.js"
 
 export interface SoakOptions {
@@ -47,6 +48,9 @@
 /** Time that the platform gives a system to recover. */
 const recoveryMs = 12_000
 const judgedMs = 4000
+/** Longest time after the last fault in which late stand-ins count as another one. */
+const maxLateMs = 40_000
+const judgePollMs = 100
 const minRecovered = 0.9
 const maxFaultMs = 5000
 const maxPauseMs = 1500
@@ -71,14 +75,14 @@
 	)
 	const callers = new Callers(deployment, draws)
 	const loop = new LoopSampler()
+	const probe = await StandInProbe.start(`127.${block}.8.1`)
 	try {
 		await sleep(startupMs)
 		callers.start(options.callers ?? 12)
 		const faults = await runFaults(deployment, random, options, durationMs)
 		const healedAt = performance.now()
-		await sleep(recoveryMs)
-		const judgedAt = performance.now()
-		await sleep(judgedMs)
+		probe.resetLongest()
+		const judgedAt = await waitUntilJudged(probe, healedAt)
 		await callers.stop()
 		const {records} = callers
 		const recovered = getShareAnswered(
@@ -100,7 +104,9 @@
 			})
 		]
 		if (recovered < minRecovered) {
-			breaches.push(`only ${recovered.toFixed(2)} answered after recovery`)
+			const late = `stand-ins answered within ${Math.ceil(probe.longestMs)} ms`
+			const share = `only ${recovered.toFixed(2)} answered after recovery`
+			breaches.push(`${share}; ${late}`)
 		}
 		const {samples} = loop
 		if (breaches.length > 0 || options.logDir !== undefined) {
@@ -113,11 +119,33 @@
 		return {seed, faults, calls, answered, recovered, breaches}
 	} finally {
 		loop.stop()
+		await probe.stop()
 		await callers.stop()
 		await deployment.stop()
 	}
 }
 
+/** Returns the start of the span whose calls are judged, at the end of that span. */
+async function waitUntilJudged(
+	probe: StandInProbe,
+	healedAt: number
+): Promise<number> {
+	for (;;) {
+		const judgedAt = getJudgedAt(healedAt, probe.lastLateAt)
+		if (performance.now() >= judgedAt + judgedMs) return judgedAt
+		await sleep(judgePollMs)
+	}
+}
+
+/**
+ * Stand-ins that answer later than the platform does are a fault as well, so the
+ * time to recover begins after it, but not without end.
+ */
+export function getJudgedAt(healedAt: number, lastLateAt: number): number {
+	const endedAt = Math.min(Math.max(healedAt, lastLateAt), healedAt + maxLateMs)
+	return endedAt + recoveryMs
+}
+
 async function runFaults(
 	deployment: SoakDeployment,
 	random: () => number,
