Name the guard against crashes after what it guards

The guard and the admission of one request judge prompts by the crashes that hosts saw. Requests to plain services are to be judged by the same code, so that neither is about prompts alone.

--- a/src/gateway/prompts/promptAdmission.ts
+++ b/src/gateway/crashes/crashAdmission.ts
@@ -1,9 +1,9 @@
 /** Whether one request may be sent to engines, by the shared parts of its prompt. */
 import {PromptVerdict} from "../../policy/crashes/index.js"
-import type {BrokenSend, PromptGuard} from "./promptGuard.js"
+import type {BrokenSend, CrashGuard} from "./crashGuard.js"
 
-export interface PromptAdmissionOptions {
-	guard: PromptGuard
+export interface CrashAdmissionOptions {
+	guard: CrashGuard
 	requestId: string
 	sharedParts: readonly string[]
 	/** Time at which the caller gives up. */
@@ -16,13 +16,13 @@
 /** A loaded engine begins an answer within this time. */
 const trialOutcomeMs = 500
 
-export class PromptAdmission {
+export class CrashAdmission {
 	/** Whether the request tries if accused parts still crash engines. */
 	private isTrial = false
 	/** Whether an engine crashed while it had the request unanswered. */
 	private hasCrashed = false
 
-	constructor(private readonly options: PromptAdmissionOptions) {}
+	constructor(private readonly options: CrashAdmissionOptions) {}
 
 	get sharedParts(): readonly string[] {
 		return this.options.sharedParts
--- a/src/gateway/prompts/promptGuard.ts
+++ b/src/gateway/crashes/crashGuard.ts
@@ -23,7 +23,7 @@
 import type {GatewayMetrics} from "../gatewayMetrics.js"
 import type {SendTarget} from "../sends/sendTarget.js"
 
-export interface PromptGuardOptions {
+export interface CrashGuardOptions {
 	records: CrashRecords
 	notices: NoticeBoard
 	links: AgentLinks
@@ -59,11 +59,11 @@
 const maxTrialSpreadMs = 5000
 const maxHash = 0xffffffff
 
-export class PromptGuard {
+export class CrashGuard {
 	private readonly listeners = new Set<() => void>()
 	private accused: ReadonlySet<string> = new Set()
 
-	constructor(private readonly options: PromptGuardOptions) {}
+	constructor(private readonly options: CrashGuardOptions) {}
 
 	judge(sharedParts: readonly string[]): PromptJudgement {
 		const {records, now} = this.options
--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -16,7 +16,7 @@
 import type {Permits} from "./links/permits.js"
 import type {Quotas, QuotaTicket} from "./quotas/index.js"
 import type {RetryBudgets} from "./sends/retryBudgets.js"
-import type {PromptGuard} from "./prompts/promptGuard.js"
+import type {CrashGuard} from "./crashes/crashGuard.js"
 import type {StreamDirectory} from "./streams/index.js"
 import type {CallerBuffers} from "./callers/callerBuffers.js"
 import type {CallerExchange} from "./callers/callerExchange.js"
@@ -36,7 +36,7 @@
 	quotas: Quotas
 	streams: StreamDirectory
 	notices: NoticeBoard
-	guard: PromptGuard
+	guard: CrashGuard
 	retryBudgets: RetryBudgets
 	log: DecisionLog
 	metrics: GatewayMetrics
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -32,7 +32,7 @@
 import {CallerAccess, ConfigFreshness, ProofRenewal} from "./identity/index.js"
 import {Permits} from "./links/permits.js"
 import {Quotas} from "./quotas/index.js"
-import {PromptGuard} from "./prompts/promptGuard.js"
+import {CrashGuard} from "./crashes/crashGuard.js"
 import {RetryBudgets} from "./sends/retryBudgets.js"
 import {
 	BuildRecorder,
@@ -184,7 +184,7 @@
 			now,
 			random
 		})
-		const guard = new PromptGuard({
+		const guard = new CrashGuard({
 			records: crashes,
 			notices,
 			links,
--- a/src/gateway/sends/generationEnding.ts
+++ b/src/gateway/sends/generationEnding.ts
@@ -7,7 +7,7 @@
 import type {RoutedRequest} from "../gatewayContext.js"
 import type {GenerationSend} from "./generationSend.js"
 import type {OutputTracker} from "./outputTracker.js"
-import type {PromptAdmission} from "../prompts/promptAdmission.js"
+import type {CrashAdmission} from "../crashes/crashAdmission.js"
 import {type Denial, respondDenial} from "../identity/index.js"
 import {isServerError, type ResponseHead} from "../wire.js"
 
@@ -15,7 +15,7 @@
 	request: RoutedRequest
 	stream: CallerStream
 	output: OutputTracker
-	admission: PromptAdmission
+	admission: CrashAdmission
 	/** Ends timers, searches and sends of the request. */
 	cancel: () => void
 }
--- a/src/gateway/sends/generationTask.ts
+++ b/src/gateway/sends/generationTask.ts
@@ -17,7 +17,7 @@
 import {GenerationSend, recordEngineResult} from "./generationSend.js"
 import type {Denial} from "../identity/index.js"
 import {OutputTracker} from "./outputTracker.js"
-import {PromptAdmission} from "../prompts/promptAdmission.js"
+import {CrashAdmission} from "../crashes/crashAdmission.js"
 import {RequestTask} from "./requestTask.js"
 import {SendPair} from "./sendPair.js"
 import type {SendTarget} from "./sendTarget.js"
@@ -35,7 +35,7 @@
 export class GenerationTask extends RequestTask {
 	private readonly search: EngineSearch
 	private readonly stream: CallerStream
-	private readonly admission: PromptAdmission
+	private readonly admission: CrashAdmission
 	private readonly open = new SendPair()
 	private readonly ending: GenerationEnding
 	private readonly later: LaterSearch
@@ -52,7 +52,7 @@
 		super(ctx, request)
 		this.stream = new CallerStream(ctx, request)
 		this.output = new OutputTracker(ctx, request, generation)
-		this.admission = new PromptAdmission({
+		this.admission = new CrashAdmission({
 			guard: ctx.guard,
 			requestId: request.exchange.head.id,
 			sharedParts: listSharedParts(generation),
