Move the choice of a plain endpoint out of ServiceTask

The choice of the endpoint, with the ask for a permit, is a step of its own, as EngineSearch is for generations.

--- a/src/gateway/sends/serviceTask.ts
+++ b/src/gateway/sends/serviceTask.ts
@@ -2,8 +2,7 @@
  * Serves one request to a plain service. Retries at another endpoint if the
  * request did not run, or if the route permits it to run more than once. If an
  * endpoint is silent, the request is repeated at another one and the first answer
- * counts; the silent endpoint's call stays open until then. Endpoints that state a
- * limit are used with a permit only, and after those that state none.
+ * counts; the silent endpoint's call stays open until then.
  */
 import {type FleetEndpoint, RouteKind} from "../../contract/fleet.js"
 import {BodyBuffer} from "../callers/bodyBuffer.js"
@@ -16,6 +15,7 @@
 import {applySignals} from "./endpointSignals.js"
 import {type Denial, respondDenial} from "../identity/index.js"
 import {RequestTask} from "./requestTask.js"
+import {ServiceSearch} from "./serviceSearch.js"
 import {type ResponseHead, isServerError} from "../wire.js"
 
 /** Limit on sends of one request, including those the endpoint did not run. */
@@ -26,23 +26,30 @@
  * is sent to another endpoint as well.
  */
 const silenceTimeoutObjectives = 2
-/** Share of the route's objective for which a request may wait for a permit. */
-const maxPermitWaitObjectives = 0.5
 
 export class ServiceTask extends RequestTask {
 	private readonly tried = new Set<string>()
 	private readonly openCalls = new Set<EndpointCall>()
 	private silenceTimer: NodeJS.Timeout | undefined
-	/** Cancels the ask for a permit, while there is one. */
-	private cancelPermit: (() => void) | undefined
-	/** When the caller may return for whom no permit was left. */
-	private permitRetryAfterMs: number | undefined
 	/** Last 5xx response; forwarded unless a retry delivers a response. */
 	private errorResponse:
 		{responseHead: ResponseHead; received: BodyBuffer} | undefined
+	private readonly search = new ServiceSearch({
+		ctx: this.ctx,
+		request: this.request,
+		tried: this.tried,
+		canSend: () => this.sends < maxSends,
+		isOpen: () => !this.isCancelled && this.request.exchange.isOpen,
+		onFound: (endpoint, reason) => {
+			this.sendTo(endpoint, reason)
+		},
+		onNone: reason => {
+			this.endWithoutRetry(reason)
+		}
+	})
 
 	protected override dispatch(): void {
-		this.tryNextEndpoint("no endpoint")
+		this.search.start("no endpoint")
 	}
 
 	protected override handleDisconnect(): void {
@@ -50,80 +57,9 @@
 		if (this.request.route.kind === RouteKind.Safe) this.cancel()
 	}
 
-	/** Sends to the next endpoint; `reason` is the response if there is none. */
-	private tryNextEndpoint(reason: string): void {
-		if (this.cancelPermit !== undefined) return
-		const {permits} = this.ctx
-		const open = this.listOpenEndpoints()
-		const limited = open.filter(endpoint => this.isLimited(endpoint))
-		const free = open.filter(endpoint => !this.isLimited(endpoint))
-		const asked =
-			free.length === 0
-				? limited
-				: limited.filter(endpoint => permits.isTrialDue(endpoint))
-		if (asked.length === 0) this.sendToBest(free, reason)
-		else this.askPermit(asked, free.length > 0, reason)
-	}
-
-	/**
-	 * Asks for a permit to send to one of the endpoints. Without one, sends to one of
-	 * the others, if there are any.
-	 */
-	private askPermit(
-		endpoints: FleetEndpoint[],
-		hasOthers: boolean,
-		reason: string
-	): void {
+	/** Sends to the endpoint that was found; `reason` is the response if it can't. */
+	private sendTo(endpoint: FleetEndpoint, reason: string): void {
 		const {ctx, request} = this
-		const finish = (
-			isUsable: (endpoint: FleetEndpoint) => boolean,
-			detail: string
-		): void => {
-			this.cancelPermit = undefined
-			if (this.isCancelled || !request.exchange.isOpen) return
-			this.sendToBest(this.listOpenEndpoints().filter(isUsable), detail)
-		}
-		this.cancelPermit = ctx.permits.ask({
-			pool: request.pool,
-			endpoints,
-			maxWaitMs: hasOthers
-				? 0
-				: request.route.objectiveMs * maxPermitWaitObjectives,
-			deadline: request.deadline,
-			onPermitted: id => {
-				finish(endpoint => endpoint.id === id, reason)
-			},
-			onRefused: retryAfterMs => {
-				ctx.log.request("permit.refused", request.exchange.head.id, {
-					endpoints: endpoints.map(({id}) => id),
-					retryAfterMs
-				})
-				this.permitRetryAfterMs = retryAfterMs
-				finish(
-					endpoint => !this.isLimited(endpoint),
-					"over the endpoints' limits"
-				)
-			}
-		})
-	}
-
-	/** Sends to the best of the endpoints; `reason` as in `tryNextEndpoint`. */
-	private sendToBest(
-		endpoints: readonly FleetEndpoint[],
-		reason: string
-	): void {
-		const {ctx, request, tried} = this
-		const candidates = endpoints.map(({id, seats, failureDomain}) => ({
-			id,
-			seats,
-			isNear: failureDomain === ctx.failureDomain
-		}))
-		const id = ctx.services.choose(candidates, tried, ctx.now(), ctx.random)
-		const endpoint = id === undefined ? undefined : ctx.fleet.getEndpoint(id)
-		if (endpoint === undefined) {
-			this.endWithoutRetry(reason)
-			return
-		}
 		if (!this.tryAccess()) return
 		if (this.sends > 0 && !ctx.retryBudgets.tryRetry(request.pool)) {
 			this.endWithoutRetry(`${reason}; no repeats left`)
@@ -132,20 +68,6 @@
 		this.send(endpoint)
 	}
 
-	private isLimited({id, bornAt}: FleetEndpoint): boolean {
-		return this.ctx.limits.get(id, bornAt) !== undefined
-	}
-
-	/** Endpoints that the request may still be sent to. */
-	private listOpenEndpoints(): FleetEndpoint[] {
-		const {ctx, request} = this
-		if (this.sends >= maxSends) return []
-		const now = ctx.now()
-		return ctx.fleet
-			.listReady(request.pool)
-			.filter(({id}) => !this.tried.has(id) && ctx.pauses.isOpen(id, now))
-	}
-
 	private send(endpoint: FleetEndpoint): void {
 		const {ctx, request} = this
 		const {exchange, body} = request
@@ -209,7 +131,7 @@
 				elapsedMs: Math.round(silenceMs)
 			})
 			ctx.services.addSilence(id, ctx.now())
-			this.tryNextEndpoint("silent")
+			this.search.start("silent")
 		}, silenceMs)
 	}
 
@@ -262,7 +184,7 @@
 		if (this.isCancelled || !exchange.isOpen) return
 		if (end === CallOutcome.NeverSent || end === CallOutcome.NotRun) {
 			ctx.log.request("send.notRun", exchange.head.id, {endpoint: id, detail})
-			this.tryNextEndpoint(detail)
+			this.search.start(detail)
 			return
 		}
 		this.runs += 1
@@ -288,7 +210,7 @@
 			detail,
 			status: responseHead?.status
 		})
-		if (this.canRepeat) this.tryNextEndpoint(detail)
+		if (this.canRepeat) this.search.start(detail)
 		else this.endWithoutRetry(detail)
 	}
 
@@ -323,7 +245,8 @@
 			const spreadMs =
 				Math.max(minRetryAfterMs, route.objectiveMs) * (1 + this.ctx.random())
 			const retryAfterMs =
-				this.permitRetryAfterMs ?? (this.getPauseLeftMs() ?? 0) + spreadMs
+				this.search.permitRetryAfterMs ??
+				(this.getPauseLeftMs() ?? 0) + spreadMs
 			exchange.refuse(reason, retryAfterMs, logFields)
 		}
 	}
@@ -371,7 +294,7 @@
 	protected override clearTimers(): void {
 		super.clearTimers()
 		clearTimeout(this.silenceTimer)
-		this.cancelPermit?.()
+		this.search.cancel()
 	}
 }
 
