Log by its content the request under which an endpoint ended

After a broken send the gateway now finds out by a connection whether the endpoint has ended, as it does for engines, and logs endpoint.crashed or endpoint.notEnded with a digest of the request's content, which is the same for each attempt. engine.crashed and .notEnded have the digest too. Sends and answers are unchanged.

--- a/src/gateway/crashes/crashAdmission.ts
+++ b/src/gateway/crashes/crashAdmission.ts
@@ -1,11 +1,13 @@
 /** Whether one request may be sent to engines, by the shared parts of its prompt. */
 import {PromptVerdict} from "../../policy/crashes/index.js"
-import type {BrokenSend, CrashGuard} from "./crashGuard.js"
+import type {BrokenSend, CrashGuard, CrashSubject} from "./crashGuard.js"
 
 export interface CrashAdmissionOptions {
 	guard: CrashGuard
+	subject: CrashSubject
 	requestId: string
 	sharedParts: readonly string[]
+	getDigest: () => string
 	/** Time at which the caller gives up. */
 	deadline: number
 	/** Monotonic milliseconds. */
@@ -73,8 +75,9 @@
 		target,
 		hasBegun
 	}: Pick<BrokenSend, "target" | "hasBegun">): Promise<void> {
-		const {guard, requestId, sharedParts} = this.options
-		const send = {requestId, target, sharedParts, hasBegun}
+		const {guard, getDigest, ...named} = this.options
+		const digest = getDigest()
+		const send = {...named, target, digest, hasBegun}
 		if (await guard.checkCrash(send)) this.hasCrashed = true
 	}
 
--- a/src/gateway/crashes/crashGuard.ts
+++ b/src/gateway/crashes/crashGuard.ts
@@ -19,9 +19,9 @@
 import {hashString} from "../../policy/index.js"
 import type {DecisionLog} from "../../program/decisionLog.js"
 import type {AgentLinks} from "../links/agentLinks.js"
-import {ProbeResult, probeAddress} from "../sends/connectionProbe.js"
 import type {GatewayMetrics} from "../gatewayMetrics.js"
 import type {SendTarget} from "../sends/sendTarget.js"
+import {findEndpointEnd} from "./endpointEnd.js"
 
 export interface CrashGuardOptions {
 	records: CrashRecords
@@ -35,25 +35,25 @@
 	now: () => number
 }
 
+/** What a send went to, as log lines name it. */
+export enum CrashSubject {
+	Engine = "engine",
+	/** Of a plain service. */
+	Endpoint = "endpoint"
+}
+
 /** A send that ended without an answer. */
 export interface BrokenSend {
 	requestId: string
-	target: SendTarget
+	subject: CrashSubject
+	target: Pick<SendTarget, "endpoint" | "engineId" | "bornAt">
+	/** Names the request by its content. */
+	digest: string
 	sharedParts: readonly string[]
 	/** Whether the head of an answer had arrived, and no event. */
 	hasBegun: boolean
 }
 
-/** Whether an engine has ended, and what showed it, for the log. */
-interface EngineEnd {
-	hasEnded: boolean
-	shownBy: string
-}
-
-/** Several round trips between failure domains. */
-const probeTimeoutMs = 150
-/** Several times the time of a call to an agent in another failure domain. */
-const answerTimeoutMs = 150
 /** Time in which a gateway tells the others of its trial, several times over. */
 const trialSpreadMs = 50
 const maxTrialSpreadMs = 5000
@@ -105,27 +105,33 @@
 	}
 
 	/**
-	 * Finds out whether the engine of a send ended, and if so tells all hosts. Returns
-	 * whether it did.
+	 * Finds out whether the endpoint of a send ended, and if so tells all hosts which
+	 * parts of prompts it had. Returns whether it did.
 	 */
 	async checkCrash(send: BrokenSend): Promise<boolean> {
-		const {log, now} = this.options
-		const {requestId, target, sharedParts, hasBegun} = send
+		const {links, log, now} = this.options
+		const {requestId, target, subject, digest, sharedParts, hasBegun} = send
 		// Several registrations may lead to one engine, whose crash counts once.
 		const {engineId: id, bornAt} = target
 		const at = now()
-		const {hasEnded, shownBy} = await this.findEnd(target)
+		const {hasEnded, shownBy} = await findEndpointEnd(links, target)
 		if (!hasEnded) {
-			log.request("engine.notEnded", requestId, {endpoint: id, shownBy})
+			log.request(`${subject}.notEnded`, requestId, {
+				endpoint: id,
+				digest,
+				shownBy
+			})
 			return false
 		}
-		log.request("engine.crashed", requestId, {
+		log.request(`${subject}.crashed`, requestId, {
 			endpoint: id,
 			bornAt,
+			digest,
 			parts: sharedParts,
 			hasBegun,
 			shownBy
 		})
+		if (sharedParts.length === 0) return true
 		const report = {
 			endpointId: id,
 			bornAt,
@@ -138,26 +144,6 @@
 		return true
 	}
 
-	/** Asks the engine's agent, or without one finds out by a connection. */
-	private async findEnd({endpoint, bornAt}: SendTarget): Promise<EngineEnd> {
-		const link =
-			bornAt === 0 ? undefined : this.options.links.getForCheck(endpoint.id)
-		const answer = await new Promise<boolean | undefined>(resolve => {
-			if (link === undefined) {
-				resolve(undefined)
-				return
-			}
-			link.checkEngine(bornAt, resolve)
-			setTimeout(() => {
-				resolve(undefined)
-			}, answerTimeoutMs)
-		})
-		if (answer !== undefined) return {hasEnded: answer, shownBy: "agent"}
-		const result = await probeAddress(endpoint.address, probeTimeoutMs)
-		const hasEnded = result === ProbeResult.Refused
-		return {hasEnded, shownBy: `connection ${result}`}
-	}
-
 	/** Calls back when suspicions have changed; returns how to end that. */
 	watch(listener: () => void): () => void {
 		this.listeners.add(listener)
--- a/src/gateway/sends/generationTask.ts
+++ b/src/gateway/sends/generationTask.ts
@@ -18,6 +18,8 @@
 import type {Denial} from "../identity/index.js"
 import {OutputTracker} from "./outputTracker.js"
 import {CrashAdmission} from "../crashes/crashAdmission.js"
+import {CrashSubject} from "../crashes/crashGuard.js"
+import {computeRequestDigest} from "../crashes/requestDigest.js"
 import {RequestTask} from "./requestTask.js"
 import {SendPair} from "./sendPair.js"
 import type {SendTarget} from "./sendTarget.js"
@@ -54,8 +56,10 @@
 		this.output = new OutputTracker(ctx, request, generation)
 		this.admission = new CrashAdmission({
 			guard: ctx.guard,
+			subject: CrashSubject.Engine,
 			requestId: request.exchange.head.id,
 			sharedParts: listSharedParts(generation),
+			getDigest: () => computeRequestDigest(request),
 			deadline: request.deadline,
 			now: ctx.now,
 			random: ctx.random
--- a/src/gateway/sends/serviceTask.ts
+++ b/src/gateway/sends/serviceTask.ts
@@ -11,6 +11,9 @@
 	type LogFields,
 	overflowRetryAfterMs
 } from "../callers/callerExchange.js"
+import {CrashAdmission} from "../crashes/crashAdmission.js"
+import {CrashSubject} from "../crashes/crashGuard.js"
+import {computeRequestDigest} from "../crashes/requestDigest.js"
 import {CallOutcome, EndpointCall} from "./endpointCall.js"
 import {applySignals} from "./endpointSignals.js"
 import {type Denial, respondDenial} from "../identity/index.js"
@@ -34,6 +37,16 @@
 	/** Last 5xx response; forwarded unless a retry delivers a response. */
 	private errorResponse:
 		{responseHead: ResponseHead; received: BodyBuffer} | undefined
+	private readonly admission = new CrashAdmission({
+		guard: this.ctx.guard,
+		subject: CrashSubject.Endpoint,
+		requestId: this.request.exchange.head.id,
+		sharedParts: [],
+		getDigest: () => computeRequestDigest(this.request),
+		deadline: this.request.deadline,
+		now: this.ctx.now,
+		random: this.ctx.random
+	})
 	private readonly search = new ServiceSearch({
 		ctx: this.ctx,
 		request: this.request,
@@ -107,7 +120,7 @@
 					const responseHead = call.responseHead
 					endProbe(outcome === CallOutcome.Complete)
 					this.recordResult(id, outcome, responseHead, sentAt)
-					this.handleCallEnd(id, outcome, detail, responseHead, received)
+					this.handleCallEnd(endpoint, outcome, detail, responseHead, received)
 					if (this.errorResponse?.received !== received) received.take()
 					buffers.release()
 				}
@@ -173,7 +186,7 @@
 	}
 
 	private handleCallEnd(
-		id: string,
+		endpoint: FleetEndpoint,
 		end: CallOutcome,
 		detail: string,
 		responseHead: ResponseHead | undefined,
@@ -181,6 +194,8 @@
 	): void {
 		const {ctx, request} = this
 		const {exchange} = request
+		const {id} = endpoint
+		if (end === CallOutcome.Broken) this.noteBreak(endpoint)
 		if (this.isCancelled || !exchange.isOpen) return
 		if (end === CallOutcome.NeverSent || end === CallOutcome.NotRun) {
 			ctx.log.request("send.notRun", exchange.head.id, {endpoint: id, detail})
@@ -214,6 +229,13 @@
 		else this.endWithoutRetry(detail)
 	}
 
+	/** Finds out whether the endpoint ended with which a send broke off. */
+	private noteBreak(endpoint: FleetEndpoint): void {
+		const {id: engineId, bornAt} = endpoint
+		const target = {endpoint, engineId, bornAt}
+		void this.admission.noteBreak({target, hasBegun: true})
+	}
+
 	private forward(
 		responseHead: ResponseHead,
 		received: BodyBuffer,
