Keep requests from endpoints that they would crash

Cause: a crash was remembered by shared parts of prompts only. A request has none at a plain service, a gateway didn't look whether a plain endpoint had ended, and nothing related an attempt to an earlier one of the same content.

A request as a whole is now one more part at a crash, named by a digest of its content, in the same records and notices; it is charged apart from parts of prompts, since it would explain each of its crashes as well. Plain services pass the check before each send that generations have. A repeat that crashes a second endpoint counts as a second crash, not as one of a common cause. Requests that nothing tells apart are sent one at a time, and there are no trials once the evidence is four crashes, as the users allow three sends after the third.

--- a/src/gateway/crashes/crashAdmission.ts
+++ b/src/gateway/crashes/crashAdmission.ts
@@ -1,12 +1,17 @@
-/** Whether one request may be sent to engines, by the shared parts of its prompt. */
-import {PromptVerdict} from "../../policy/crashes/index.js"
+/**
+ * Whether one request may be sent to endpoints, by the crashes that it may have caused
+ * as a whole or by a shared part of its prompt.
+ */
+import {createRequestPart, PromptVerdict} from "../../policy/crashes/index.js"
 import type {BrokenSend, CrashGuard, CrashSubject} from "./crashGuard.js"
 
 export interface CrashAdmissionOptions {
 	guard: CrashGuard
 	subject: CrashSubject
 	requestId: string
+	/** Parts of its prompt that others may have; none at a plain service. */
 	sharedParts: readonly string[]
+	/** Names the request by its content. */
 	getDigest: () => string
 	/** Time at which the caller gives up. */
 	deadline: number
@@ -19,10 +24,11 @@
 const trialOutcomeMs = 500
 
 export class CrashAdmission {
-	/** Whether the request tries if accused parts still crash engines. */
+	/** Whether the request tries if accused parts still crash endpoints. */
 	private isTrial = false
-	/** Whether an engine crashed while it had the request unanswered. */
-	private hasCrashed = false
+	/** When an endpoint last crashed that had the request unanswered. */
+	private crashedAt: number | undefined
+	private digest: string | undefined
 
 	constructor(private readonly options: CrashAdmissionOptions) {}
 
@@ -30,12 +36,24 @@
 		return this.options.sharedParts
 	}
 
+	private getDigest(): string {
+		this.digest ??= this.options.getDigest()
+		return this.digest
+	}
+
+	/** What the request is judged by; the digest of most is never needed. */
+	private get judgedParts(): readonly string[] {
+		const {guard, sharedParts} = this.options
+		if (!guard.suspectsRequests) return sharedParts
+		return [...sharedParts, createRequestPart(this.getDigest())]
+	}
+
 	/** Whether the request may be sent now. If a trial is due, it becomes the trial. */
 	tryAdmit(): boolean {
-		const {guard, requestId, sharedParts} = this.options
+		const {guard, requestId} = this.options
 		if (this.isHeld) return false
-		if (this.isTrial && !this.hasCrashed) return true
-		const {verdict, charged} = guard.judge(sharedParts)
+		if (this.isTrial) return true
+		const {verdict, charged} = guard.judge(this.judgedParts)
 		if (verdict !== PromptVerdict.Trial) return verdict === PromptVerdict.Clear
 		this.isTrial = true
 		guard.beginTrial(requestId, charged)
@@ -44,24 +62,28 @@
 
 	/** Whether it is not to be sent, also by what became known since it was. */
 	get isTurnedAway(): boolean {
-		if (this.isTrial && !this.hasCrashed) return false
-		const {guard, sharedParts} = this.options
-		return guard.judge(sharedParts).verdict === PromptVerdict.TurnAway
+		if (this.isTrial) return false
+		const {verdict} = this.options.guard.judge(this.judgedParts)
+		return verdict === PromptVerdict.TurnAway
 	}
 
 	/**
-	 * Whether the request may have crashed an engine. It isn't sent again until its
-	 * parts have been answered elsewhere.
+	 * Whether a part of it may have crashed an engine that had it. It isn't sent again
+	 * until its parts have been answered elsewhere.
 	 */
 	get isHeld(): boolean {
 		const {guard, sharedParts} = this.options
-		return this.hasCrashed && guard.hasSuspect(sharedParts)
+		return this.crashedAt !== undefined && guard.hasSuspect(sharedParts)
 	}
 
-	/** Time until the next trial of these parts has an outcome, with jitter. */
+	/**
+	 * Time until the next trial has an outcome, with jitter; infinite if there is to be
+	 * none.
+	 */
 	get returnMs(): number {
-		const {guard, sharedParts, now, random} = this.options
-		const dueMs = Math.max(0, guard.judge(sharedParts).trialDueAt - now())
+		const {guard, now, random} = this.options
+		const {trialDueAt} = guard.judge(this.judgedParts)
+		const dueMs = Math.max(0, trialDueAt - now())
 		return dueMs + trialOutcomeMs * (1 + random())
 	}
 
@@ -70,18 +92,32 @@
 		return deadline - now()
 	}
 
-	/** Finds out whether the engine ended with which a send broke off. */
+	/** Finds out whether the endpoint ended with which a send broke off. */
 	async noteBreak({
 		target,
-		hasBegun
-	}: Pick<BrokenSend, "target" | "hasBegun">): Promise<void> {
-		const {guard, getDigest, ...named} = this.options
-		const digest = getDigest()
-		const send = {...named, target, digest, hasBegun}
-		if (await guard.checkCrash(send)) this.hasCrashed = true
+		hasBegun,
+		sentAt
+	}: Pick<BrokenSend, "target" | "hasBegun"> & {
+		sentAt: number
+	}): Promise<void> {
+		const {guard, subject, requestId, sharedParts, now} = this.options
+		const at = now()
+		const isRepeat = this.crashedAt !== undefined && sentAt >= this.crashedAt
+		const hasCrashed = await guard.checkCrash({
+			requestId,
+			subject,
+			target,
+			digest: this.getDigest(),
+			sharedParts,
+			hasBegun,
+			isRepeat
+		})
+		if (!hasCrashed) return
+		this.crashedAt = at
+		this.isTrial = false
 	}
 
 	noteAnswer(at: number): void {
-		this.options.guard.addAnswer(this.options.sharedParts, at)
+		this.options.guard.addAnswer(this.judgedParts, at)
 	}
 }
--- a/src/gateway/crashes/crashGuard.ts
+++ b/src/gateway/crashes/crashGuard.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps prompts from engines that they would crash: finds out whether an engine
- * ended while a prompt was unanswered, tells the other hosts, and judges each prompt
+ * Keeps requests from endpoints that they would crash: finds out whether an endpoint
+ * ended while a request was unanswered, tells the other hosts, and judges each request
  * by what all hosts saw.
  */
 import {
@@ -11,6 +11,7 @@
 } from "../../notices/index.js"
 import {
 	type CrashRecords,
+	createRequestPart,
 	hasSuspect,
 	judgePrompt,
 	listAccusedParts,
@@ -52,6 +53,8 @@
 	sharedParts: readonly string[]
 	/** Whether the head of an answer had arrived, and no event. */
 	hasBegun: boolean
+	/** Whether it was sent after an endpoint had ended under the same attempt. */
+	isRepeat: boolean
 }
 
 /** Time in which a gateway tells the others of its trial, several times over. */
@@ -65,10 +68,15 @@
 
 	constructor(private readonly options: CrashGuardOptions) {}
 
-	judge(sharedParts: readonly string[]): PromptJudgement {
+	judge(parts: readonly string[]): PromptJudgement {
 		const {records, now} = this.options
 		const {trialOffsetMs} = this
-		return judgePrompt(records, sharedParts, {now: now(), trialOffsetMs})
+		return judgePrompt(records, parts, {now: now(), trialOffsetMs})
+	}
+
+	/** Whether some request as a whole may have crashed an endpoint. */
+	get suspectsRequests(): boolean {
+		return this.options.records.suspectsRequests
 	}
 
 	/** Spreads the gateways so that one has told the others before the next begins. */
@@ -92,10 +100,10 @@
 		this.publish({case: "trial", value})
 	}
 
-	/** Records that an engine answers a prompt, since `at`. */
-	addAnswer(sharedParts: readonly string[], at: number): void {
+	/** Records that an endpoint answers a request with these parts, since `at`. */
+	addAnswer(parts: readonly string[], at: number): void {
 		const {records, links, gateway, now} = this.options
-		const reports = records.addAnswer(sharedParts, at, now())
+		const reports = records.addAnswer(parts, at, now())
 		if (reports.length === 0) return
 		this.handleNews(gateway)
 		for (const report of reports) {
@@ -105,12 +113,12 @@
 	}
 
 	/**
-	 * Finds out whether the endpoint of a send ended, and if so tells all hosts which
-	 * parts of prompts it had. Returns whether it did.
+	 * Finds out whether the endpoint of a send ended, and if so tells all hosts what it
+	 * had. Returns whether it did.
 	 */
 	async checkCrash(send: BrokenSend): Promise<boolean> {
 		const {links, log, now} = this.options
-		const {requestId, target, subject, digest, sharedParts, hasBegun} = send
+		const {requestId, target, subject, digest, hasBegun, isRepeat} = send
 		// Several registrations may lead to one engine, whose crash counts once.
 		const {engineId: id, bornAt} = target
 		const at = now()
@@ -127,18 +135,20 @@
 			endpoint: id,
 			bornAt,
 			digest,
-			parts: sharedParts,
+			parts: send.sharedParts,
 			hasBegun,
 			shownBy
 		})
-		if (sharedParts.length === 0) return true
+		const requestPart = createRequestPart(digest)
+		const parts = [...send.sharedParts, requestPart]
 		const report = {
 			endpointId: id,
 			bornAt,
 			at,
-			begunParts: hasBegun ? sharedParts : [],
-			waitingParts: hasBegun ? [] : sharedParts,
-			answeredParts: []
+			begunParts: hasBegun ? parts : [],
+			waitingParts: hasBegun ? [] : parts,
+			answeredParts: [],
+			repeatedParts: isRepeat ? [requestPart] : []
 		}
 		this.publish({case: "crash", value: createCrashNotice(report, now())})
 		return true
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -139,10 +139,10 @@
 		registers: [this.registry]
 	})
 	private readBufferedBytes: () => number = () => 0
-	/** Parts of prompts with which requests are turned away. */
+	/** Parts of prompts with which requests are turned away, and whole requests. */
 	readonly accusedParts = new Gauge({
 		name: "goldcrestloom_accused_prompt_parts",
-		help: "Parts of prompts that are taken to crash engines",
+		help: "Parts of prompts and requests that are taken to crash endpoints",
 		registers: [this.registry]
 	})
 	readonly activeRequests = new Gauge({
--- a/src/gateway/sends/generationEnding.ts
+++ b/src/gateway/sends/generationEnding.ts
@@ -8,6 +8,7 @@
 import type {GenerationSend} from "./generationSend.js"
 import type {OutputTracker} from "./outputTracker.js"
 import type {CrashAdmission} from "../crashes/crashAdmission.js"
+import {turnAway} from "../crashes/turnAway.js"
 import {type Denial, respondDenial} from "../identity/index.js"
 import {isServerError, type ResponseHead} from "../wire.js"
 
@@ -28,8 +29,6 @@
 }
 
 const minRetryAfterMs = 150
-/** Callers return in time to be served within this share of the time they have left. */
-const maxReturnShare = 1 / 3
 const httpOk = 200
 
 export class GenerationEnding {
@@ -84,14 +83,9 @@
 			this.fail(detail, {sends, mayHaveRun}, logFields)
 			return
 		}
-		const {returnMs, leftMs} = admission
-		// Callers repeat what may be repeated after any failure, so that the time counts.
-		if (request.route.isResumable || returnMs < leftMs * maxReturnShare) {
-			this.refuse(detail, returnMs, logFields)
-			return
-		}
 		cancel()
-		exchange.turnAway(detail, logFields)
+		const {isResumable: isRepeated} = request.route
+		turnAway(exchange, {admission, detail, isRepeated, logFields})
 	}
 
 	/** Ends a request that may not be sent because of its key. */
--- a/src/gateway/sends/serviceTask.ts
+++ b/src/gateway/sends/serviceTask.ts
@@ -14,6 +14,7 @@
 import {CrashAdmission} from "../crashes/crashAdmission.js"
 import {CrashSubject} from "../crashes/crashGuard.js"
 import {computeRequestDigest} from "../crashes/requestDigest.js"
+import {turnAway} from "../crashes/turnAway.js"
 import {CallOutcome, EndpointCall} from "./endpointCall.js"
 import {applySignals} from "./endpointSignals.js"
 import {type Denial, respondDenial} from "../identity/index.js"
@@ -24,12 +25,23 @@
 /** Limit on sends of one request, including those the endpoint did not run. */
 const maxSends = 3
 const minRetryAfterMs = 100
+const suspectedRequest = "request crashes endpoints"
 /**
  * A safe request without a response after this multiple of the route's objective
  * is sent to another endpoint as well.
  */
 const silenceTimeoutObjectives = 2
 
+interface ServiceSendEnd {
+	/** Id of the endpoint. */
+	id: string
+	outcome: CallOutcome
+	detail: string
+	received: BodyBuffer
+	/** Resolves when it is known whether the endpoint has ended. */
+	checked: Promise<void>
+}
+
 export class ServiceTask extends RequestTask {
 	private readonly tried = new Set<string>()
 	private readonly openCalls = new Set<EndpointCall>()
@@ -62,7 +74,8 @@
 	})
 
 	protected override dispatch(): void {
-		this.search.start("no endpoint")
+		if (this.admission.isTurnedAway) this.turnAway()
+		else this.search.start("no endpoint")
 	}
 
 	protected override handleDisconnect(): void {
@@ -74,6 +87,10 @@
 	private sendTo(endpoint: FleetEndpoint, reason: string): void {
 		const {ctx, request} = this
 		if (!this.tryAccess()) return
+		if (!this.admission.tryAdmit()) {
+			this.turnAway()
+			return
+		}
 		if (this.sends > 0 && !ctx.retryBudgets.tryRetry(request.pool)) {
 			this.endWithoutRetry(`${reason}; no repeats left`)
 			return
@@ -107,7 +124,9 @@
 			body,
 			runs: exchange.runs,
 			handlers: {
-				onConnected: () => request.quotaTicket?.trySend() ?? true,
+				onConnected: () =>
+					!this.admission.isTurnedAway &&
+					(request.quotaTicket?.trySend() ?? true),
 				onHead: responseHead => {
 					const requestId = exchange.head.id
 					applySignals(ctx, {endpoint, requestId, sentAt}, responseHead)
@@ -121,7 +140,8 @@
 					const responseHead = call.responseHead
 					endProbe(outcome === CallOutcome.Complete)
 					this.recordResult(id, outcome, responseHead, sentAt)
-					this.handleCallEnd(endpoint, outcome, detail, responseHead, received)
+					const checked = this.noteEnd(endpoint, outcome, sentAt)
+					this.handleCallEnd(call, {id, outcome, detail, received, checked})
 					if (this.errorResponse?.received !== received) received.take()
 					buffers.release()
 				}
@@ -186,19 +206,31 @@
 		} else services.fail(id, at)
 	}
 
-	private handleCallEnd(
+	/**
+	 * Records what the end of a send says of the request. Resolves when it is known
+	 * whether the endpoint has ended.
+	 */
+	private async noteEnd(
 		endpoint: FleetEndpoint,
-		end: CallOutcome,
-		detail: string,
-		responseHead: ResponseHead | undefined,
-		received: BodyBuffer
+		outcome: CallOutcome,
+		sentAt: number
+	): Promise<void> {
+		const {admission, ctx} = this
+		const {id: engineId, bornAt} = endpoint
+		const target = {endpoint, engineId, bornAt}
+		if (outcome === CallOutcome.Complete) admission.noteAnswer(ctx.now())
+		else if (outcome === CallOutcome.Broken)
+			await admission.noteBreak({target, hasBegun: true, sentAt})
+	}
+
+	private handleCallEnd(
+		{responseHead}: EndpointCall,
+		{id, outcome, detail, received, checked}: ServiceSendEnd
 	): void {
 		const {ctx, request} = this
 		const {exchange} = request
-		const {id} = endpoint
-		if (end === CallOutcome.Broken) this.noteBreak(endpoint)
 		if (this.isCancelled || !exchange.isOpen) return
-		if (end === CallOutcome.NeverSent || end === CallOutcome.NotRun) {
+		if (outcome === CallOutcome.NeverSent || outcome === CallOutcome.NotRun) {
 			ctx.log.request("send.notRun", exchange.head.id, {endpoint: id, detail})
 			this.search.start(detail)
 			return
@@ -206,7 +238,7 @@
 		this.runs += 1
 		this.mayHaveRun = true
 		const mayBeAnswered = this.canRepeat || this.openCalls.size > 0
-		if (end === CallOutcome.Complete && responseHead !== undefined) {
+		if (outcome === CallOutcome.Complete && responseHead !== undefined) {
 			const isFailure = isServerError(responseHead)
 			if (!isFailure || !mayBeAnswered) {
 				this.forward(responseHead, received, {
@@ -222,19 +254,22 @@
 		}
 		ctx.log.request("send.failed", exchange.head.id, {
 			endpoint: id,
-			end,
+			end: outcome,
 			detail,
 			status: responseHead?.status
 		})
-		if (this.canRepeat) this.search.start(detail)
-		else this.endWithoutRetry(detail)
+		if (outcome === CallOutcome.Complete) this.goOn(detail)
+		else
+			void checked.then(() => {
+				this.goOn(detail)
+			})
 	}
 
-	/** Finds out whether the endpoint ended with which a send broke off. */
-	private noteBreak(endpoint: FleetEndpoint): void {
-		const {id: engineId, bornAt} = endpoint
-		const target = {endpoint, engineId, bornAt}
-		void this.admission.noteBreak({target, hasBegun: true})
+	/** Sends the request again after a failed send, or ends it. */
+	private goOn(detail: string): void {
+		if (this.isCancelled || !this.request.exchange.isOpen) return
+		if (this.canRepeat) this.search.start(detail)
+		else this.endWithoutRetry(detail)
 	}
 
 	private forward(
@@ -274,6 +309,24 @@
 		}
 	}
 
+	/** Ends a request that crashes endpoints. */
+	private turnAway(): void {
+		const {admission, request, sends, tried} = this
+		const mayHaveAnswer =
+			this.openCalls.size > 0 || this.errorResponse !== undefined
+		if (mayHaveAnswer || this.mayHaveRun) {
+			this.endWithoutRetry(suspectedRequest)
+			return
+		}
+		this.clearTimers()
+		turnAway(request.exchange, {
+			admission,
+			detail: suspectedRequest,
+			isRepeated: request.route.kind === RouteKind.Safe,
+			logFields: {sends, tried: [...tried]}
+		})
+	}
+
 	protected override handleDenial(denial: Denial): void {
 		this.endWithoutRetry(denial.reason, denial)
 	}
--- a/src/notices/crashNotices.ts
+++ b/src/notices/crashNotices.ts
@@ -22,7 +22,8 @@
 		ageMs: getAgeMs(at, now),
 		begunParts: [...report.begunParts],
 		waitingParts: [...report.waitingParts],
-		answeredParts: [...report.answeredParts]
+		answeredParts: [...report.answeredParts],
+		repeatedParts: [...(report.repeatedParts ?? [])]
 	})
 }
 
--- a/src/policy/crashes/__tests__/crashRecords.test.ts
+++ b/src/policy/crashes/__tests__/crashRecords.test.ts
@@ -3,6 +3,7 @@
 import {
 	CrashRecords,
 	type CrashReport,
+	createRequestPart,
 	hasSuspect,
 	judgePrompt,
 	listAccusedParts,
@@ -155,19 +156,105 @@
 	})
 })
 
+/** Two requests, each as a whole. */
+const bad = createRequestPart("bad")
+const other = createRequestPart("other")
+
+describe("a request that crashes engines as a whole", () => {
+	const crashAt = (
+		at: number,
+		changes: Partial<CrashReport> = {}
+	): CrashReport => crash(at, {begunParts: [bad], ...changes})
+
+	function createSequence(
+		changes: Partial<CrashReport>,
+		alone?: CrashReport
+	): CrashRecords {
+		const records = new CrashRecords()
+		records.mergeCrash(crashAt(0), 0)
+		records.mergeCrash(crashAt(86, changes), 86)
+		if (alone !== undefined) records.mergeCrash(alone, 90)
+		return records
+	}
+
+	it("is not spared because its repeat crashes the second one soon after", () => {
+		const records = createSequence({repeatedParts: [bad]})
+		expect(judge(records, [bad], 100)).toBe("turnAway")
+	})
+
+	it("is not turned away for engines that crash together", () => {
+		expect(judge(createSequence({}), [bad], 100)).toBe("clear")
+		const alone = crash(90)
+		const records = createSequence({repeatedParts: [bad]}, alone)
+		expect(judge(records, [bad], 100)).toBe("clear")
+	})
+
+	it("is not charged with what a shared part explains, nor the part with it", () => {
+		const records = new CrashRecords()
+		for (let i = 0; i < 2; i += 1) {
+			const own = createRequestPart(`own${i}`)
+			const report = crash(i * 1000, {begunParts: ["part", own]})
+			records.mergeCrash(report, i * 1000)
+		}
+		expect(listAccusedParts(records)).toEqual(["part"])
+	})
+
+	it("is told from one that was always beside it, one attempt at a time", () => {
+		const records = createRecords(2, bad, other)
+		expect(judge(records, [other], 1100)).toBe("trial")
+		records.addTrial(other, 1100)
+		expect(judge(records, [other], 1110)).toBe("turnAway")
+		records.addAnswer([other], 1200, 1200)
+		expect(judge(records, [other], 1200)).toBe("clear")
+		expect(judge(records, [bad], 1200)).toBe("turnAway")
+	})
+
+	it("is sent three times at most after the third crash", () => {
+		const records = createRecords(2, bad)
+		const crashes = [0, 1000]
+		for (let now = 1001; now < 7_000_000; now += 100) {
+			if (judge(records, [bad], now) === "turnAway") continue
+			records.addTrial(bad, now)
+			records.mergeCrash(crashAt(now + 50), now + 50)
+			crashes.push(now + 50)
+		}
+		expect(crashes.length).toBeLessThanOrEqual(6)
+		expect(crashes.length).toBeGreaterThan(3)
+	})
+
+	it("is cleared by the answer of its trial", () => {
+		const records = createRecords(2, bad)
+		expect(judge(records, [bad], 3000)).toBe("trial")
+		records.addAnswer([bad], 3100, 3100)
+		expect(judge(records, [bad], 3100)).toBe("clear")
+		expect(records.suspectsRequests).toBe(false)
+	})
+
+	it("stays known when requests at many other crashes fill the records", () => {
+		const records = createRecords(2, bad)
+		for (let i = 0; i < 1000; i += 1) {
+			const at = 2000 + i * 200
+			const own = createRequestPart(`own${i}`)
+			records.mergeCrash(crash(at, {begunParts: [own]}), at)
+		}
+		expect(listAccusedParts(records)).toEqual([bad])
+	})
+})
+
 describe("records of crashes", () => {
 	it("are the same whatever the order and number of reports", () => {
-		const part = fc.constantFrom("a", "b", "c", "d")
+		const part = fc.constantFrom("a", "b", bad, other)
 		const parts = fc.array(part, {maxLength: 3})
 		const report = fc.record({
 			endpointId: fc.constantFrom("i-1", "i-2", "i-3"),
 			bornAt: fc.constantFrom(1, 2),
 			begunParts: parts,
 			waitingParts: parts,
-			answeredParts: parts
+			answeredParts: parts,
+			repeatedParts: parts
 		})
 		const charges = (records: CrashRecords): unknown =>
-			["a", "b", "c", "d"].map(id => records.listCharges(id))
+			["a", "b", bad, other].map(id => records.listCharges(id))
 		fc.assert(
 			fc.property(
 				fc.array(report, {maxLength: 12}),
--- a/src/policy/crashes/__tests__/falseAccusation.test.ts
+++ b/src/policy/crashes/__tests__/falseAccusation.test.ts
@@ -16,7 +16,10 @@
 	crashesPerSecond: 0.3,
 	enginesPerCrash: 1,
 	deadlyShare: 0,
-	showsHeads: true
+	showsHeads: true,
+	isPlain: false,
+	sends: 0,
+	sameShare: 0
 }
 
 function play(changes: Partial<FleetLoad>): FleetModel[] {
@@ -55,6 +58,15 @@
 			requestsPerSecond: 40,
 			crashesPerSecond: 0
 		}
+	],
+	[
+		"half of them, at three engines",
+		{
+			deadlyShare: 0.5,
+			engines: 3,
+			requestsPerSecond: 40,
+			crashesPerSecond: 0
+		}
 	]
 ]
 
@@ -73,3 +85,41 @@
 		}
 	)
 })
+
+const requestLoad: Partial<FleetLoad> = {
+	isPlain: true,
+	sends: 2,
+	sameShare: 0.3
+}
+
+describe("requests as a whole at crashes for other causes", () => {
+	it.each(kinds)(
+		"are turned away only after two of their own: %s",
+		(_, changes) => {
+			const models = play({...requestLoad, ...changes})
+			expect(models.map(model => model.turnedAwayUnharmed)).toEqual(
+				seeds.map(() => 0)
+			)
+		}
+	)
+})
+
+/** The users' bound: crashes after which it holds, and for how many sends. */
+const crashesUntilBound = 3
+const maxLaterSends = 3
+
+describe("a request that crashes engines as a whole", () => {
+	it.each([...kinds, ...oftenDeadly])(
+		"is sent few times after the third crash, beside: %s",
+		(_, changes) => {
+			const loads = {deadlyShare: 0.04, ...requestLoad, ...changes}
+			for (const {deadlyCrashes, deadlySends, ...model} of play(loads)) {
+				const thirdAt =
+					deadlyCrashes[crashesUntilBound - 1] ?? Number.POSITIVE_INFINITY
+				const later = deadlySends.filter(at => at > thirdAt + noticeMs)
+				expect(later.length).toBeLessThanOrEqual(maxLaterSends)
+				expect(model.turnedAwayUnharmed).toBe(0)
+			}
+		}
+	)
+})
--- a/src/policy/crashes/__tests__/fleetModel.ts
+++ b/src/policy/crashes/__tests__/fleetModel.ts
@@ -4,7 +4,12 @@
  */
 import {uniformFloat64} from "pure-rand/distribution/uniformFloat64"
 import {xoroshiro128plus} from "pure-rand/generator/xoroshiro128plus"
-import {CrashRecords, judgePrompt, PromptVerdict} from "../index.js"
+import {
+	CrashRecords,
+	createRequestPart,
+	judgePrompt,
+	PromptVerdict
+} from "../index.js"
 
 export interface FleetLoad {
 	engines: number
@@ -18,24 +23,42 @@
 	deadlyShare: number
 	/** Whether the head of an answer reaches the host before the crash does. */
 	showsHeads: boolean
+	/** Whether requests are to a plain service, with no parts; the same one is deadly. */
+	isPlain: boolean
+	/** Engines that one attempt may be sent to; callers of 0 don't come again either. */
+	sends: number
+	/** Share of the requests whose content comes again and again. */
+	sameShare: number
+}
+
+interface Request {
+	/** The request as a whole. */
+	whole: string
+	parts: string[]
+	isDeadly: boolean
 }
 
 interface Run {
+	request: Request
 	engine: number
-	parts: string[]
 	begunAt: number
 	answeredAt: number
-	isDeadly: boolean
+	/** Engines that this attempt was sent to before. */
+	sends: number
 }
 
 const downMs = 3000
 const stepMs = 10
 const spanMs = 60_000
 const headMs = 20
+/** Callers come again so long after an attempt that failed. */
+const comeAgainMs = 50
 
 export class FleetModel {
 	/** Sound requests that were turned away. */
 	turnedAway = 0
+	/** Those of them that had not crashed with two engines since their last answer. */
+	turnedAwayUnharmed = 0
 	soundRequests = 0
 	/** Times at which requests with the deadly part were sent. */
 	readonly deadlySends: number[] = []
@@ -44,6 +67,10 @@
 	private readonly records = new CrashRecords()
 	private readonly upAt: number[]
 	private runs: Run[] = []
+	private later: {at: number; request: Request; sends: number}[] = []
+	/** Crashes at which a request was since its last answer. */
+	private readonly harms = new Map<string, number>()
+	private count = 0
 	private now = 0
 	private readonly random: () => number
 
@@ -64,6 +91,7 @@
 				for (let i = 0; i < load.enginesPerCrash; i += 1)
 					this.crash(Math.floor(random() * load.engines))
 			}
+			this.sendLater()
 			if (this.draws(load.requestsPerSecond)) this.request()
 		}
 	}
@@ -77,10 +105,14 @@
 		const ended = this.runs.filter(run => run.answeredAt <= now)
 		for (const run of ended) {
 			if (!this.runs.includes(run)) continue
-			if (run.isDeadly) {
+			const {isDeadly, parts, whole} = run.request
+			if (isDeadly) {
 				this.deadlyCrashes.push(now)
 				this.crash(run.engine)
-			} else this.records.addAnswer(run.parts, now, now)
+			} else {
+				this.records.addAnswer([...parts, whole], now, now)
+				this.harms.delete(whole)
+			}
 		}
 		this.runs = this.runs.filter(run => run.answeredAt > now)
 	}
@@ -94,16 +126,36 @@
 		const list = (isBegun: boolean): string[] =>
 			lost
 				.filter(({begunAt}) => this.showsHead(begunAt) === isBegun)
-				.flatMap(({parts}) => parts)
+				.flatMap(({request: {parts, whole}}) => [...parts, whole])
 		const report = {
 			endpointId: `i-${engine}`,
 			bornAt: now,
 			at: now,
 			begunParts: list(true),
 			waitingParts: list(false),
-			answeredParts: []
+			answeredParts: [],
+			repeatedParts: lost
+				.filter(({sends}) => sends > 0)
+				.map(({request}) => request.whole)
 		}
 		this.records.mergeCrash(report, now)
+		for (const {request, sends} of this.load.sends > 0 ? lost : []) {
+			const {whole} = request
+			this.harms.set(whole, (this.harms.get(whole) ?? 0) + 1)
+			const isRepeat = sends + 1 < this.load.sends
+			const at = now + (isRepeat ? stepMs : comeAgainMs)
+			this.later.push({at, request, sends: isRepeat ? sends + 1 : 0})
+		}
+	}
+
+	/** Sends what has to be sent again after a crash. */
+	private sendLater(): void {
+		const due = this.later.filter(({at}) => at <= this.now)
+		this.later = this.later.filter(({at}) => at > this.now)
+		for (const {request, sends} of due) {
+			const engine = this.chooseEngine()
+			if (engine !== undefined) this.send(request, sends, engine)
+		}
 	}
 
 	private showsHead(begunAt: number): boolean {
@@ -111,18 +163,40 @@
 	}
 
 	private request(): void {
-		const {load, random, now, records} = this
-		const up = this.upAt.flatMap((at, engine) => (at <= now ? [engine] : []))
-		const engine = up[Math.floor(random() * up.length)]
+		const {load, random} = this
+		const engine = this.chooseEngine()
 		if (engine === undefined) return
 		const caller = Math.floor(load.callers ** random())
 		const isDeadly = random() < load.deadlyShare
+		if (!isDeadly) this.soundRequests += 1
+		this.count += 1
+		if (load.isPlain) {
+			const isSame = random() < load.sameShare
+			const own = isSame ? `same${this.count % 3}` : `own${this.count}`
+			const whole = createRequestPart(isDeadly ? "deadly" : own)
+			this.send({whole, parts: [], isDeadly}, 0, engine)
+			return
+		}
+		const whole = createRequestPart(`own${this.count}`)
 		const parts = [`sys${caller % 3}`, `caller${caller}`]
 		if (isDeadly) parts.push("deadly")
-		else this.soundRequests += 1
-		const {verdict, charged} = judgePrompt(records, parts, {now})
+		this.send({whole, parts, isDeadly}, 0, engine)
+	}
+
+	private chooseEngine(): number | undefined {
+		const {now, random} = this
+		const up = this.upAt.flatMap((at, engine) => (at <= now ? [engine] : []))
+		return up[Math.floor(random() * up.length)]
+	}
+
+	private send(request: Request, sends: number, engine: number): void {
+		const {random, now, records} = this
+		const {whole, parts, isDeadly} = request
+		const {verdict, charged} = judgePrompt(records, [...parts, whole], {now})
 		if (verdict === PromptVerdict.TurnAway) {
-			if (!isDeadly) this.turnedAway += 1
+			if (isDeadly) return
+			this.turnedAway += 1
+			if ((this.harms.get(whole) ?? 0) < 2) this.turnedAwayUnharmed += 1
 			return
 		}
 		if (verdict === PromptVerdict.Trial)
@@ -130,6 +204,6 @@
 		if (isDeadly) this.deadlySends.push(now)
 		const answeredAt = now + 100 + random() * 400
 		const begunAt = answeredAt - headMs
-		this.runs.push({engine, parts, begunAt, answeredAt, isDeadly})
+		this.runs.push({request, engine, begunAt, answeredAt, sends})
 	}
 }
--- a/src/policy/crashes/charges.ts
+++ b/src/policy/crashes/charges.ts
@@ -13,6 +13,8 @@
 	 * Else they were on their way, as any part may be when an engine ends.
 	 */
 	hasBegun: boolean
+	/** Suspects that were sent after a crash under the same attempt of their caller. */
+	repeated: ReadonlySet<string>
 }
 
 /** Parts of which one has caused a crash, and nothing tells them apart. */
@@ -85,23 +87,29 @@
 		for (const part of parts) {
 			const known = tallies.get(part) ?? emptyTally
 			const withPart = moment.filter(({suspects}) => suspects.has(part))
-			const weights = withPart.map(({hasBegun}) =>
-				hasBegun ? 1 : waitingEvidence
-			)
-			// A part that was at one of several engines doesn't explain the others.
-			const sum = weights.reduce((total, weight) => total + weight, 0)
 			tallies.set(part, {
 				crashes: known.crashes + 1,
 				engines: known.engines + withPart.length,
 				enginesInAll: known.enginesInAll + moment.length,
 				firstCrashAt: Math.min(known.firstCrashAt, withPart[0]?.at ?? 0),
-				evidence: round(known.evidence + sum / moment.length)
+				evidence: round(known.evidence + weighMoment(moment, part))
 			})
 		}
 	}
 	return tallies
 }
 
+/** What the crashes of one moment count against a part. */
+function weighMoment(moment: readonly OpenCrash[], part: string): number {
+	const withPart = moment.filter(({suspects}) => suspects.has(part))
+	const weights = withPart.map(({hasBegun}) => (hasBegun ? 1 : waitingEvidence))
+	const sum = weights.reduce((total, weight) => total + weight, 0)
+	const isFollowed = withPart.slice(1).every(crash => crash.repeated.has(part))
+	if (isFollowed && withPart.length === moment.length) return sum
+	// A part that was at one of several engines doesn't explain the others.
+	return sum / moment.length
+}
+
 /** Makes equal evidence compare as equal. */
 function round(evidence: number): number {
 	return Math.round(evidence * 1e6) / 1e6
--- a/src/policy/crashes/crashRecords.ts
+++ b/src/policy/crashes/crashRecords.ts
@@ -6,8 +6,11 @@
  *   prompts that waited, because an engine crashes as it begins to write.
  * - A part that was answered after a crash did not cause it, for good.
  * - Of the trials of a part the latest counts.
+ * - A request as a whole is one more part, and charged apart from those of prompts: it
+ *   would explain each of its crashes as well as a part that others share.
  */
 import {type Charge, listCharges, type OpenCrash} from "./charges.js"
+import {isRequestPart} from "./requestPart.js"
 
 interface CrashIdentity {
 	endpointId: string
@@ -25,6 +28,11 @@
 	waitingParts: readonly string[]
 	/** Those of either that were answered after the crash. */
 	answeredParts: readonly string[]
+	/**
+	 * Requests whose send began after an endpoint had ended under the same attempt of
+	 * their caller.
+	 */
+	repeatedParts?: readonly string[]
 }
 
 export interface MergedCrash {
@@ -38,6 +46,7 @@
 	readonly begun: Set<string>
 	readonly waiting: Set<string>
 	readonly answered: Set<string>
+	readonly repeated: Set<string>
 }
 
 /** Several times the crashes that may matter at a time; the oldest are dropped. */
@@ -60,9 +69,14 @@
 	private crashes: CrashRecord[] = []
 	/** Time of the last answer, by part; the one answered last at the end. */
 	private readonly answers = new Map<string, number>()
-	/** Time of the last trial, by part. */
 	private readonly trials = new Map<string, number>()
 	private chargesByPart: ReadonlyMap<string, readonly Charge[]> = new Map()
+	private hasRequests = false
+
+	/** Whether a request as a whole may have caused a crash. */
+	get suspectsRequests(): boolean {
+		return this.hasRequests
+	}
 
 	/** Charges against a part, each with the parts that it can't be told from. */
 	listCharges(part: string): readonly Charge[] {
@@ -84,11 +98,12 @@
 		const record = known ?? createRecord(report)
 		if (known === undefined) this.crashes.push(record)
 		record.at = Math.min(record.at, report.at)
-		const {begunParts, waitingParts, answeredParts} = report
+		const {begunParts, waitingParts, answeredParts, repeatedParts} = report
 		const counts = [
 			addParts(record.begun, begunParts),
 			addParts(record.waiting, waitingParts),
-			addParts(record.answered, answeredParts)
+			addParts(record.answered, answeredParts),
+			addParts(record.repeated, repeatedParts ?? [])
 		]
 		const isNews = known === undefined || counts.some(count => count > 0)
 		const refuted = this.listAnsweredSince(record)
@@ -136,14 +151,15 @@
 	/** Crashes with parts that have not been answered since. */
 	listOpen(): CrashReport[] {
 		return this.crashes
-			.filter(record => findSuspects(record).suspects.size > 0)
-			.map(({endpointId, bornAt, at, begun, waiting, answered}) => ({
+			.filter(record => listOpenParts(record).length > 0)
+			.map(({endpointId, bornAt, at, ...record}) => ({
 				endpointId,
 				bornAt,
 				at,
-				begunParts: [...begun],
-				waitingParts: [...waiting],
-				answeredParts: [...answered]
+				begunParts: [...record.begun],
+				waitingParts: [...record.waiting],
+				answeredParts: [...record.answered],
+				repeatedParts: [...record.repeated]
 			}))
 	}
 
@@ -170,20 +186,26 @@
 		})
 	}
 
-	/** Drops the oldest crash that is charged to nobody, else the oldest. */
+	/** Drops the oldest crash that no charge of several rests on, else the oldest. */
 	private dropCrash(): void {
-		const settled = this.crashes.findIndex(
-			record => findSuspects(record).suspects.size === 0
-		)
-		this.crashes.splice(Math.max(0, settled), 1)
+		const isNeeded = (part: string): boolean =>
+			this.listCharges(part).some(({crashes}) => crashes > 1)
+		// The last one has just been reported.
+		const spare = this.crashes
+			.slice(0, -1)
+			.findIndex(record => !listOpenParts(record).some(isNeeded))
+		this.crashes.splice(Math.max(0, spare), 1)
 	}
 
 	private update(now: number): void {
-		const open = this.crashes
-			.filter(({at}) => now - at <= crashLifetimeMs)
-			.map(record => ({at: record.at, ...findSuspects(record)}))
+		const records = this.crashes.filter(({at}) => now - at <= crashLifetimeMs)
+		const requests = findRequests(records)
+		const charges = [
+			...listCharges(records.map(suspectParts)),
+			...listCharges(records.map(item => suspectRequests(item, requests.again)))
+		]
 		const byPart = new Map<string, Charge[]>()
-		for (const charge of listCharges(open)) {
+		for (const charge of charges) {
 			for (const part of charge.parts) {
 				const known = byPart.get(part)
 				if (known === undefined) byPart.set(part, [charge])
@@ -191,6 +213,7 @@
 			}
 		}
 		this.chargesByPart = byPart
+		this.hasRequests = requests.all.size > 0
 	}
 }
 
@@ -211,7 +234,8 @@
 		at,
 		begun: new Set(),
 		waiting: new Set(),
-		answered: new Set()
+		answered: new Set(),
+		repeated: new Set()
 	}
 }
 
@@ -234,16 +258,46 @@
 	return (begun.has(part) || waiting.has(part)) && !answered.has(part)
 }
 
-/** Parts that may have caused the crash, as far as is known. */
-function findSuspects({
-	begun,
-	waiting,
-	answered
-}: CrashRecord): Omit<OpenCrash, "at"> {
-	const open = [...begun].filter(part => !answered.has(part))
-	if (open.length > 0) return {suspects: new Set(open), hasBegun: true}
-	const others = [...waiting].filter(part => !answered.has(part))
-	return {suspects: new Set(others), hasBegun: false}
+function listOpenParts(record: CrashRecord): string[] {
+	const parts = [...record.begun, ...record.waiting]
+	return parts.filter(part => !record.answered.has(part))
+}
+
+/** Parts of prompts that may have caused the crash, as far as is known. */
+function suspectParts(record: CrashRecord): OpenCrash {
+	const {at, begun, repeated} = record
+	const open = listOpenParts(record).filter(part => !isRequestPart(part))
+	const begunParts = open.filter(part => begun.has(part))
+	const hasBegun = begunParts.length > 0
+	const suspects = new Set(hasBegun ? begunParts : open)
+	return {at, suspects, hasBegun, repeated}
+}
+
+/** Requests as a whole that are open at a crash, and those that are at several. */
+function findRequests(
+	records: readonly CrashRecord[]
+): Record<"all" | "again", Set<string>> {
+	const all = new Set<string>()
+	const again = new Set<string>()
+	for (const part of records.flatMap(listOpenParts)) {
+		if (!isRequestPart(part)) continue
+		if (all.has(part)) again.add(part)
+		else all.add(part)
+	}
+	return {all, again}
+}
+
+/**
+ * Of the requests that were at several crashes, those that may have caused this one.
+ * That one waited is no reason to suspect it less: it is the same as a whole.
+ */
+function suspectRequests(
+	record: CrashRecord,
+	again: ReadonlySet<string>
+): OpenCrash {
+	const {at, repeated} = record
+	const open = listOpenParts(record).filter(part => again.has(part))
+	return {at, suspects: new Set(open), hasBegun: true, repeated}
 }
 
 /** Returns how many parts were not there before. */
--- a/src/policy/crashes/index.ts
+++ b/src/policy/crashes/index.ts
@@ -1,3 +1,4 @@
 export * from "./charges.js"
 export * from "./crashRecords.js"
 export * from "./promptVerdict.js"
+export * from "./requestPart.js"
--- a/src/policy/crashes/promptVerdict.ts
+++ b/src/policy/crashes/promptVerdict.ts
@@ -9,6 +9,7 @@
  */
 import type {Charge} from "./charges.js"
 import type {CrashRecords} from "./crashRecords.js"
+import {isRequestPart} from "./requestPart.js"
 
 export enum PromptVerdict {
 	/** Nothing speaks against it. */
@@ -23,7 +24,7 @@
 	verdict: PromptVerdict
 	/** Parts of the prompt that are charged with crashes. */
 	charged: string[]
-	/** Time of the next trial of these parts. */
+	/** Time of the next trial of these parts; infinite if there is to be none. */
 	trialDueAt: number
 }
 
@@ -41,10 +42,15 @@
 const maxTrialDelayMs = 10 * 60 * 1000
 /** Time after which a trial without an outcome is made again: it was never run. */
 const trialTimeoutMs = 4000
-
 /**
- * Judges the shared parts of a prompt. `trialOffsetMs` is how much later than the
- * first host this one makes a trial, so that not all make one at the same moment.
+ * A request as a whole with so much evidence isn't tried any more: the users allow
+ * three sends after the third crash.
+ */
+const evidenceUntilLastTrial = 4
+/**
+ * Judges the shared parts of a prompt and the request as a whole. `trialOffsetMs` is
+ * how much later than the first host this one makes a trial, so that not all make one
+ * at the same moment.
  */
 export function judgePrompt(
 	records: CrashRecords,
@@ -54,7 +60,7 @@
 	const charges = parts
 		.flatMap(part => records.listCharges(part))
 		.filter(charge => isAccusation(charge))
-		.filter(charge => charge.parts.every(part => parts.includes(part)))
+		.flatMap(charge => findOwnCharge(charge, parts) ?? [])
 	if (charges.length === 0)
 		return {verdict: PromptVerdict.Clear, charged: [], trialDueAt: now}
 	const dueTimes = charges.map(charge => getTrialDueAt(records, charge))
@@ -65,6 +71,25 @@
 	return {verdict, charged: [...charged], trialDueAt}
 }
 
+interface OwnCharge extends Charge {
+	/** Whether other requests are charged as well, of which one did it. */
+	isTied: boolean
+}
+
+/**
+ * The charge as it applies to a request with these parts, if it does. Of several
+ * requests that are charged as a whole each is judged by itself: none holds all.
+ */
+function findOwnCharge(
+	charge: Charge,
+	parts: readonly string[]
+): OwnCharge | undefined {
+	const own = charge.parts.filter(part => parts.includes(part))
+	if (own.length === charge.parts.length) return {...charge, isTied: false}
+	if (!charge.parts.every(isRequestPart)) return undefined
+	return {...charge, parts: own, isTied: true}
+}
+
 /** Parts with which requests are turned away, at least together. */
 export function listAccusedParts(records: CrashRecords): string[] {
 	return records
@@ -89,10 +114,15 @@
 
 function getTrialDueAt(
 	records: CrashRecords,
-	{parts, engines, lastCrashAt}: Charge
+	{parts, engines, evidence, lastCrashAt, isTied}: OwnCharge
 ): number {
+	const triedAt = Math.max(...parts.map(part => records.getTrialAt(part)))
+	const nextAt = triedAt + trialTimeoutMs
+	// Without delay, but one at a time: the outcome tells them apart.
+	if (isTied) return nextAt
+	if (evidence >= evidenceUntilLastTrial && parts.some(isRequestPart))
+		return Number.POSITIVE_INFINITY
 	const doublings = Math.max(0, engines - evidenceUntilAccused)
 	const delayMs = Math.min(maxTrialDelayMs, firstTrialDelayMs * 2 ** doublings)
-	const triedAt = Math.max(...parts.map(part => records.getTrialAt(part)))
-	return Math.max(lastCrashAt + delayMs, triedAt + trialTimeoutMs)
+	return Math.max(lastCrashAt + delayMs, nextAt)
 }
