--- a/src/gateway/prompts/promptGuard.ts
+++ b/src/gateway/crashes/crashGuard.ts
@@ -1,6 +1,6 @@
 /**
- * Keeps prompts from engines that they would crash: finds out whether an engine
- * ended while a prompt was unanswered, tells the other hosts, and judges each prompt
+ * Keeps requests from endpoints that they would crash: finds out whether an endpoint
+ * ended while a request was unanswered, tells the other hosts, and judges each request
  * by what all hosts saw.
  */
 import {
@@ -11,6 +11,7 @@
 } from "../../notices/index.js"
 import {
 	type CrashRecords,
+	createRequestPart,
 	hasSuspect,
 	judgePrompt,
 	listAccusedParts,
@@ -19,11 +20,11 @@
 import {hashString} from "../../policy/index.js"
 import type {DecisionLog} from "../../program/decisionLog.js"
 import type {AgentLinks} from "../links/agentLinks.js"
-import {ProbeResult, probeAddress} from "../sends/connectionProbe.js"
 import type {GatewayMetrics} from "../gatewayMetrics.js"
 import type {SendTarget} from "../sends/sendTarget.js"
+import {findEndpointEnd} from "./endpointEnd.js"
 
-export interface PromptGuardOptions {
+export interface CrashGuardOptions {
 	records: CrashRecords
 	notices: NoticeBoard
 	links: AgentLinks
@@ -35,40 +36,47 @@
 	now: () => number
 }
 
+/** What a send went to, as log lines name it. */
+export enum CrashSubject {
+	Engine = "engine",
+	/** Of a plain service. */
+	Endpoint = "endpoint"
+}
+
 /** A send that ended without an answer. */
 export interface BrokenSend {
 	requestId: string
-	target: SendTarget
+	subject: CrashSubject
+	target: Pick<SendTarget, "endpoint" | "engineId" | "bornAt">
+	/** Names the request by its content. */
+	digest: string
 	sharedParts: readonly string[]
 	/** Whether the head of an answer had arrived, and no event. */
 	hasBegun: boolean
+	/** Whether it was sent after an endpoint had ended under the same attempt. */
+	isRepeat: boolean
 }
 
-/** Whether an engine has ended, and what showed it, for the log. */
-interface EngineEnd {
-	hasEnded: boolean
-	shownBy: string
-}
-
-/** Several round trips between failure domains. */
-const probeTimeoutMs = 150
-/** Several times the time of a call to an agent in another failure domain. */
-const answerTimeoutMs = 150
 /** Time in which a gateway tells the others of its trial, several times over. */
 const trialSpreadMs = 50
 const maxTrialSpreadMs = 5000
 const maxHash = 0xffffffff
 
-export class PromptGuard {
+export class CrashGuard {
 	private readonly listeners = new Set<() => void>()
 	private accused: ReadonlySet<string> = new Set()
 
-	constructor(private readonly options: PromptGuardOptions) {}
+	constructor(private readonly options: CrashGuardOptions) {}
 
-	judge(sharedParts: readonly string[]): PromptJudgement {
+	judge(parts: readonly string[]): PromptJudgement {
 		const {records, now} = this.options
 		const {trialOffsetMs} = this
-		return judgePrompt(records, sharedParts, {now: now(), trialOffsetMs})
+		return judgePrompt(records, parts, {now: now(), trialOffsetMs})
+	}
+
+	/** Whether some request as a whole may have crashed an endpoint. */
+	get suspectsRequests(): boolean {
+		return this.options.records.suspectsRequests
 	}
 
 	/** Spreads the gateways so that one has told the others before the next begins. */
@@ -92,10 +100,10 @@
 		this.publish({case: "trial", value})
 	}
 
-	/** Records that an engine answers a prompt, since `at`. */
-	addAnswer(sharedParts: readonly string[], at: number): void {
+	/** Records that an endpoint answers a request with these parts, since `at`. */
+	addAnswer(parts: readonly string[], at: number): void {
 		const {records, links, gateway, now} = this.options
-		const reports = records.addAnswer(sharedParts, at, now())
+		const reports = records.addAnswer(parts, at, now())
 		if (reports.length === 0) return
 		this.handleNews(gateway)
 		for (const report of reports) {
@@ -105,59 +113,47 @@
 	}
 
 	/**
-	 * Finds out whether the engine of a send ended, and if so tells all hosts. Returns
-	 * whether it did.
+	 * Finds out whether the endpoint of a send ended, and if so tells all hosts what it
+	 * had. Returns whether it did.
 	 */
 	async checkCrash(send: BrokenSend): Promise<boolean> {
-		const {log, now} = this.options
-		const {requestId, target, sharedParts, hasBegun} = send
+		const {links, log, now} = this.options
+		const {requestId, target, subject, digest, hasBegun, isRepeat} = send
 		// Several registrations may lead to one engine, whose crash counts once.
 		const {engineId: id, bornAt} = target
 		const at = now()
-		const {hasEnded, shownBy} = await this.findEnd(target)
+		const {hasEnded, shownBy} = await findEndpointEnd(links, target)
 		if (!hasEnded) {
-			log.request("engine.notEnded", requestId, {endpoint: id, shownBy})
+			log.request(`${subject}.notEnded`, requestId, {
+				endpoint: id,
+				digest,
+				shownBy
+			})
 			return false
 		}
-		log.request("engine.crashed", requestId, {
+		log.request(`${subject}.crashed`, requestId, {
 			endpoint: id,
 			bornAt,
-			parts: sharedParts,
+			digest,
+			parts: send.sharedParts,
 			hasBegun,
 			shownBy
 		})
+		const requestPart = createRequestPart(digest)
+		const parts = [...send.sharedParts, requestPart]
 		const report = {
 			endpointId: id,
 			bornAt,
 			at,
-			begunParts: hasBegun ? sharedParts : [],
-			waitingParts: hasBegun ? [] : sharedParts,
-			answeredParts: []
+			begunParts: hasBegun ? parts : [],
+			waitingParts: hasBegun ? [] : parts,
+			answeredParts: [],
+			repeatedParts: isRepeat ? [requestPart] : []
 		}
 		this.publish({case: "crash", value: createCrashNotice(report, now())})
 		return true
 	}
 
-	/** Asks the engine's agent, or without one finds out by a connection. */
-	private async findEnd({endpoint, bornAt}: SendTarget): Promise<EngineEnd> {
-		const link =
-			bornAt === 0 ? undefined : this.options.links.getForCheck(endpoint.id)
-		const answer = await new Promise<boolean | undefined>(resolve => {
-			if (link === undefined) {
-				resolve(undefined)
-				return
-			}
-			link.checkEngine(bornAt, resolve)
-			setTimeout(() => {
-				resolve(undefined)
-			}, answerTimeoutMs)
-		})
-		if (answer !== undefined) return {hasEnded: answer, shownBy: "agent"}
-		const result = await probeAddress(endpoint.address, probeTimeoutMs)
-		const hasEnded = result === ProbeResult.Refused
-		return {hasEnded, shownBy: `connection ${result}`}
-	}
-
 	/** Calls back when suspicions have changed; returns how to end that. */
 	watch(listener: () => void): () => void {
 		this.listeners.add(listener)
