Send nothing without a grant under an engine's earlier registration

After the store returned from a copy, two registrations may lead to one engine. With its agent away, a gateway chose either of them. Under the earlier one the engine refuses the request, and a crash counts as one of several engines, so that a part of a prompt that causes it is accused later.

Change: without a grant, a registration is passed over when an engine that started later is registered at its address. With a grant, the agent names the engine.

--- a/src/gateway/fleet/fleetState.ts
+++ b/src/gateway/fleet/fleetState.ts
@@ -160,6 +160,13 @@
 		)
 	}
 
+	/** Whether an endpoint that started later is registered at the same address. */
+	hasSuccessor({address, bornAt}: FleetEndpoint): boolean {
+		for (const other of this.endpoints.values())
+			if (other.address === address && other.bornAt > bornAt) return true
+		return false
+	}
+
 	listEndpoints(): FleetEndpoint[] {
 		return [...this.endpoints.values()]
 	}
--- a/src/gateway/sends/engineSearch.ts
+++ b/src/gateway/sends/engineSearch.ts
@@ -174,6 +174,12 @@
 	 */
 	private useWithoutGrant(endpoint: FleetEndpoint, rating: EngineRating): void {
 		const {ctx, request, generation, onFound} = this.options
+		if (ctx.fleet.hasSuccessor(endpoint)) {
+			// The engine would refuse it, or crash under another one's name.
+			this.refusingEngines.add(endpoint.id)
+			this.tryNextEngine()
+			return
+		}
 		const {model, adapter} = generation
 		const version = ctx.fleet.getMinVersion(model, adapter)
 		ctx.log.request("send.ungranted", request.exchange.head.id, {
