Ask an agent again as soon as it answers, however late

A gateway passes over an agent that did not answer within 150 ms for 2 s. While it is the holder of all parts of the quotas, each request of a Member with a quota is refused ("no agent gives quotas") for that time at that gateway, although the agent runs, answers the others and, a little late, this gateway too.

Change: an answer, also one that nobody waits for any more, ends the time in which its agent is passed over. One that doesn't answer at all is passed over as before. Permits are asked for in the same way.

Measured: the new test fails before the change (nobody is asked) and passes after.

--- a/src/gateway/links/leaseAsks.ts
+++ b/src/gateway/links/leaseAsks.ts
@@ -50,7 +50,7 @@
 const answerTimeoutMs = 150
 /** What was permitted is used no later than this after the ask. */
 const answerGraceMs = 250
-/** An agent that did not answer is passed over for this long. */
+/** An agent that did not answer is passed over for this long, unless it answers late. */
 const avoidMs = 2000
 /** A caller for whom no agent could be asked returns after this, or up to twice it. */
 const noAnswerRetryMs = 500
@@ -87,6 +87,7 @@
 	/** Applies the answer of the agent of `agentId`. */
 	applyAnswer(agentId: string, answer: Answer): void {
 		const {key, holderId} = answer
+		this.avoided.delete(agentId)
 		const ask = this.pending.get(key)
 		if (ask?.agentId !== agentId) {
 			this.handleLateAnswer(agentId, answer)
--- a/src/gateway/quotas/__tests__/quotaTicket.test.ts
+++ b/src/gateway/quotas/__tests__/quotaTicket.test.ts
@@ -210,6 +210,20 @@
 		expect(paused.trySend()).toBe(false)
 	})
 
+	it("is asked for at an agent again once it answers, however late", async () => {
+		startTicket()
+		const [first] = asks
+		if (first === undefined) throw new Error("nothing was asked")
+		await advance(500)
+		expect(results).toEqual(["unavailable"])
+		const {agentId, ask} = first
+		const late = create(QuotaAnswerSchema, {key: ask.key, ...over})
+		quotas.applyAnswer(agentId, late)
+		asks = []
+		startTicket()
+		expect(asks.map(each => each.agentId)).toEqual([agentId])
+	})
+
 	it("that is answered after a suspension is returned", async () => {
 		startTicket()
 		wallNow += 600_000
