End the renewal of a quota's amount when its request is sent

A request that waits has its amount of a quota renewed. Where a renewal was on its way as the request was sent and then failed, the amount was taken again, in vain, and the request was refused with the promise that it had not run, while an engine ran it. A renewal that succeeded then began the next one, so that a request could be refused so at any time until its response began.

Change: the send ends the renewal. Its late answer is given back like that of any ask that nobody waits for: the holder knows the amount of the request as sent by then, and what the renewal took beside it is returned.

Measured: both new tests fail before the change (one request is refused after it was sent) and pass after it.

--- a/src/gateway/quotas/__tests__/quotaTicket.test.ts
+++ b/src/gateway/quotas/__tests__/quotaTicket.test.ts
@@ -186,6 +186,30 @@
 		expect(ticket.trySend()).toBe(true)
 	})
 
+	it("isn't lost once the request was sent, which may run and must not be refused", async () => {
+		const ticket = startTicket()
+		answerLast(taken)
+		await advance(1000)
+		expect(asks.at(-1)?.ask.isRenewal).toBe(true)
+		expect(ticket.trySend()).toBe(true)
+		await advance(5000)
+		expect(results).toEqual(["taken"])
+		expect(asks).toHaveLength(2)
+	})
+
+	it("is given back where a renewal is answered after the request was sent", async () => {
+		const ticket = startTicket()
+		answerLast(taken)
+		await advance(1000)
+		expect(ticket.trySend()).toBe(true)
+		answerLast(taken)
+		await advance(5000)
+		expect(results).toEqual(["taken"])
+		expect(listReturned()).toEqual([asks[0]?.ask.key])
+		expect(uses.flatMap(({sent}) => sent)).toHaveLength(1)
+		expect(asks).toHaveLength(2)
+	})
+
 	it("is taken from another part when its holder no longer answers", async () => {
 		const ticket = startTicket()
 		answerLast(taken)
--- a/src/gateway/quotas/quotaTicket.ts
+++ b/src/gateway/quotas/quotaTicket.ts
@@ -83,6 +83,9 @@
 		}
 		this.hasBeenSent = true
 		clearTimeout(this.renewTimer)
+		// A renewal that fails from now on must not end the request.
+		this.cancelAsk?.()
+		this.cancelAsk = undefined
 		options.quotas.reportSent(taken)
 		return true
 	}
