Keep the crashes of an accused request when records fill up

A request that took down two endpoints within 100 ms, one send after the other, has two crashes in evidence but one moment of them; such crashes were dropped as unneeded once 256 others had filled the records, and it would have been sent again. What counts is engines now, not moments. The test of filled records plays this case; it failed before.

--- a/src/policy/crashes/__tests__/crashRecords.test.ts
+++ b/src/policy/crashes/__tests__/crashRecords.test.ts
@@ -231,7 +231,7 @@
 	})
 
 	it("stays known when requests at many other crashes fill the records", () => {
-		const records = createRecords(2, bad)
+		const records = createSequence({repeatedParts: [bad]})
 		for (let i = 0; i < 1000; i += 1) {
 			const at = 2000 + i * 200
 			const own = createRequestPart(`own${i}`)
--- a/src/policy/crashes/crashRecords.ts
+++ b/src/policy/crashes/crashRecords.ts
@@ -9,31 +9,20 @@
  * - A request as a whole is one more part, and charged apart from those of prompts: it
  *   would explain each of its crashes as well as a part that others share.
  */
-import {type Charge, listCharges, type OpenCrash} from "./charges.js"
-import {isRequestPart} from "./requestPart.js"
-
-interface CrashIdentity {
-	endpointId: string
-	/** Start time of the incarnation that ended, Unix milliseconds; 0 when unknown. */
-	bornAt: number
-	/** Time at which the first host noticed. */
-	at: number
-}
-
-/** What one host saw of a crash, or what is known of it. */
-export interface CrashReport extends CrashIdentity {
-	/** Shared parts of prompts on which an answer had begun, without events so far. */
-	begunParts: readonly string[]
-	/** Shared parts of prompts that were sent and not begun. */
-	waitingParts: readonly string[]
-	/** Those of either that were answered after the crash. */
-	answeredParts: readonly string[]
-	/**
-	 * Requests whose send began after an endpoint had ended under the same attempt of
-	 * their caller.
-	 */
-	repeatedParts?: readonly string[]
-}
+import {type Charge, listCharges} from "./charges.js"
+import {
+	addParts,
+	createAnswerReport,
+	createRecord,
+	type CrashRecord,
+	type CrashReport,
+	findRequests,
+	isOpenIn,
+	isSameCrash,
+	listOpenParts,
+	suspectParts,
+	suspectRequests
+} from "./crashRecord.js"
 
 export interface MergedCrash {
 	/** Whether hosts that know what was known before must hear the report. */
@@ -42,19 +31,8 @@
 	correction: CrashReport | undefined
 }
 
-interface CrashRecord extends CrashIdentity {
-	readonly begun: Set<string>
-	readonly waiting: Set<string>
-	readonly answered: Set<string>
-	readonly repeated: Set<string>
-}
-
 /** Several times the crashes that may matter at a time; the oldest are dropped. */
 const maxCrashes = 256
-/** Bounds what one crash takes; an engine runs some 64 prompts of a few parts each. */
-const maxPartsPerCrash = 256
-/** An engine that has crashed takes longer than this to crash again. */
-const sameCrashMs = 1000
 /** Answered parts remembered, for reports of crashes that arrive after the answer. */
 const maxAnswers = 10_000
 const maxTrials = 1000
@@ -105,9 +83,11 @@
 			addParts(record.answered, answeredParts),
 			addParts(record.repeated, repeatedParts ?? [])
 		]
+		record.open = undefined
 		const isNews = known === undefined || counts.some(count => count > 0)
 		const refuted = this.listAnsweredSince(record)
 		addParts(record.answered, refuted)
+		record.open = undefined
 		if (this.crashes.length > maxCrashes) this.dropCrash()
 		if (isNews || refuted.length > 0) this.update(now)
 		const correction =
@@ -133,6 +113,7 @@
 			const cleared = parts.filter(part => isOpenIn(record, part))
 			if (cleared.length === 0) continue
 			addParts(record.answered, cleared)
+			record.open = undefined
 			reports.push(createAnswerReport(record, cleared))
 		}
 		if (reports.length > 0) this.update(now)
@@ -189,7 +170,7 @@
 	/** Drops the oldest crash that no charge of several rests on, else the oldest. */
 	private dropCrash(): void {
 		const isNeeded = (part: string): boolean =>
-			this.listCharges(part).some(({crashes}) => crashes > 1)
+			this.listCharges(part).some(({engines}) => engines > 1)
 		// The last one has just been reported.
 		const spare = this.crashes
 			.slice(0, -1)
@@ -217,98 +198,6 @@
 	}
 }
 
-/**
- * Whether two reports are about the same crash: of the same incarnation or, as hosts
- * may not know the start time or only an earlier one, of the same moment.
- */
-function isSameCrash(a: CrashIdentity, b: CrashIdentity): boolean {
-	if (a.endpointId !== b.endpointId) return false
-	if (a.bornAt !== 0 && a.bornAt === b.bornAt) return true
-	return Math.abs(a.at - b.at) < sameCrashMs
-}
-
-function createRecord({endpointId, bornAt, at}: CrashIdentity): CrashRecord {
-	return {
-		endpointId,
-		bornAt,
-		at,
-		begun: new Set(),
-		waiting: new Set(),
-		answered: new Set(),
-		repeated: new Set()
-	}
-}
-
-function createAnswerReport(
-	{endpointId, bornAt, at}: CrashIdentity,
-	answeredParts: readonly string[]
-): CrashReport {
-	return {
-		endpointId,
-		bornAt,
-		at,
-		begunParts: [],
-		waitingParts: [],
-		answeredParts
-	}
-}
-
-function isOpenIn(record: CrashRecord, part: string): boolean {
-	const {begun, waiting, answered} = record
-	return (begun.has(part) || waiting.has(part)) && !answered.has(part)
-}
-
-function listOpenParts(record: CrashRecord): string[] {
-	const parts = [...record.begun, ...record.waiting]
-	return parts.filter(part => !record.answered.has(part))
-}
-
-/** Parts of prompts that may have caused the crash, as far as is known. */
-function suspectParts(record: CrashRecord): OpenCrash {
-	const {at, begun, repeated} = record
-	const open = listOpenParts(record).filter(part => !isRequestPart(part))
-	const begunParts = open.filter(part => begun.has(part))
-	const hasBegun = begunParts.length > 0
-	const suspects = new Set(hasBegun ? begunParts : open)
-	return {at, suspects, hasBegun, repeated}
-}
-
-/** Requests as a whole that are open at a crash, and those that are at several. */
-function findRequests(
-	records: readonly CrashRecord[]
-): Record<"all" | "again", Set<string>> {
-	const all = new Set<string>()
-	const again = new Set<string>()
-	for (const part of records.flatMap(listOpenParts)) {
-		if (!isRequestPart(part)) continue
-		if (all.has(part)) again.add(part)
-		else all.add(part)
-	}
-	return {all, again}
-}
-
-/**
- * Of the requests that were at several crashes, those that may have caused this one.
- * That one waited is no reason to suspect it less: it is the same as a whole.
- */
-function suspectRequests(
-	record: CrashRecord,
-	again: ReadonlySet<string>
-): OpenCrash {
-	const {at, repeated} = record
-	const open = listOpenParts(record).filter(part => again.has(part))
-	return {at, suspects: new Set(open), hasBegun: true, repeated}
-}
-
-/** Returns how many parts were not there before. */
-function addParts(parts: Set<string>, added: readonly string[]): number {
-	const count = parts.size
-	for (const part of added) {
-		if (parts.size < maxPartsPerCrash) parts.add(part)
-	}
-	return parts.size - count
-}
-
 function dropOldest(entries: Map<string, unknown>, capacity: number): void {
 	if (entries.size <= capacity) return
 	const [oldest] = entries.keys()
--- a/src/policy/crashes/index.ts
+++ b/src/policy/crashes/index.ts
@@ -1,4 +1,5 @@
 export * from "./charges.js"
+export type {CrashReport} from "./crashRecord.js"
 export * from "./crashRecords.js"
 export * from "./promptVerdict.js"
 export * from "./requestPart.js"
