End what runs for a caller that leaves within a request

A caller that closed its connection within a further request was not noticed: the parser reports its close as an error of the connection, and the gateway let the requests before go on, as it does after bytes that can't be read. An idempotent request ran on for a caller that had left.

Such a close now closes the connection, as a close between two requests does and as Node.js did before. So it does where the connection was already to be closed after its answers.

--- a/src/gateway/callers/unreadableConnections.ts
+++ b/src/gateway/callers/unreadableConnections.ts
@@ -12,6 +12,8 @@
 }
 
 const badRequest = "400 Bad Request"
+/** The caller closed its side of the connection within a request. */
+const closedWithinRequest = "HPE_INVALID_EOF_STATE"
 /** Answers by the code of the parser's error. */
 const answers: Partial<Record<string, string>> = {
 	ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
@@ -47,10 +49,15 @@
 			socket.destroy()
 			return
 		}
-		if (this.closing.has(socket)) return
-		this.closing.add(socket)
 		const served = listComplete(this.open.get(socket) ?? new Set())
 		const last = served.at(-1)
+		// Nobody is left to be answered, as after a close between two requests.
+		if (served.length > 0 && code === closedWithinRequest) {
+			socket.destroySoon()
+			return
+		}
+		if (this.closing.has(socket)) return
+		this.closing.add(socket)
 		this.options.log.request("connection.unreadable", "", {
 			code,
 			serving: served.length
