End requests that wait for their turn on a connection that closes

A caller that sent several requests at once and left was noticed for the first of them only: Node.js emits close on the response whose turn it is. The others ran on, kept their buffers, and counted as active for as long as the process lived, so that a drain waited for the whole of its grace period.

The responses of each connection are known since; as it closes, those that wait for their turn are closed as well.

leavingPipelined.test.ts: the second call was left open before, both are closed now and both requests have an end in the log.

--- a/src/gateway/callers/unreadableConnections.ts
+++ b/src/gateway/callers/unreadableConnections.ts
@@ -32,8 +32,7 @@
 	/** Returns false if the request must be ignored, since its connection is closing. */
 	tryOpen(socket: Socket, res: ServerResponse): boolean {
 		if (this.closing.has(socket)) return false
-		const responses = this.open.get(socket) ?? new Set()
-		this.open.set(socket, responses)
+		const responses = this.track(socket)
 		responses.add(res)
 		res.once("close", () => {
 			responses.delete(res)
@@ -68,6 +67,17 @@
 			socket.destroySoon()
 		} else if (!last.headersSent) last.setHeader("Connection", "close")
 	}
+
+	private track(socket: Socket): Set<ServerResponse> {
+		const known = this.open.get(socket)
+		if (known !== undefined) return known
+		const responses = new Set<ServerResponse>()
+		this.open.set(socket, responses)
+		socket.once("close", () => {
+			for (const res of [...responses]) closeIfQueued(res)
+		})
+		return responses
+	}
 }
 
 /** Responses to requests that were read completely, in their order. */
@@ -76,3 +86,10 @@
 ): ServerResponse[] {
 	return [...responses].filter(({req}) => req.complete)
 }
+
+/** Node.js closes only the response whose turn it is on the connection. */
+function closeIfQueued(res: ServerResponse): void {
+	if (res.socket !== null) return
+	res.destroy()
+	res.emit("close")
+}
