Answer the calls of a caller at an entry before its connection closes

Malformed bytes, or headers that are late, behind a call that an entry was serving were answered 400, 408 or 431 in the place of that call, which ran.

UnreadableConnections moves to src/program, since both servers use it now, and tells its owner of an error instead of logging it; what the gateway logs is the same.

--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -7,13 +7,15 @@
 	type ServerResponse
 } from "node:http"
 import {createServer as createTlsServer} from "node:https"
+import type {Socket} from "node:net"
 import polka from "polka"
 import {BadRequestError, SettingsError} from "../contract/errors.js"
 import {
 	addHealthRoutes,
 	type Counters,
 	listen,
-	type Log
+	type Log,
+	UnreadableConnections
 } from "../program/index.js"
 import {messageOf, sleep} from "../utils/common.js"
 import {MethodError} from "./methodError.js"
@@ -73,8 +75,16 @@
 	}
 
 	private async open(): Promise<void> {
-		const {handler, counters, isReady, address} = this.options
+		const {handler, counters, isReady, address, log} = this.options
 		const server = this.createServer()
+		const unreadable = new UnreadableConnections({
+			onUnreadable: (code, serving) => {
+				log.debug("connection can't be read", {code, serving})
+			}
+		})
+		server.on("clientError", (err, socket: Socket) => {
+			unreadable.handleError(err, socket)
+		})
 		const app = polka({
 			server,
 			onNoMatch: (req, res) => {
@@ -87,7 +97,11 @@
 				)
 			}
 		})
-		app.use((_req, res, next) => {
+		app.use((req, res, next) => {
+			if (!unreadable.tryOpen(req.socket, res)) {
+				req.resume()
+				return
+			}
 			if (this.isDraining) res.setHeader("connection", "close")
 			next()
 		})
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -15,10 +15,10 @@
 	type PoolShare,
 	RouteKind
 } from "../contract/fleet.js"
+import {UnreadableConnections} from "../program/unreadableConnections.js"
 import {sleep} from "../utils/common.js"
 import {CallerExchange, CloseReason} from "./callers/callerExchange.js"
 import {readBody} from "./callers/readBody.js"
-import {UnreadableConnections} from "./callers/unreadableConnections.js"
 import {DeadlineSource, type GatewayContext} from "./gatewayContext.js"
 import {GenerationTask} from "./sends/generationTask.js"
 import {respondDenial} from "./identity/index.js"
@@ -69,7 +69,11 @@
 
 	constructor(private readonly options: GatewayServerOptions) {
 		const {ctx, headerCheckMs} = options
-		this.unreadable = new UnreadableConnections({log: ctx.log})
+		this.unreadable = new UnreadableConnections({
+			onUnreadable: (code, serving) => {
+				ctx.log.request("connection.unreadable", "", {code, serving})
+			}
+		})
 		this.server = createServer(
 			{
 				maxHeaderSize: parserMaxHeaderBytes,
--- a/src/gateway/callers/unreadableConnections.ts
+++ b/src/program/unreadableConnections.ts
@@ -5,10 +5,10 @@
  */
 import type {ServerResponse} from "node:http"
 import type {Socket} from "node:net"
-import type {DecisionLog} from "../../program/decisionLog.js"
 
 export interface UnreadableConnectionsOptions {
-	log: Pick<DecisionLog, "request">
+	/** Called with the error's code and the number of requests to be answered first. */
+	onUnreadable: (code: string, serving: number) => void
 }
 
 const badRequest = "400 Bad Request"
@@ -57,10 +57,7 @@
 		}
 		if (this.closing.has(socket)) return
 		this.closing.add(socket)
-		this.options.log.request("connection.unreadable", "", {
-			code,
-			serving: served.length
-		})
+		this.options.onUnreadable(code, served.length)
 		if (last === undefined) {
 			const status = answers[code] ?? badRequest
 			socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`)
