--- a/src/gateway/callers/unreadableConnections.ts
+++ b/src/program/unreadableConnections.ts
@@ -5,13 +5,15 @@
  */
 import type {ServerResponse} from "node:http"
 import type {Socket} from "node:net"
-import type {DecisionLog} from "../../program/decisionLog.js"
 
 export interface UnreadableConnectionsOptions {
-	log: Pick<DecisionLog, "request">
+	/** Called with the error's code and the number of requests to be answered first. */
+	onUnreadable: (code: string, serving: number) => void
 }
 
 const badRequest = "400 Bad Request"
+/** The caller closed its side of the connection within a request. */
+const closedWithinRequest = "HPE_INVALID_EOF_STATE"
 /** Answers by the code of the parser's error. */
 const answers: Partial<Record<string, string>> = {
 	ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
@@ -30,8 +32,7 @@
 	/** Returns false if the request must be ignored, since its connection is closing. */
 	tryOpen(socket: Socket, res: ServerResponse): boolean {
 		if (this.closing.has(socket)) return false
-		const responses = this.open.get(socket) ?? new Set()
-		this.open.set(socket, responses)
+		const responses = this.track(socket)
 		responses.add(res)
 		res.once("close", () => {
 			responses.delete(res)
@@ -47,20 +48,33 @@
 			socket.destroy()
 			return
 		}
-		if (this.closing.has(socket)) return
-		this.closing.add(socket)
 		const served = listComplete(this.open.get(socket) ?? new Set())
 		const last = served.at(-1)
-		this.options.log.request("connection.unreadable", "", {
-			code,
-			serving: served.length
-		})
+		// Nobody is left to be answered, as after a close between two requests.
+		if (served.length > 0 && code === closedWithinRequest) {
+			socket.destroySoon()
+			return
+		}
+		if (this.closing.has(socket)) return
+		this.closing.add(socket)
+		this.options.onUnreadable(code, served.length)
 		if (last === undefined) {
 			const status = answers[code] ?? badRequest
 			socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\n\r\n`)
 			socket.destroySoon()
 		} else if (!last.headersSent) last.setHeader("Connection", "close")
 	}
+
+	private track(socket: Socket): Set<ServerResponse> {
+		const known = this.open.get(socket)
+		if (known !== undefined) return known
+		const responses = new Set<ServerResponse>()
+		this.open.set(socket, responses)
+		socket.once("close", () => {
+			for (const res of [...responses]) closeIfQueued(res)
+		})
+		return responses
+	}
 }
 
 /** Responses to requests that were read completely, in their order. */
@@ -69,3 +83,10 @@
 ): ServerResponse[] {
 	return [...responses].filter(({req}) => req.complete)
 }
+
+/** Node.js closes only the response whose turn it is on the connection. */
+function closeIfQueued(res: ServerResponse): void {
+	if (res.socket !== null) return
+	res.destroy()
+	res.emit("close")
+}
