--- a/src/gateway/quotas/__tests__/quotaTicket.test.ts
+++ b/src/gateway/quotas/__tests__/quotaTicket.test.ts
@@ -210,6 +210,8 @@
 		// The holder hears of the send before what the renewal took is returned.
 		const [first] = uses
 		expect(first?.sent.map(({key}) => key)).toEqual([asks[0]?.ask.key])
+		expect(listReturned()).toEqual([asks[0]?.ask.key])
+		expect(uses.flatMap(({sent}) => sent)).toHaveLength(1)
 	})
 
 	it("is taken from another part when its holder no longer answers", async () => {
@@ -236,6 +238,20 @@
 		expect(paused.trySend()).toBe(false)
 	})
 
+	it("is asked for at an agent again once it answers, however late", async () => {
+		startTicket()
+		const [first] = asks
+		if (first === undefined) throw new Error("nothing was asked")
+		await advance(500)
+		expect(results).toEqual(["unavailable"])
+		const {agentId, ask} = first
+		const late = create(QuotaAnswerSchema, {key: ask.key, ...over})
+		quotas.applyAnswer(agentId, late)
+		asks = []
+		startTicket()
+		expect(asks.map(each => each.agentId)).toEqual([agentId])
+	})
+
 	it("that is answered after a suspension is returned", async () => {
 		startTicket()
 		wallNow += 600_000
