Pass on no request behind the last one of a connection

A draining gateway answered a request with Connection: close and had passed on those behind it on the same connection, which then closed: they ran, their callers got no answer, and by HTTP a caller may take such a request for not processed. Clients repeat requests that aren't idempotent on that.

A request behind one whose answer states the close is ignored now, whoever set that: a drain, a body that is too large, or bytes that can't be read.

drainPipelined.test.ts: both requests ran before, only the answered one runs now. leavingPipelined, drain, unreadable, endings, forwarding and src/entry pass.

--- a/src/program/unreadableConnections.ts
+++ b/src/program/unreadableConnections.ts
@@ -33,9 +33,11 @@
 	tryOpen(socket: Socket, res: ServerResponse): boolean {
 		if (this.closing.has(socket)) return false
 		const responses = this.track(socket)
+		if ([...responses].some(isLast)) return false
 		responses.add(res)
 		res.once("close", () => {
 			responses.delete(res)
+			if (isLast(res)) this.closing.add(socket)
 			if (!this.closing.has(socket)) return
 			if (listComplete(responses).length === 0) socket.destroySoon()
 		})
@@ -84,6 +86,11 @@
 	return [...responses].filter(({req}) => req.complete)
 }
 
+/** Whether it tells its caller that no request behind it is processed. */
+function isLast(res: ServerResponse): boolean {
+	return res.getHeader("connection") === "close"
+}
+
 /** Node.js closes only the response whose turn it is on the connection. */
 function closeIfQueued(res: ServerResponse): void {
 	if (res.socket !== null) return
