Follow the responses of callers' connections in one place

Two classes followed the same responses of each connection of a gateway: one for bytes that can't be read, one for callers that leave. They had been written apart.

CallerConnections in src/program does both, for gateways and entries; what an entry gets with it is that a caller that ends its side is noticed at once.

--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -15,7 +15,7 @@
 	type Counters,
 	listen,
 	type Log,
-	UnreadableConnections
+	CallerConnections
 } from "../program/index.js"
 import {messageOf, sleep} from "../utils/common.js"
 import {MethodError} from "./methodError.js"
@@ -77,13 +77,13 @@
 	private async open(): Promise<void> {
 		const {handler, counters, isReady, address, log} = this.options
 		const server = this.createServer()
-		const unreadable = new UnreadableConnections({
+		const connections = new CallerConnections({
 			onUnreadable: (code, serving) => {
 				log.debug("connection can't be read", {code, serving})
 			}
 		})
 		server.on("clientError", (err, socket: Socket) => {
-			unreadable.handleError(err, socket)
+			connections.handleError(err, socket)
 		})
 		const app = polka({
 			server,
@@ -98,7 +98,7 @@
 			}
 		})
 		app.use((req, res, next) => {
-			if (!unreadable.tryOpen(req.socket, res)) {
+			if (!connections.tryOpen(req.socket, res)) {
 				req.resume()
 				return
 			}
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -15,9 +15,8 @@
 	type PoolShare,
 	RouteKind
 } from "../contract/fleet.js"
-import {UnreadableConnections} from "../program/unreadableConnections.js"
+import {CallerConnections} from "../program/callerConnections.js"
 import {sleep} from "../utils/common.js"
-import {CallerConnections} from "./callers/callerConnections.js"
 import {CallerExchange, CloseReason} from "./callers/callerExchange.js"
 import {readBody} from "./callers/readBody.js"
 import {DeadlineSource, type GatewayContext} from "./gatewayContext.js"
@@ -61,17 +60,16 @@
 
 export class GatewayServer {
 	private readonly server: Server
-	private readonly connections = new CallerConnections()
 	private activeRequests = 0
 	private drainStartedAt: number | undefined
 	/** Connections that the gateway closed because they were idle. */
 	private readonly idleSockets = new WeakSet<Socket>()
-	private readonly unreadable: UnreadableConnections
+	private readonly connections: CallerConnections
 	private isClosingAll = false
 
 	constructor(private readonly options: GatewayServerOptions) {
 		const {ctx, headerCheckMs} = options
-		this.unreadable = new UnreadableConnections({
+		this.connections = new CallerConnections({
 			onUnreadable: (code, serving) => {
 				ctx.log.request("connection.unreadable", "", {code, serving})
 			}
@@ -95,7 +93,7 @@
 			this.closeIdleSocket(socket)
 		})
 		this.server.on("clientError", (err, socket: Socket) => {
-			this.unreadable.handleError(err, socket)
+			this.connections.handleError(err, socket)
 		})
 		ctx.fleet.addListener({
 			onConfig: ({limits}) => {
@@ -158,11 +156,10 @@
 	private handleRequest(req: IncomingMessage, res: ServerResponse): void {
 		const {ctx} = this.options
 		const arrivedAt = ctx.now()
-		if (!this.unreadable.tryOpen(req.socket, res)) {
+		if (!this.connections.tryOpen(req.socket, res)) {
 			req.resume()
 			return
 		}
-		this.connections.add(req.socket, res)
 		this.activeRequests += 1
 		ctx.metrics.activeRequests.set(this.activeRequests)
 		res.once("close", () => {
--- a/src/program/unreadableConnections.ts
+++ b/src/program/callerConnections.ts
@@ -1,12 +1,16 @@
 /**
- * Callers' connections whose bytes can't be read as a request any more. By default
- * Node.js answers 400, 408 or 431 at once and closes the connection, even while earlier
- * requests of it are being served: their callers would take that answer for theirs.
+ * The responses of each caller's connection, which may have several at a time.
+ *
+ * - Bytes that can't be read as a request: by default Node.js answers 400, 408 or 431 at
+ *   once and closes the connection, even while earlier requests of it are being served.
+ *   Their callers would take that answer for theirs.
+ * - A caller that leaves: Node.js reports that late while the connection has bytes that
+ *   the caller doesn't read, and never of responses that wait for an earlier one.
  */
 import type {ServerResponse} from "node:http"
 import type {Socket} from "node:net"
 
-export interface UnreadableConnectionsOptions {
+export interface CallerConnectionsOptions {
 	/** Called with the error's code and the number of requests to be answered first. */
 	onUnreadable: (code: string, serving: number) => void
 }
@@ -21,15 +25,18 @@
 	HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large"
 }
 
-export class UnreadableConnections {
+export class CallerConnections {
 	/** Responses of each connection that have not ended. */
 	private readonly open = new WeakMap<Socket, Set<ServerResponse>>()
 	/** Connections that close once their open responses have ended. */
 	private readonly closing = new WeakSet<Socket>()
 
-	constructor(private readonly options: UnreadableConnectionsOptions) {}
+	constructor(private readonly options: CallerConnectionsOptions) {}
 
-	/** Returns false if the request must be ignored, since its connection is closing. */
+	/**
+	 * Adds a response; it emits `close` once it is complete or the caller has left.
+	 * Returns false if the request must be ignored, since its connection is closing.
+	 */
 	tryOpen(socket: Socket, res: ServerResponse): boolean {
 		if (this.closing.has(socket)) return false
 		const responses = this.track(socket)
@@ -72,8 +79,12 @@
 		if (known !== undefined) return known
 		const responses = new Set<ServerResponse>()
 		this.open.set(socket, responses)
+		socket.once("end", () => {
+			// What was written whole may still be read.
+			for (const res of [...responses]) if (!res.writableEnded) close(res)
+		})
 		socket.once("close", () => {
-			for (const res of [...responses]) closeIfQueued(res)
+			for (const res of [...responses]) close(res)
 		})
 		return responses
 	}
@@ -91,9 +102,8 @@
 	return res.getHeader("connection") === "close"
 }
 
-/** Node.js closes only the response whose turn it is on the connection. */
-function closeIfQueued(res: ServerResponse): void {
-	if (res.socket !== null) return
+function close(res: ServerResponse): void {
+	const isWaiting = res.socket === null
 	res.destroy()
-	res.emit("close")
+	if (isWaiting && !res.closed) res.emit("close")
 }
