--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -65,6 +65,8 @@
 	/** Connections that the gateway closed because they were idle. */
 	private readonly idleSockets = new WeakSet<Socket>()
 	private readonly connections: CallerConnections
+	/** Whether no further connections are accepted. */
+	private hasStoppedListening = false
 	private isClosingAll = false
 
 	constructor(private readonly options: GatewayServerOptions) {
@@ -129,6 +131,7 @@
 		// From here on a request can only arrive on a connection that has an active
 		// request; the response to that request closes the connection.
 		this.server.close()
+		this.hasStoppedListening = true
 		while (this.activeRequests > 0 && now() < closeBy) {
 			this.server.closeIdleConnections()
 			await sleep(drainPollMs)
@@ -249,7 +252,8 @@
 			exchange.refuse("the route has no service", unconfiguredRetryAfterMs, {})
 			return
 		}
-		if (this.isRefusingRequests()) {
+		// The process may be killed before the request ends.
+		if (this.hasStoppedListening) {
 			exchange.refuse("leaving", 0, {})
 			return
 		}
@@ -270,15 +274,6 @@
 			exchange.reject(httpBadRequest, "X-Model is missing")
 		} else new GenerationTask(ctx, request, generation).start()
 	}
-
-	/**
-	 * Whether new requests are refused because the process may be killed before they
-	 * end.
-	 */
-	private isRefusingRequests(): boolean {
-		if (this.drainStartedAt === undefined) return false
-		return this.options.ctx.now() > this.drainStartedAt + balancerNoticeMs
-	}
 }
 
 /** Draws a pool by weight; undefined when the route has none. */
