Say no more of a request's digest than holds

A digest has no secret: short contents can be found out by trying. The comment said that the content can't be read from it.

--- a/src/gateway/crashes/requestDigest.ts
+++ b/src/gateway/crashes/requestDigest.ts
@@ -1,6 +1,6 @@
 /**
  * Names a request by its content: attempts with the same path, caller and body have
- * the same digest. The content can't be read from it, so that it may be logged.
+ * the same digest, which is logged and passed on in place of the content.
  */
 import {createHash} from "node:crypto"
 import type {RoutedRequest} from "../gatewayContext.js"
