Excuse a soak's process that SIGHUP ended only before it had started

The check of a soak's processes excused each end by SIGHUP, so that a gateway or agent that had lost its handler would have passed. It now looks for the line "started" in what the process had logged since its start.

--- a/bench/deployment/__tests__/deployment.test.ts
+++ b/bench/deployment/__tests__/deployment.test.ts
@@ -61,7 +61,9 @@
 		await child.exited
 		child.start()
 		await child.kill()
-		expect(child.unaskedEnds).toEqual([{code: null, signal: "SIGKILL"}])
+		expect(child.unaskedEnds).toEqual([
+			{code: null, signal: "SIGKILL", output: ""}
+		])
 	})
 
 	it("ends with the process that started it, also when SIGTERM ends that", async () => {
--- a/bench/deployment/childProcess.ts
+++ b/bench/deployment/childProcess.ts
@@ -1,7 +1,7 @@
 /** One child process of a bench or test, controlled by its pid. */
 import {type ChildProcess as NodeChild, spawn} from "node:child_process"
 import {once} from "node:events"
-import {closeSync, openSync, readFileSync} from "node:fs"
+import {closeSync, existsSync, fstatSync, openSync, readFileSync} from "node:fs"
 
 export interface ChildOptions {
 	name: string
@@ -19,13 +19,19 @@
 	signal: NodeJS.Signals | null
 }
 
+/** How a process ended that nobody had asked to end, and what it had logged. */
+export interface UnaskedEnd extends ChildExit {
+	/** Its standard output; empty if that was dropped. */
+	output: string
+}
+
 const maxStderrChars = 64_000
 const msPerTick = 10
 
 export class ChildProcess {
 	readonly name: string
 	/** How processes ended that nobody had asked to end. */
-	readonly unaskedEnds: ChildExit[] = []
+	readonly unaskedEnds: UnaskedEnd[] = []
 	private readonly options: ChildOptions
 	private child: NodeChild | undefined
 	private exit: Promise<ChildExit> = Promise.resolve({code: 0, signal: null})
@@ -67,6 +73,7 @@
 			env: {...process.env, ...env},
 			stdio: ["ignore", log ?? "ignore", "pipe"]
 		})
+		const logStart = log === undefined ? 0 : fstatSync(log).size
 		if (log !== undefined) closeSync(log)
 		this.child = child
 		this.exit = once(child, "exit").then(([code, signal]) => ({
@@ -80,7 +87,12 @@
 		running.add(this)
 		void this.exit.then(exit => {
 			running.delete(this)
-			if (this.asked !== child) this.unaskedEnds.push(exit)
+			if (this.asked === child) return
+			const hasLog = logPath !== undefined && existsSync(logPath)
+			const output = hasLog
+				? readFileSync(logPath).subarray(logStart).toString()
+				: ""
+			this.unaskedEnds.push({...exit, output})
 		})
 	}
 
--- a/bench/soak/__tests__/processes.test.ts
+++ b/bench/soak/__tests__/processes.test.ts
@@ -13,7 +13,7 @@
 describe("the processes of a soak", () => {
 	it("may not end by themselves, so that no others answer at their addresses", () => {
 		const deployment = createDeployment({
-			unaskedEnds: [{code: 1, signal: null}],
+			unaskedEnds: [{code: 1, signal: null, output: ""}],
 			stderr: "warning\nlisten EADDRINUSE 127.1.4.1:9202\n"
 		})
 		expect(judgeProcesses(deployment)).toEqual([
@@ -23,7 +23,13 @@
 
 	it("may end by what the soak does to them, also by a reload before they heed it", () => {
 		expect(judgeProcesses(createDeployment({}))).toEqual([])
-		const unaskedEnds = [{code: null, signal: "SIGHUP" as const}]
+		const unaskedEnds = [{code: null, signal: "SIGHUP" as const, output: ""}]
 		expect(judgeProcesses(createDeployment({unaskedEnds}))).toEqual([])
 	})
+
+	it("may not end by a reload once they have started", () => {
+		const output = '{"host":"gateway-1","message":"started"}\n'
+		const unaskedEnds = [{code: null, signal: "SIGHUP" as const, output}]
+		expect(judgeProcesses(createDeployment({unaskedEnds}))).toHaveLength(1)
+	})
 })
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -53,6 +53,8 @@
 const judgePollMs = 100
 const minRecovered = 0.9
 const maxFaultMs = 5000
+/** Part of the line that a gateway or agent logs once it has started. */
+const startedLine = '"message":"started"'
 const maxPauseMs = 1500
 
 export async function runSoak(options: SoakOptions): Promise<SoakReport> {
@@ -207,9 +209,9 @@
 		...sites.flatMap(({agent}) => agent ?? [])
 	]
 	return children.flatMap(({name, unaskedEnds, stderr}) =>
-		unaskedEnds.flatMap(({code, signal}) => {
+		unaskedEnds.flatMap(({code, signal, output}) => {
 			// Sent by a fault before the process had a handler for it.
-			if (signal === "SIGHUP") return []
+			if (signal === "SIGHUP" && !output.includes(startedLine)) return []
 			const how = signal ?? `exit code ${code ?? ""}`
 			const lastLine = stderr.trim().split("\n").at(-1) ?? ""
 			return `${name} ended by itself: ${how} ${lastLine}`.trim()
