--- a/review/3/case.mjs
+++ b/review/3/case.mjs
@@ -1,124 +1,91 @@
-/**
- * The store forgets its history while the operator names new versions of adapters, so
- * that gateways read the list of versions again while it changes.
- */
+/** An agent's host is frozen while a new version of an adapter is named. */
 import {bounds, hasTrouble, runCase, sleep} from "../standins/deployment.mjs"
 import {
 	createConfig,
 	createDeskWorker,
-	createDraft,
+	createSummary,
 	createWriter,
 	model,
 	statusCheck
 } from "../standins/society.mjs"
 import {Traffic} from "../standins/traffic.mjs"
 
-/** All adapters of the model have had a version named: 20 pages of 500 records. */
-const adapterCount = 10_000
-const workerCount = 12
-const slotCount = 4
-/** Adapters that are in use, four at each worker. */
-const usedAdapters = Array.from(
-	{length: workerCount * slotCount},
-	(_, index) => `a${100 + index}`
-)
-/** Time for which watches hear nothing before the history is gone. */
-const silentMs = 1000
-/** The operator names one new version after the other. */
-const namedEachMs = 20
-/** Bounds of the Society's grown site that differ. */
-const grownBounds = {
-	...bounds,
-	stable_window_ms: 4000,
-	ack_ms: 6000,
-	catch_up_s: 6,
-	drain_ms: 3000,
-	config_apply_ms: 3000,
-	max_stretch_ms: 6000,
-	budget_extra: 100,
-	recovery_s: 15,
-	pass_ms: 200
-}
-const {version_ms: versionMs, stable_window_ms: stableMs} = grownBounds
+const frozenMs = 7000
+/** Time from the freeze to the naming of the version. */
+const namedAfterMs = 150
+const adapter = "a1"
+const {version_ms: versionMs} = bounds
 
 await runCase(import.meta.dirname, async deployment => {
-	const newest = new Map()
 	const runs = []
 	const record = entry => {
-		const {worker, requestId, adapter, version, order} = entry
-		if (adapter !== undefined) {
-			runs.push(entry)
-			deployment.log(`${worker} runs ${requestId} on ${adapter}@${version}`)
-		} else if (order !== undefined)
-			deployment.log(`${worker} is ordered to ${order}`)
+		const {worker, requestId, version, order} = entry
+		if (order !== undefined) deployment.log(`${worker} is ordered to ${order}`)
+		if (version === undefined) return
+		runs.push(entry)
+		deployment.log(`${worker} runs ${requestId} on ${adapter}@${version}`)
 	}
-	deployment.bounds = grownBounds
 	await deployment.open()
 	const {store} = deployment
-	const limits = {adapters: adapterCount, adapterSlots: slotCount}
-	store.put("config", "main", createConfig(7, limits))
-	const nameVersion = (adapter, version) => {
+	store.put("config", "main", createConfig(7))
+	const nameVersion = version => {
 		store.put("versions", `${model}.${adapter}`, {model, adapter, version})
+		return performance.now()
 	}
-	for (let index = 1; index <= adapterCount; index += 1)
-		nameVersion(`a${index}`, 1)
-	const writers = Array.from({length: workerCount}, (_, index) =>
-		createWriter(index + 1, {
+	nameVersion(1)
+	let newest = 1
+	const writers = [1, 2].map(index =>
+		createWriter(index, {
 			record,
-			adapterSlots: slotCount,
-			adapters: usedAdapters.slice(index * slotCount, (index + 1) * slotCount),
-			getNewest: adapter => newest.get(adapter)?.version ?? 1
+			adapters: [adapter],
+			events: 57,
+			eventMs: 150,
+			getNewest: () => newest
 		})
 	)
 	for (const writer of writers) await deployment.addWorker(writer)
-	for (const index of [1, 2])
-		await deployment.addWorker(createDeskWorker(index, record))
+	await deployment.addWorker(createDeskWorker(1, record))
 	deployment.startGateways(2)
 	for (const writer of writers) deployment.startAgent(writer)
 	await deployment.waitUntilReady()
 	await sleep(4000)
-	const drafts = usedAdapters.map(adapter => createDraft(adapter, 1))
 	const traffic = new Traffic({
 		deployment,
-		clients: 60,
-		perSecond: 40,
-		kinds: [...drafts, {...statusCheck, share: 2}]
+		clients: 110,
+		perSecond: 10,
+		kinds: [createSummary(adapter, 0.9), {...statusCheck, share: 0.1}]
 	})
 	traffic.start()
 	await sleep(4000)
-	if (hasTrouble) store.silenceWatches()
-	nameVersion("a9999", 2)
-	await sleep(silentMs)
-	const forgottenAt = performance.now()
+	const [frozen] = writers
+	const agent = deployment.findProcess(frozen)
 	if (hasTrouble) {
-		store.discardHistory()
-		deployment.log("the store has forgotten its history")
+		agent.child.kill("SIGSTOP")
+		deployment.log(`${agent.name} is frozen`)
 	}
-	for (const adapter of usedAdapters) {
-		await sleep(namedEachMs)
-		nameVersion(adapter, 2)
-		newest.set(adapter, {version: 2, at: performance.now()})
-		deployment.log(`version 2 of ${adapter} is acknowledged`)
+	await sleep(namedAfterMs)
+	const namedAt = nameVersion(2)
+	newest = 2
+	deployment.log(`version 2 of ${adapter} is acknowledged`)
+	await sleep(frozenMs - namedAfterMs)
+	if (hasTrouble) {
+		agent.child.kill("SIGCONT")
+		deployment.log(`${agent.name} goes on`)
 	}
-	await sleep(stableMs + versionMs + 7000)
+	await sleep(5000)
 	await traffic.stop()
-	const stableAt = hasTrouble ? forgottenAt + stableMs : 0
-	const late = runs.filter(({at, adapter, version}) => {
-		const named = newest.get(adapter)
-		if (named === undefined || version >= named.version) return false
-		return at > Math.max(named.at, stableAt) + versionMs
-	})
-	for (const {requestId, worker, adapter, version, at} of late) {
-		const afterMs = Math.round(at - newest.get(adapter).at)
+	const late = runs
+		.filter(({at, version}) => version < 2 && at > namedAt + versionMs)
+		.map(({at, ...run}) => ({...run, afterMs: Math.round(at - namedAt)}))
+	for (const {requestId, worker, version, afterMs} of late) {
 		const what = `${requestId} began on ${adapter}@${version} at ${worker}`
 		deployment.log(`VERSION ${what}, ${afterMs} ms after version 2`)
 	}
-	const adapters = new Set(late.map(({adapter}) => adapter))
-	const after = runs.filter(({at}) => at > stableAt + versionMs).length
+	const lastMs = Math.max(0, ...late.map(({afterMs}) => afterMs))
 	return {
 		isBroken: late.length > 0,
 		text:
-			`${late.length} of ${after} requests began on an older version of ` +
-			`${adapters.size} of ${usedAdapters.length} adapters too late`
+			`${late.length} requests began on version 1 later than ${versionMs} ms ` +
+			`after version 2, the last one after ${lastMs} ms`
 	}
 })
--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,8 +1,8 @@
 /**
- * The operator changes the load time of the model in the configuration to a number of
- * seconds that is no whole number of milliseconds in floating point.
+ * The store cuts off the watches that wait. A little later the entry of a worker
+ * is removed that goes on serving for a while, as some do.
  */
-import {hasTrouble, runCase, sleep} from "../standins/deployment.mjs"
+import {bounds, hasTrouble, runCase, sleep} from "../standins/deployment.mjs"
 import {
 	booking,
 	createConfig,
@@ -13,76 +13,71 @@
 } from "../standins/society.mjs"
 import {Traffic} from "../standins/traffic.mjs"
 
-/** 2.01 * 1000 is 2009.9999999999998. */
-const loadTimeS = hasTrouble ? 2.01 : 2
-const slotCount = 5
-/** The first of each worker are there from the start. */
-const adapters = Array.from({length: 20}, (_, index) => `a${1 + index}`)
-const askedForMs = 20_000
-/** Adapters that are asked for at least so often, over at least so long, count. */
-const countedAsks = 4
-const countedSpanMs = 8000
-const allowed = {count: 1, share: 0.1}
+/** Time from the cut of the watches to the removal of the entry. */
+const removedAfterMs = 1500
+/** The worker serves for `drain_ms` and a little longer, and ends. */
+const servesForMs = bounds.drain_ms + 100
 
 await runCase(import.meta.dirname, async deployment => {
-	const adapterOf = new Map()
-	const record = ({worker, requestId, adapter, order}) => {
-		if (order !== undefined) deployment.log(`${worker} is ordered to ${order}`)
+	const arrivals = []
+	const record = entry => {
+		const {worker, requestId, method} = entry
 		if (requestId === undefined) return
-		deployment.log(`${worker} runs ${requestId} ${adapter ?? ""}`)
+		arrivals.push(entry)
+		deployment.log(`${worker} runs ${method ?? "stream"} ${requestId}`)
 	}
 	await deployment.open()
 	const {store} = deployment
-	const limits = {adapterSlots: slotCount}
-	store.put("config", "main", createConfig(7, limits))
-	for (const index of [1, 2])
-		await deployment.addWorker(createDeskWorker(index, record))
-	const writers = [1, 2].map(index =>
-		createWriter(index, {record, adapters: adapters.slice(0, slotCount)})
-	)
-	for (const writer of writers) await deployment.addWorker(writer)
+	store.put("config", "main", createConfig(7))
+	const desks = [1, 2].map(index => createDeskWorker(index, record))
+	for (const worker of desks) await deployment.addWorker(worker)
+	const writer = createWriter(1, {record, adapters: ["a1"]})
+	await deployment.addWorker(writer)
 	deployment.startGateways(2)
-	for (const writer of writers) deployment.startAgent(writer)
+	deployment.startAgent(writer)
 	await deployment.waitUntilReady()
-	await sleep(3000)
-	const config = createConfig(9, limits)
-	config.services[0].engine.models[0].load_time_s = loadTimeS
-	store.put("config", "main", config)
-	deployment.log(`configuration 9 is acknowledged, load_time_s ${loadTimeS}`)
 	await sleep(4000)
-	const drafts = adapters.map(adapter => ({
-		...createDraft(adapter, 1),
-		path: `/draft/${adapter}`
-	}))
-	for (const {path} of drafts) adapterOf.set(path, path.split("/").at(-1))
 	const traffic = new Traffic({
 		deployment,
-		clients: 40,
-		perSecond: 40,
-		kinds: [...drafts, {...booking, share: 2}, {...statusCheck, share: 1}]
+		clients: 150,
+		perSecond: 220,
+		kinds: [booking, statusCheck, createDraft("a1", 0.1)]
 	})
 	traffic.start()
-	await sleep(askedForMs)
+	await sleep(5000)
+	if (hasTrouble) {
+		const cut = store.cutWatches()
+		deployment.log(`the store has cut off ${cut} watches`)
+	}
+	await sleep(removedAfterMs)
+	const [leaving] = desks
+	deployment.unregister(leaving)
+	const removedAt = performance.now()
+	deployment.log(`the entry of ${leaving.id} is removed`)
+	await sleep(servesForMs)
+	leaving.stop()
+	deployment.log(`${leaving.id} has ended`)
+	await sleep(4000)
 	await traffic.stop()
-	const asked = adapters.map(adapter => {
-		const results = traffic.results.filter(
-			({path}) => adapterOf.get(path) === adapter
-		)
-		const times = results.map(({sentAt}) => sentAt)
-		const spanMs = Math.max(...times) - Math.min(...times)
-		const served = results.filter(({status}) => status === 200).length
-		return {adapter, asks: results.length, spanMs, served}
-	})
-	const counted = asked.filter(
-		({asks, spanMs}) => asks >= countedAsks && spanMs >= countedSpanMs
+	const after = arrivals
+		.filter(({worker, at}) => worker === leaving.id && at > removedAt)
+		.map(({at, ...rest}) => ({...rest, afterMs: Math.round(at - removedAt)}))
+	const late = after.filter(({afterMs}) => afterMs > bounds.drain_ms)
+	for (const {requestId, method, afterMs} of late)
+		deployment.log(`DRAIN ${method} ${requestId} arrived ${afterMs} ms after`)
+	const lateIds = new Set(late.map(({requestId}) => requestId))
+	const lost = traffic.results.filter(
+		({id, path, status}) =>
+			lateIds.has(id) && path === booking.path && status !== 200
 	)
-	const never = counted.filter(({served}) => served === 0)
-	for (const {adapter, asks} of never)
-		deployment.log(`STARVED ${adapter}: asked for ${asks} times, never served`)
+	for (const {id, status} of lost)
+		deployment.log(`LOST booking ${id}: the worker ended, answer ${status}`)
+	const lastMs = Math.max(0, ...after.map(({afterMs}) => afterMs))
 	return {
-		isBroken: never.length > allowed.count + allowed.share * counted.length,
+		isBroken: late.length > 0,
 		text:
-			`${never.length} of ${counted.length} adapters were never served in ` +
-			`${askedForMs / 1000} s`
+			`${late.length} requests reached the worker later than ` +
+			`${bounds.drain_ms} ms after the removal, the last one after ${lastMs} ms; ${lost.length} ` +
+			"bookings among them were cut by its end"
 	}
 })
--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -154,6 +154,11 @@
 		this.startProcess(name, "agent", settings)
 	}
 
+	/** The agent beside a model worker. */
+	findProcess(worker) {
+		return this.processes.get(`side-${zone}-${worker.id}`)
+	}
+
 	createSettings(name, ip, machineClass, {listen, ...extra}) {
 		const top = {
 			node_name: name,
--- a/review/standins/society.mjs
+++ b/review/standins/society.mjs
@@ -27,6 +27,18 @@
 				service: writers,
 				sticky: true
 			},
+			{
+				...base,
+				name: "summaries",
+				path_prefix: "/summary/",
+				kind: "streaming",
+				timeout_ms: 15_000,
+				target_latency_ms: 800,
+				target_gap_ms: 300,
+				priority: 0,
+				service: writers,
+				sticky: true
+			},
 			{
 				...base,
 				name: "bookings",
@@ -123,6 +135,12 @@
 	}
 }
 
+/** As a draft, on the route whose streams may last 15 s. */
+export function createSummary(adapter, share) {
+	const path = "/summary/coating"
+	return {...createDraft(adapter, share), path, deadlineMs: 15_000}
+}
+
 export function createDeskWorker(index, record) {
 	return new PlainWorker({
 		id: `i-desk${index}`,
