--- a/review/build.sh
+++ b/review/build.sh
@@ -4,5 +4,5 @@
 set -eu
 cd "$(dirname "$0")"
 for module in standins/*.mjs; do node --check "$module"; done
-for case in [1-5]/case.mjs; do node --check "$case"; done
+for case in [1-5]/case.mjs beside/*.mjs; do node --check "$case"; done
 test -f ../target/bin/start.cjs
--- a/review/standins/deployment.mjs
+++ b/review/standins/deployment.mjs
@@ -288,6 +288,10 @@
 	}
 	process.on("uncaughtException", fail)
 	process.on("unhandledRejection", fail)
+	for (const signal of ["SIGINT", "SIGTERM"])
+		process.on(signal, () => {
+			fail(new Error(`ended by ${signal}`))
+		})
 	try {
 		const {isBroken, text} = await play(deployment)
 		deployment.log(`RESULT ${isBroken ? "broken" : "held"}: ${text}`)
