--- a/src/gateway/fleet/fleetState.ts
+++ b/src/gateway/fleet/fleetState.ts
@@ -333,7 +333,14 @@
 		const isLeaving = standing === Standing.Leaving
 		const state = isLeaving ? EndpointState.Draining : endpoint.state
 		this.withheld.delete(id)
-		this.pendingRemovals.delete(id)
+		if (this.pendingRemovals.delete(id)) {
+			const {revision} = endpoint
+			this.log.decide("endpoint.returned", {
+				endpoint: id,
+				revision,
+				known: known?.revision
+			})
+		}
 		this.departures.deleteRemoval(id)
 		if (state === EndpointState.Draining) this.departures.addDrain(endpoint)
 		else this.departures.deleteDrain(id)
