Keep a removal that waits when a gateway publishes the old registration (DRAIN)

Callers' requests reached an endpoint up to 3 s after its registration was removed, and went on until its process had ended. After an outage of the store a missing registration waits two seconds for the endpoint to register again. Any update that listed the endpoint ended that wait, also with the revision that lapsed.

A wait now ends only with a registration of a later revision than the one at which it was found missing, and the removal is recorded at that revision. As publishers hold back rewritten registrations, one that returns after it lapsed is published, or a follower that saw it lapse would remove a live endpoint.

Tests of src/gateway/fleet pass in one run.

--- a/src/gateway/fleet/__tests__/fleetPublisher.test.ts
+++ b/src/gateway/fleet/__tests__/fleetPublisher.test.ts
@@ -4,7 +4,11 @@
 import {create} from "@bufbuild/protobuf"
 import winston from "winston"
 import {afterEach, beforeEach, describe, expect, it, vi} from "vitest"
-import type {FleetConfig} from "../../../contract/fleet.js"
+import {
+	EndpointState,
+	type FleetConfig,
+	type FleetEndpoint
+} from "../../../contract/fleet.js"
 import {
 	FollowRequestSchema,
 	type FleetUpdate
@@ -30,6 +34,22 @@
 	return {version, routes: [], pools: [], limits, members: undefined}
 }
 
+function createEndpoint(revision: number): FleetEndpoint {
+	return {
+		id: "i-1",
+		pool: "desk",
+		address: "10.0.0.1:80",
+		failureDomain: "a",
+		seats: 6,
+		state: EndpointState.Ready,
+		bornAt: 1,
+		build: "v1",
+		era: 1,
+		revision,
+		residents: []
+	}
+}
+
 let address: string
 let fleet: FleetState
 let publisher: FleetPublisher
@@ -122,6 +142,23 @@
 		})
 	})
 
+	// Guards against the removal of a live endpoint at a follower that saw it lapse
+	// and now hears of the store's changes from this gateway alone.
+	it("sends that an endpoint registered again after it lapsed", async () => {
+		const endpoint = createEndpoint(4)
+		fleet.applyEndpoint(endpoint, 0)
+		const updates = follow(3)
+		await waitForUpdates(updates, 1)
+		fleet.applyRemoval("i-1", {era: 1, revision: 6}, true, 0)
+		await waitForUpdates(updates, 3)
+		fleet.applyEndpoint(createEndpoint(7), 0)
+		await vi.waitFor(() => {
+			const sent = updates.flatMap(({endpoints}) => endpoints)
+			const revisions = sent.map(({revision}) => revision)
+			expect([...new Set(revisions)]).toEqual([4, 7])
+		})
+	})
+
 	it("sends it as it is to a gateway of an earlier build", async () => {
 		const client = new grpc.Client(address, grpc.credentials.createInsecure())
 		const {path, requestSerialize, responseDeserialize} = fleetMethods.follow
--- a/src/gateway/fleet/fleetPublisher.ts
+++ b/src/gateway/fleet/fleetPublisher.ts
@@ -38,6 +38,7 @@
 
 /** A follower disconnects after three heartbeats without a message. */
 const heartbeatMs = 500
+const lapsedFields = "lapsed"
 
 type Update = MessageInitShape<typeof FleetUpdateSchema>
 
@@ -52,7 +53,8 @@
 	/**
 	 * Last published pool, address, state, start time and build, by endpoint id; a
 	 * change of these is published. Registrations are rewritten at each heartbeat, so a new
-	 * revision or residency alone is not.
+	 * revision or residency alone is not. An endpoint whose registration is missing has
+	 * `lapsedFields`, so that its return is a change.
 	 */
 	private readonly publishedFields = new Map<string, string>()
 	private server: grpc.Server | undefined
@@ -178,10 +180,13 @@
 		for (const endpoint of this.options.fleet.listEndpoints()) {
 			present.add(endpoint.id)
 			const {pool, address, state, bornAt, build} = endpoint
-			const fields = `${pool} ${address} ${state} ${bornAt} ${build}`
+			const isLapsed = this.options.fleet.isLapsed(endpoint.id)
+			const fields = isLapsed
+				? lapsedFields
+				: `${pool} ${address} ${state} ${bornAt} ${build}`
 			if (this.publishedFields.get(endpoint.id) === fields) continue
 			this.publishedFields.set(endpoint.id, fields)
-			changed.push(endpoint)
+			if (!isLapsed) changed.push(endpoint)
 		}
 		const goneIds = new Set(
 			[...this.publishedFields.keys()].filter(id => !present.has(id))
--- a/src/gateway/fleet/fleetState.ts
+++ b/src/gateway/fleet/fleetState.ts
@@ -55,9 +55,12 @@
 	private readonly versions = new Map<string, AnnouncedVersion>()
 	/**
 	 * Endpoints whose registration is missing after a store outage, with the time
-	 * at which they are removed unless they register again.
+	 * at which they are removed unless they register again after that revision.
 	 */
-	private readonly pendingRemovals = new Map<string, number>()
+	private readonly pendingRemovals = new Map<
+		string,
+		{removeAt: number; at: StoreRevision}
+	>()
 	/** Endpoints at whose address a different endpoint answers. */
 	private readonly replacedIds = new Set<string>()
 	private readonly listeners: FleetListener[] = []
@@ -171,6 +174,11 @@
 		return [...this.endpoints.values()]
 	}
 
+	/** Whether the endpoint's registration is missing, and its removal waits. */
+	isLapsed(id: string): boolean {
+		return this.pendingRemovals.has(id)
+	}
+
 	/**
 	 * Applies a complete list of endpoints. Endpoints that are not on it are removed,
 	 * after an outage or a new era of the store only once `reregistrationGraceMs` has
@@ -190,7 +198,7 @@
 		}
 		for (const id of this.endpoints.keys()) {
 			if (ids.has(id)) continue
-			if (isAfterOutage || isNewEra) this.startGracePeriod(id, now)
+			if (isAfterOutage || isNewEra) this.startGracePeriod(id, at, now)
 			else this.removeEndpoint(id, at, "missing from the store's list")
 		}
 		for (const endpoint of list) this.putEndpoint(endpoint, now)
@@ -227,7 +235,7 @@
 		now: number
 	): void {
 		this.withheld.delete(id)
-		if (isAfterOutage) this.startGracePeriod(id, now)
+		if (isAfterOutage) this.startGracePeriod(id, at, now)
 		else this.removeEndpoint(id, at, "registration removed")
 		this.notifyEndpointsChanged()
 	}
@@ -237,9 +245,8 @@
 	 * admits those that a copy of the store brought back and that are still listed.
 	 */
 	settleRegistrations(now: number): void {
-		for (const [id, removeAt] of this.pendingRemovals) {
+		for (const [id, {removeAt, at}] of this.pendingRemovals) {
 			if (now < removeAt) continue
-			const at = this.endpoints.get(id) ?? {era: 0, revision: 0}
 			this.removeEndpoint(id, at, "not registered again after an outage")
 			this.notifyEndpointsChanged()
 		}
@@ -324,6 +331,10 @@
 		const known = this.endpoints.get(id)
 		// Another source may already have delivered a later change.
 		if (known !== undefined && compareRevisions(endpoint, known) < 0) return
+		// Another gateway may still list what this one knows to be missing since.
+		const pending = this.pendingRemovals.get(id)
+		if (pending !== undefined && compareRevisions(endpoint, pending.at) <= 0)
+			return
 		const standing = this.departures.judge(endpoint)
 		if (standing === Standing.Outdated) return
 		if (standing === Standing.Withheld) {
@@ -365,9 +376,14 @@
 		this.withheld.set(id, {endpoint, admitAt})
 	}
 
-	private startGracePeriod(id: string, now: number): void {
-		if (this.pendingRemovals.has(id) || !this.endpoints.has(id)) return
-		this.pendingRemovals.set(id, now + reregistrationGraceMs)
+	private startGracePeriod(id: string, at: StoreRevision, now: number): void {
+		const known = this.endpoints.get(id)
+		if (known === undefined || compareRevisions(known, at) > 0) return
+		const removeAt =
+			this.pendingRemovals.get(id)?.removeAt ?? now + reregistrationGraceMs
+		const isNew = !this.pendingRemovals.has(id)
+		this.pendingRemovals.set(id, {removeAt, at})
+		if (!isNew) return
 		this.log.decide("endpoint.lapsed", {endpoint: id})
 	}
 
