Count the time to register again from the store's return (DRAIN)

Callers' requests reached endpoints for more than two seconds after their registration was removed, and bookings among them were cut as the endpoint ended. The end of any one watch counted as an outage of the store, and a removal within 2.5 s of it waited for two seconds from when it was heard of. In the incident the last hung call failed 1.3 s after the store's return, so that a removal 2.8 s after the return still waited.

StoreOutage measures outages: from the last call that the store served to the next one. Only one of more than two heartbeats can end a registration, and missing ones wait until two seconds after the store's return, stored as a deadline.

Callers of applyRemoval in tests pass the deadline in place of the flag.

--- a/src/gateway/fleet/__tests__/fleetPublisher.test.ts
+++ b/src/gateway/fleet/__tests__/fleetPublisher.test.ts
@@ -149,7 +149,7 @@
 		fleet.applyEndpoint(endpoint, 0)
 		const updates = follow(3)
 		await waitForUpdates(updates, 1)
-		fleet.applyRemoval("i-1", {era: 1, revision: 6}, true, 0)
+		fleet.applyRemoval("i-1", {era: 1, revision: 6}, 2000, 0)
 		await waitForUpdates(updates, 3)
 		fleet.applyEndpoint(createEndpoint(7), 0)
 		await vi.waitFor(() => {
--- a/src/gateway/fleet/__tests__/fleetState.test.ts
+++ b/src/gateway/fleet/__tests__/fleetState.test.ts
@@ -59,6 +59,9 @@
 	}
 }
 
+/** As of a store that was not away. */
+const never = Number.NEGATIVE_INFINITY
+
 function createAddresses(): string[] {
 	return [1, 2].map(() => `${createLoopbackIp()}:9202`)
 }
@@ -79,28 +82,28 @@
 		fleet.applyEndpoint(createEndpoint("i-1", 4, EndpointState.Draining), 0)
 		fleet.applyEndpoint(createEndpoint("i-1", 3), 0)
 		expect(fleet.listReady("desk")).toEqual([])
-		fleet.applyRemoval("i-1", {era: 1, revision: 6}, false, 0)
+		fleet.applyRemoval("i-1", {era: 1, revision: 6}, never, 0)
 		fleet.applyEndpoint(createEndpoint("i-1", 5), 0)
 		expect(fleet.listEndpoints()).toEqual([])
 		fleet.applyEndpoint(createEndpoint("i-1", 7), 0)
-		fleet.applyRemoval("i-1", {era: 1, revision: 6}, false, 0)
+		fleet.applyRemoval("i-1", {era: 1, revision: 6}, never, 0)
 		expect(fleet.listReady("desk")).toHaveLength(1)
 	})
 
 	it("drops a list of an earlier store era", () => {
 		const fleet = new FleetState(createLog())
 		const ready = createEndpoint("i-1", 4, EndpointState.Ready, 2)
-		fleet.replaceEndpoints([ready], {era: 2, revision: 4}, false, 0)
-		fleet.replaceEndpoints([], {era: 1, revision: 90}, false, 0)
+		fleet.replaceEndpoints([ready], {era: 2, revision: 4}, never, 0)
+		fleet.replaceEndpoints([], {era: 1, revision: 90}, never, 0)
 		expect(fleet.listReady("desk")).toHaveLength(1)
 	})
 
 	it("uses a removed endpoint of a copy once it stays registered", () => {
 		const fleet = new FleetState(createLog())
 		fleet.applyEndpoint(createEndpoint("i-1", 4), 0)
-		fleet.applyRemoval("i-1", {era: 1, revision: 9}, false, 0)
+		fleet.applyRemoval("i-1", {era: 1, revision: 9}, never, 0)
 		const copied = createEndpoint("i-1", 4, EndpointState.Ready, 2)
-		fleet.replaceEndpoints([copied], {era: 2, revision: 5}, false, 1000)
+		fleet.replaceEndpoints([copied], {era: 2, revision: 5}, never, 1000)
 		fleet.settleRegistrations(1000 + withholdMs - 1)
 		expect(fleet.listReady("desk")).toEqual([])
 		fleet.settleRegistrations(1000 + withholdMs)
@@ -129,7 +132,7 @@
 	it("uses a new incarnation of a removed endpoint at once", () => {
 		const fleet = new FleetState(createLog())
 		fleet.applyEndpoint(createEndpoint("i-1", 4), 0)
-		fleet.applyRemoval("i-1", {era: 1, revision: 9}, false, 0)
+		fleet.applyRemoval("i-1", {era: 1, revision: 9}, never, 0)
 		const reborn = createEndpoint("i-1", 4, EndpointState.Ready, 2)
 		fleet.applyEndpoint({...reborn, bornAt: 2}, 0)
 		expect(fleet.listReady("desk")).toHaveLength(1)
@@ -141,7 +144,7 @@
 		fleet.markLeaving("i-1", 1, "answer")
 		fleet.applyEndpoint(createEndpoint("i-1", 5), 0)
 		const list = [createEndpoint("i-1", 6)]
-		fleet.replaceEndpoints(list, {era: 1, revision: 6}, false, 0)
+		fleet.replaceEndpoints(list, {era: 1, revision: 6}, never, 0)
 		expect(fleet.listReady("desk")).toEqual([])
 		fleet.applyEndpoint({...createEndpoint("i-1", 7), bornAt: 2}, 0)
 		expect(fleet.listReady("desk")).toHaveLength(1)
@@ -270,7 +273,7 @@
 		})
 		for (const source of sources) {
 			source.health.isFresh = false
-			source.fleet.applyRemoval("i-1", {era: 1, revision: 5}, false, 0)
+			source.fleet.applyRemoval("i-1", {era: 1, revision: 5}, never, 0)
 		}
 		await new Promise(resolve => setTimeout(resolve, 700))
 		for (const source of sources) source.health.isFresh = true
@@ -288,7 +291,7 @@
 		first?.fleet.replaceEndpoints(
 			[createEndpoint("i-1", 2, EndpointState.Ready, 2)],
 			{era: 2, revision: 2},
-			false,
+			never,
 			0
 		)
 		second?.fleet.applyEndpoint(createEndpoint("i-1", 90), 0)
@@ -296,7 +299,7 @@
 		await vi.waitFor(() => {
 			expect(fleet.getEndpoint("i-1")?.era).toBe(2)
 		})
-		second?.fleet.applyRemoval("i-1", {era: 1, revision: 95}, false, 0)
+		second?.fleet.applyRemoval("i-1", {era: 1, revision: 95}, never, 0)
 		await new Promise(resolve => setTimeout(resolve, 700))
 		expect(fleet.listReady("desk")).toHaveLength(1)
 		expect(follower.isCovered).toBe(false)
--- a/src/gateway/fleet/__tests__/lapsedRegistrations.test.ts
+++ b/src/gateway/fleet/__tests__/lapsedRegistrations.test.ts
@@ -35,13 +35,13 @@
 	{
 		source: "a watch",
 		lapse: (): void => {
-			fleet.applyRemoval("i-1", {era, revision: 6}, true, 0)
+			fleet.applyRemoval("i-1", {era, revision: 6}, graceMs, 0)
 		}
 	},
 	{
 		source: "a list",
 		lapse: (): void => {
-			fleet.replaceEndpoints([], {era, revision: 6}, true, 0)
+			fleet.replaceEndpoints([], {era, revision: 6}, graceMs, 0)
 		}
 	}
 ])("a registration that $source shows to be missing", ({lapse}) => {
--- a/src/gateway/fleet/fleetState.ts
+++ b/src/gateway/fleet/fleetState.ts
@@ -18,6 +18,7 @@
 	compareRevisions,
 	Departures,
 	type Registration,
+	reregistrationMs,
 	Standing,
 	type StoreRevision,
 	withholdMs
@@ -30,12 +31,6 @@
 	onVersion?(version: AnnouncedVersion): void
 }
 
-/**
- * Registrations can expire while the store is down, because endpoints can't renew
- * them. Live endpoints register again within two seconds after it is back up.
- */
-const reregistrationGraceMs = 2000
-
 export class FleetState {
 	private configInForce: FleetConfig | undefined
 	private readonly routesByHost = new Map<string, ForwardRoute[]>()
@@ -180,17 +175,20 @@
 	}
 
 	/**
-	 * Applies a complete list of endpoints. Endpoints that are not on it are removed,
-	 * after an outage or a new era of the store only once `reregistrationGraceMs` has
-	 * passed.
+	 * Applies a complete list of endpoints. Endpoints that are not on it are removed at
+	 * `lapsedUntil`, or at once if that has passed; in a new era of the store not before
+	 * they had the time to register again.
 	 */
 	replaceEndpoints(
 		list: readonly FleetEndpoint[],
 		at: StoreRevision,
-		isAfterOutage: boolean,
+		lapsedUntil: number,
 		now: number
 	): void {
 		const isNewEra = at.era > this.knownEra
+		const removeAt = isNewEra
+			? Math.max(lapsedUntil, now + reregistrationMs)
+			: lapsedUntil
 		if (!this.noteEra(at.era, "list")) return
 		const ids = new Set(list.map(({id}) => id))
 		for (const id of this.withheld.keys()) {
@@ -198,7 +196,7 @@
 		}
 		for (const id of this.endpoints.keys()) {
 			if (ids.has(id)) continue
-			if (isAfterOutage || isNewEra) this.startGracePeriod(id, at, now)
+			if (removeAt > now) this.startGracePeriod(id, at, removeAt)
 			else this.removeEndpoint(id, at, "missing from the store's list")
 		}
 		for (const endpoint of list) this.putEndpoint(endpoint, now)
@@ -227,15 +225,15 @@
 		this.notifyEndpointsChanged()
 	}
 
-	/** Removes an endpoint, after a store outage only once the grace has passed. */
+	/** Removes an endpoint at `lapsedUntil`, or at once if that has passed. */
 	applyRemoval(
 		id: string,
 		at: StoreRevision,
-		isAfterOutage: boolean,
+		lapsedUntil: number,
 		now: number
 	): void {
 		this.withheld.delete(id)
-		if (isAfterOutage) this.startGracePeriod(id, at, now)
+		if (lapsedUntil > now) this.startGracePeriod(id, at, lapsedUntil)
 		else this.removeEndpoint(id, at, "registration removed")
 		this.notifyEndpointsChanged()
 	}
@@ -376,15 +374,17 @@
 		this.withheld.set(id, {endpoint, admitAt})
 	}
 
-	private startGracePeriod(id: string, at: StoreRevision, now: number): void {
+	private startGracePeriod(
+		id: string,
+		at: StoreRevision,
+		removeAt: number
+	): void {
 		const known = this.endpoints.get(id)
 		if (known === undefined || compareRevisions(known, at) > 0) return
-		const removeAt =
-			this.pendingRemovals.get(id)?.removeAt ?? now + reregistrationGraceMs
-		const isNew = !this.pendingRemovals.has(id)
-		this.pendingRemovals.set(id, {removeAt, at})
-		if (!isNew) return
-		this.log.decide("endpoint.lapsed", {endpoint: id})
+		const pending = this.pendingRemovals.get(id)
+		this.pendingRemovals.set(id, {removeAt: pending?.removeAt ?? removeAt, at})
+		if (pending === undefined)
+			this.log.decide("endpoint.lapsed", {endpoint: id})
 	}
 
 	private removeEndpoint(
--- a/src/policy/registrations/index.ts
+++ b/src/policy/registrations/index.ts
@@ -1,2 +1,3 @@
 export * from "./departures.js"
+export * from "./storeOutage.js"
 export * from "./storeRevision.js"
