--- a/src/gateway/gatewayContext.ts
+++ b/src/gateway/gatewayContext.ts
@@ -25,6 +25,8 @@
 export interface GatewayContext {
 	wire: WireCodec
 	fleet: FleetState
+	/** Whether this gateway would have heard of a newer configuration. */
+	isConfigCurrent: () => boolean
 	access: CallerAccess
 	links: AgentLinks
 	engines: EngineChoice
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -43,7 +43,7 @@
  * oversized request and the gateway can respond to it.
  */
 const parserMaxHeaderBytes = 65_536
-/** Retry delay for requests refused for lack of a configuration or a pool. */
+/** Retry delay for requests refused for lack of a current configuration or a pool. */
 const unconfiguredRetryAfterMs = 500
 /** Time within which the load balancer notices that the readiness probe fails. */
 const balancerNoticeMs = 2500
@@ -209,7 +209,9 @@
 			return
 		}
 		if (route === undefined) {
-			exchange.reject(httpNotFound, "no route")
+			// A newer configuration may have the route, and callers don't retry after 404.
+			if (ctx.isConfigCurrent()) exchange.reject(httpNotFound, "no route")
+			else exchange.refuse("no route yet", unconfiguredRetryAfterMs, {})
 			return
 		}
 		const {member, denial} = ctx.access.identify(head, route)
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -65,6 +65,8 @@
 	 * sent to followers. Without it, its view counts as fresh for itself.
 	 */
 	isFresh?: () => boolean
+	/** Whether this gateway has recently read the configuration; as `isFresh` else. */
+	isConfigFresh?: () => boolean
 	/** Where the builds of pools are kept; without it those that left are unknown. */
 	buildStore?: BuildStore
 	/** Whether the system serves for the first time; false by default. */
@@ -207,7 +209,7 @@
 			now
 		})
 		const {fleet, recorder} = this
-		const {isFresh} = options
+		const {isFresh, isConfigFresh = isFresh} = options
 		const streams = new StreamDirectory({
 			fleet,
 			links,
@@ -224,6 +226,8 @@
 		this.ctx = {
 			wire,
 			fleet: this.fleet,
+			isConfigCurrent: () =>
+				isConfigFresh?.() !== false || this.follower.isCovered,
 			access: new CallerAccess({
 				fleet: this.fleet,
 				freshness: this.freshness,
