--- a/standins/fleet/fleetStore.ts
+++ b/standins/fleet/fleetStore.ts
@@ -24,6 +24,8 @@
 	/** Calls neither take effect nor are answered. */
 	isHanging = false
 	pageSize = 50
+	/** Called before each page of a list is answered. */
+	onPage: (() => void) | undefined
 	/** Number of calls received. */
 	calls = 0
 	/** Stated in every response; rises with each `returnToCopy`. */
@@ -90,6 +92,12 @@
 		this.wakeWatches()
 	}
 
+	/** Names and values of all objects of a kind. */
+	list(kind: string): Map<string, unknown> {
+		const items = [...this.getOrCreateItems(kind).values()]
+		return new Map(items.map(({name, spec}) => [name, spec]))
+	}
+
 	/** Discards the event log: watches from an earlier revision get 410. */
 	discardHistory(): void {
 		this.oldestWatchRevision = this.revision
@@ -154,6 +162,7 @@
 			this.reply(res, item === undefined ? 404 : 200, encode(item))
 			return
 		}
+		this.onPage?.()
 		const after = url.searchParams.get("after") ?? ""
 		const items = [...this.getOrCreateItems(kind).values()]
 			.sort((a, b) => (a.name < b.name ? -1 : 1))
