--- a/src/gateway/sends/engineSearch.ts
+++ b/src/gateway/sends/engineSearch.ts
@@ -4,6 +4,7 @@
  */
 import {slotKey, type FleetEndpoint} from "../../contract/fleet.js"
 import {RefuseReason} from "../../contract/gen/grants_pb.js"
+import {toCount, toTimeMs} from "../../contract/wireValues.js"
 import type {
 	EngineQuery,
 	EngineRating,
@@ -307,16 +308,16 @@
 			})),
 			promptTokens,
 			outputTokens,
-			priority: Math.max(0, request.route.priority),
-			objectiveLeftMs: Math.round(objectiveAt - now),
-			startByLeftMs: Math.round(startBy - now),
-			deadlineLeftMs: Math.round(request.deadline - now),
+			priority: toCount(request.route.priority),
+			objectiveLeftMs: toTimeMs(objectiveAt - now),
+			startByLeftMs: toTimeMs(startBy - now),
+			deadlineLeftMs: toTimeMs(request.deadline - now),
 			member: request.member?.name ?? "",
 			...(memberPriority === undefined
 				? {}
-				: {memberPriority: Math.max(0, Math.round(memberPriority))}),
-			quotaUse: request.quotaUse ?? 0,
-			expectedOutputTokens: getExpectedTokens()
+				: {memberPriority: toCount(memberPriority)}),
+			quotaUse: toCount(request.quotaUse ?? 0),
+			expectedOutputTokens: toCount(getExpectedTokens())
 		}
 	}
 
--- a/standins/fleet/fleetStore.ts
+++ b/standins/fleet/fleetStore.ts
@@ -253,9 +253,13 @@
 	}
 }
 
+/** Stands for bytes in names that are no UTF-8, and sorts behind U+FFFD as they do. */
+const unreadable = /\uffff/g
+
 function encode(item: Item | undefined): unknown {
 	if (item === undefined) return {}
 	const {name, revision, spec} = item
-	const metadata = {name, revision, finalizers: [], deleting: false}
+	const readName = name.replace(unreadable, "\ufffd")
+	const metadata = {name: readName, revision, finalizers: [], deleting: false}
 	return {metadata, spec, status: null}
 }
