End only the request whose answer or head can't be forwarded (LOST)

One wrong byte of a worker, or of anybody who reaches a gateway, ended that gateway with all requests that it served: a status of 000, a blank in the name of a header, a tab in a path. Bookings that sound workers ran were cut without an answer.

Answers that upgrade the connection ended nowhere (504 at the deadline); they are broken at once. What still throws as a call is opened or a head is written ends just that request, with a log line.

--- a/src/gateway/callers/callerExchange.ts
+++ b/src/gateway/callers/callerExchange.ts
@@ -8,6 +8,7 @@
 import type {CallerBuffers, RequestBuffers} from "./callerBuffers.js"
 import {CallerOutput} from "./callerOutput.js"
 import {RunRecord} from "./runRecord.js"
+import {messageOf} from "../../utils/common.js"
 import {type GatewayMetrics, RequestOutcome} from "../gatewayMetrics.js"
 import {
 	type ResponseHead,
@@ -121,7 +122,7 @@
 	): void {
 		if (this.hasEnded) return
 		const length = body.reduce((sum, chunk) => sum + chunk.length, 0)
-		this.writeHead(responseHead, length)
+		if (!this.tryWriteHead(responseHead, length)) return
 		for (const chunk of body) this.output.write(chunk)
 		this.output.end()
 		this.recordOutcome(
@@ -138,7 +139,7 @@
 	/** Writes status and headers of a streamed response, unless already written. */
 	startStream(responseHead: ResponseHead): void {
 		if (this.hasEnded || this.isHeadWritten) return
-		this.writeHead(responseHead, undefined)
+		this.tryWriteHead(responseHead, undefined)
 	}
 
 	writeEvent(event: Buffer): void {
@@ -258,19 +259,31 @@
 		else this.refuse(buffersFull, overflowRetryAfterMs, {})
 	}
 
-	private writeHead(
+	/** Ends the request as unknown and returns false if the head can't be written. */
+	private tryWriteHead(
 		responseHead: ResponseHead,
 		length: number | undefined
-	): void {
-		const {res, kind, metrics, now, arrivedAt} = this.options
-		this.isHeadWritten = true
+	): boolean {
+		const {res, kind, metrics, now, arrivedAt, log, head} = this.options
 		res.sendDate = false
 		const headers = [...responseHead.headers]
 		if (length !== undefined) headers.push("Content-Length", String(length))
 		const isClosing = res.getHeader("connection") === "close"
 		if (isClosing) headers.push("Connection", "close")
-		res.writeHead(responseHead.status, headers)
+		try {
+			res.writeHead(responseHead.status, headers)
+		} catch (err) {
+			const {status} = responseHead
+			log.request("response.unwritable", head.id, {
+				status,
+				error: messageOf(err)
+			})
+			this.respondUnknown("the answer can't be forwarded", {})
+			return false
+		}
+		this.isHeadWritten = true
 		metrics.observeFirstByte(kind, now() - arrivedAt)
+		return true
 	}
 
 	private respondWithText(
--- a/src/gateway/sends/__tests__/eventSplitter.test.ts
+++ b/src/gateway/sends/__tests__/eventSplitter.test.ts
@@ -15,6 +15,17 @@
 }
 
 describe("the events of a stream", () => {
+	// Guards against an id that no header can carry as the stream goes on elsewhere.
+	it.each([
+		["id: 7\n\n", true],
+		["id: \u00e9\n\n", true],
+		["id: a\u0001b\n\n", false],
+		["id: \ufffd\n\n", false]
+	])("tells whether a stream can go on after %j", (text, isIdReadable) => {
+		const [event] = new EventSplitter().push(Buffer.from(text))
+		expect(event?.isIdReadable).toBe(isIdReadable)
+	})
+
 	it("are the same however the stream is cut into chunks", () => {
 		const whole = split([text])
 		expect(whole.map(({id}) => id)).toEqual(["1", "2", "", "3"])
--- a/src/gateway/sends/endpointCall.ts
+++ b/src/gateway/sends/endpointCall.ts
@@ -11,6 +11,7 @@
 import type {IncomingMessage} from "node:http"
 import {connect, type Socket} from "node:net"
 import {findReset, isFramed} from "../../link/connectionEnd.js"
+import {messageOf} from "../../utils/common.js"
 import type {RunRecord} from "../callers/runRecord.js"
 import type {ResponseHead, RequestHead, WireCodec} from "../wire.js"
 
@@ -73,32 +74,45 @@
 const maxInterimAnswers = 8
 
 export class EndpointCall {
-	private readonly req: ClientRequest
-	private readonly socket: Socket
+	private req: ClientRequest | undefined
+	private socket: Socket | undefined
 	private readonly options: EndpointCallOptions
 	private res: IncomingMessage | undefined
 	private receivedHead: ResponseHead | undefined
 	private isConnected = false
 	private isSettled = false
 	private interimAnswers = 0
-	private readonly connectTimer: NodeJS.Timeout
+	private connectTimer: NodeJS.Timeout | undefined
 
 	constructor(options: EndpointCallOptions) {
 		this.options = options
+		try {
+			this.open()
+		} catch (err) {
+			// The handlers refer to this call, so it must exist when they are called.
+			process.nextTick(() => {
+				this.settle(CallOutcome.NeverSent, `can't be sent: ${messageOf(err)}`)
+			})
+		}
+	}
+
+	private open(): void {
+		const {options} = this
 		const [host = "", port = ""] = options.address.split(":")
-		this.socket = connect({
+		const socket = connect({
 			host,
 			port: Number(port),
 			noDelay: true,
 			allowHalfOpen: true
 		})
+		this.socket = socket
 		const {connectTimeoutMs = defaultConnectTimeoutMs} = options
 		const now = options.now ?? (() => performance.now())
 		const connectDeadline = now() + connectTimeoutMs
 		this.connectTimer = setTimeout(() => {
 			this.settle(CallOutcome.NeverSent, "no connection in time")
 		}, connectTimeoutMs)
-		this.socket.once("connect", () => {
+		socket.once("connect", () => {
 			// After a pause of this process, Node.js may report the connection
 			// before the timer that expired meanwhile.
 			if (now() > connectDeadline) {
@@ -116,28 +130,33 @@
 			this.isConnected = true
 			clearTimeout(this.connectTimer)
 		})
-		this.req = httpRequest({
+		const req = httpRequest({
 			method: options.head.method,
 			path: options.head.target,
 			headers: options.headers,
 			setHost: false,
-			createConnection: () => this.socket
+			createConnection: () => socket
 		})
-		this.req.on("error", err => {
+		this.req = req
+		req.on("error", err => {
 			this.fail(err)
 		})
-		this.req.on("response", res => {
+		req.on("response", res => {
 			this.receive(res)
 		})
-		this.req.on("information", () => {
+		// Without this listener, Node.js closes the connection and reports nothing.
+		req.on("upgrade", () => {
+			this.reject("connection was upgraded")
+		})
+		req.on("information", () => {
 			this.interimAnswers += 1
 			if (this.interimAnswers > maxInterimAnswers)
 				this.reject("interim answers without end")
 		})
-		this.socket.prependListener("end", () => {
-			this.detectResetAtEnd()
+		socket.prependListener("end", () => {
+			this.detectResetAtEnd(socket)
 		})
-		this.req.end(options.body)
+		req.end(options.body)
 	}
 
 	/** Cancels the request at the endpoint by closing its connection. */
@@ -195,10 +214,10 @@
 	}
 
 	/** A response that ends with its connection is complete unless that was reset. */
-	private detectResetAtEnd(): void {
+	private detectResetAtEnd(socket: Socket): void {
 		if (this.isSettled || this.res === undefined) return
 		if (isFramed(this.res.headers)) return
-		const reset = findReset(this.socket)
+		const reset = findReset(socket)
 		if (reset !== undefined) this.settle(CallOutcome.Broken, reset.message)
 	}
 
@@ -220,9 +239,9 @@
 		clearTimeout(this.connectTimer)
 		if (outcome === CallOutcome.NotRun) this.options.runs.removeCall()
 		// Without a listener, a socket error after this point would be thrown.
-		this.socket.on("error", () => undefined)
-		this.req.destroy()
-		this.socket.destroy()
+		this.socket?.on("error", () => undefined)
+		this.req?.destroy()
+		this.socket?.destroy()
 		this.options.handlers.onEnd(outcome, detail)
 	}
 
--- a/src/gateway/sends/eventSplitter.ts
+++ b/src/gateway/sends/eventSplitter.ts
@@ -3,12 +3,15 @@
  * forwards a truncated event, so that another engine can resume the generation
  * after the last complete one.
  */
+import {isHeaderText} from "../../contract/wireValues.js"
 
 export interface StreamEvent {
 	/** The event's bytes, including the blank line that ends it. */
 	bytes: Buffer
 	/** Value of the `id` field; empty when the event has none. */
 	id: string
+	/** Whether another engine could be told to go on after this id. */
+	isIdReadable: boolean
 	/** Whether it holds comments only, as sent to keep a connection open. */
 	isComment: boolean
 }
@@ -57,9 +60,16 @@
 	}
 }
 
+/** Bytes that are no UTF-8 are read as U+FFFD. */
+function isReadable(id: string): boolean {
+	const sent = Buffer.from(id, "utf8").toString("latin1")
+	return !id.includes("\ufffd") && isHeaderText(sent)
+}
+
 function decodeEvent(bytes: Buffer): StreamEvent {
 	const lines = bytes.toString("utf8").split(/\r?\n/)
 	const isComment = lines.every(line => line === "" || line.startsWith(":"))
-	const id = lines.find(line => line.startsWith("id:"))
-	return {bytes, id: id?.slice("id:".length).trim() ?? "", isComment}
+	const line = lines.find(each => each.startsWith("id:"))
+	const id = line?.slice("id:".length).trim() ?? ""
+	return {bytes, id, isIdReadable: isReadable(id), isComment}
 }
--- a/src/gateway/sends/generationSend.ts
+++ b/src/gateway/sends/generationSend.ts
@@ -229,6 +229,10 @@
 			return
 		}
 		for (const event of this.splitter.push(chunk)) {
+			if (!event.isIdReadable) {
+				this.call.reject("unreadable id of an event")
+				return
+			}
 			if (event.isComment) this.receiveComment(event.bytes)
 			else this.receiveEvent(responseHead, event)
 		}
