Drop a message that can't be encoded, not its stream

One request or entry ended a link for all others on it: gRPC ends a stream with INTERNAL when it can't encode a message, and a prompt of 1e300 tokens or a fractional count did. Messages are encoded before they are written. One that can't be is logged (message.unsendable) and dropped, an ask among them fails alone, and an update between gateways goes on without the entry in question.

--- a/src/agent/__tests__/gatewayLinks.test.ts
+++ b/src/agent/__tests__/gatewayLinks.test.ts
@@ -1,15 +1,22 @@
 import {EventEmitter} from "node:events"
 import {describe, expect, it} from "vitest"
-import type {AgentMessage, EngineState} from "../../contract/gen/grants_pb.js"
+import {create} from "@bufbuild/protobuf"
+import {
+	type AgentMessage,
+	type EngineState,
+	PermitAnswerSchema
+} from "../../contract/gen/grants_pb.js"
 import type {GrantCall} from "../../link/fleetLink.js"
 import type {GrantSchedulerView} from "../../policy/grants/index.js"
 import {GatewayLinks, type Residency} from "../gatewayLinks.js"
 
 class FakeCall extends EventEmitter {
 	readonly states: EngineState[] = []
+	readonly cases: (string | undefined)[] = []
 	isEnded = false
 
 	write({body}: AgentMessage): void {
+		this.cases.push(body.case)
 		if (body.case === "state") this.states.push(body.value)
 	}
 
@@ -31,6 +38,7 @@
 	links: GatewayLinks
 	clock: {now: number}
 	lost: string[]
+	unsendable: (string | undefined)[]
 	connect: () => FakeCall
 	publish: (resident: string[], change?: Partial<Residency>) => void
 }
@@ -38,15 +46,18 @@
 function createLinks(): Fixture {
 	const clock = {now: 0}
 	const lost: string[] = []
+	const unsendable: (string | undefined)[] = []
 	const links = new GatewayLinks({
 		now: () => clock.now,
 		onMessage: () => undefined,
-		onDisconnect: (_owner, reason) => lost.push(reason)
+		onDisconnect: (_owner, reason) => lost.push(reason),
+		onUnsendable: kind => unsendable.push(kind)
 	})
 	return {
 		links,
 		clock,
 		lost,
+		unsendable,
 		connect: () => {
 			const call = new FakeCall()
 			links.accept(call as unknown as GrantCall)
@@ -62,6 +73,18 @@
 const pace = {stateIntervalMs: 0, idleIntervalMs: 0, takesChanges: true}
 
 describe("GatewayLinks", () => {
+	// Guards against one message that ends the link for all requests on it.
+	it("sends no message that can't be encoded, and goes on", () => {
+		const {links, connect, unsendable, lost} = createLinks()
+		const call = connect()
+		const value = create(PermitAnswerSchema, {key: "k", waitMs: 2.5})
+		links.send("g1", {case: "permit", value})
+		expect(unsendable).toEqual(["permit"])
+		links.send("g1", {case: "heartbeat", value: true})
+		expect(call.cases).toEqual(["heartbeat"])
+		expect(lost).toEqual([])
+	})
+
 	it("sends the whole residency first, then only what changed", () => {
 		const {links, clock, connect, publish} = createLinks()
 		const call = connect()
--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -43,6 +43,7 @@
 import type {DecisionLog} from "../program/decisionLog.js"
 import {EngineLoop} from "./engineLoop.js"
 import type {EnginePort, FencingTokenSource} from "./enginePort.js"
+import {messageOf} from "../utils/common.js"
 import {GatewayLinks} from "./gatewayLinks.js"
 import type {LeaseStore} from "./leaseStore.js"
 import {PermitDesk} from "./permitDesk.js"
@@ -104,8 +105,12 @@
 		this.scheduler = new GrantScheduler({random: options.random ?? Math.random})
 		this.links = new GatewayLinks({
 			now: this.now,
+			onUnsendable: (kind, err) => {
+				const error = messageOf(err)
+				options.log.decide("message.unsendable", {kind, error})
+			},
 			onMessage: (owner, message) => {
-				this.receive(owner, message)
+				this.tryReceive(owner, message)
 				if (message.body.case !== "heartbeat") this.scheduleTick(activeTickMs)
 			},
 			onDisconnect: (owner, reason) => {
@@ -178,6 +183,19 @@
 		this.server?.forceShutdown()
 	}
 
+	/** A message that can't be handled ends nothing but itself. */
+	private tryReceive(owner: string, message: GatewayMessage): void {
+		try {
+			this.receive(owner, message)
+		} catch (err) {
+			this.options.log.decide("message.failed", {
+				owner,
+				kind: message.body.case,
+				error: messageOf(err)
+			})
+		}
+	}
+
 	private receive(owner: string, message: GatewayMessage): void {
 		const now = this.now()
 		const {body, origins} = message
--- a/src/agent/gatewayLinks.ts
+++ b/src/agent/gatewayLinks.ts
@@ -10,6 +10,7 @@
 	EngineStateSchema,
 	type GatewayMessage
 } from "../contract/gen/grants_pb.js"
+import {findEncodeError} from "../link/encoding.js"
 import type {GrantCall} from "../link/fleetLink.js"
 import {
 	activeHeartbeatMs,
@@ -24,6 +25,8 @@
 	onMessage: (owner: string, message: GatewayMessage) => void
 	/** Called once when a connection ends, fails or times out. */
 	onDisconnect: (owner: string, reason: string) => void
+	/** A message can't be encoded, and is not sent. */
+	onUnsendable: (kind: string | undefined, err: unknown) => void
 	/** Monotonic milliseconds. */
 	now: () => number
 }
@@ -114,7 +117,10 @@
 		const link = this.links.get(owner)
 		if (link === undefined) return
 		if (body.case === "refuse") link.requests.delete(body.value.key)
-		link.call.write(create(AgentMessageSchema, {body}))
+		const message = create(AgentMessageSchema, {body})
+		const err = findEncodeError(AgentMessageSchema, message)
+		if (err === undefined) link.call.write(message)
+		else this.options.onUnsendable(body.case, err)
 	}
 
 	/** Applies what a gateway stated in its hello. */
--- a/src/gateway/fleet/__tests__/fleetPublisher.test.ts
+++ b/src/gateway/fleet/__tests__/fleetPublisher.test.ts
@@ -1,8 +1,6 @@
 import {once} from "node:events"
-import {Writable} from "node:stream"
 import * as grpc from "@grpc/grpc-js"
 import {create} from "@bufbuild/protobuf"
-import winston from "winston"
 import {afterEach, beforeEach, describe, expect, it, vi} from "vitest"
 import {
 	EndpointState,
@@ -15,7 +13,7 @@
 } from "../../../contract/gen/fleet_pb.js"
 import {fleetMethods} from "../../../link/methods.js"
 import {openFollowStream} from "../../../link/fleetLink.js"
-import {DecisionLog} from "../../../program/decisionLog.js"
+import {createSilentLog} from "../../../program/__tests__/silentLog.js"
 import {createLoopbackIp} from "../../__tests__/loopback.js"
 import {FleetPublisher} from "../fleetPublisher.js"
 import {FleetState} from "../fleetState.js"
@@ -57,21 +55,15 @@
 const closes: (() => void)[] = []
 
 beforeEach(async () => {
-	const stream = new Writable({
-		write: (_chunk, _encoding, done) => {
-			done()
-		}
-	})
-	const transport = new winston.transports.Stream({stream})
-	// eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
-	fleet = new FleetState(new DecisionLog({role: "test", host: "h", transport}))
+	fleet = new FleetState(createSilentLog())
 	address = `${createLoopbackIp()}:9203`
 	isFresh = true
 	publisher = new FleetPublisher({
 		address,
 		fleet,
 		isFresh: () => isFresh,
-		getProofAgeMs: () => 0
+		getProofAgeMs: () => 0,
+		log: createSilentLog()
 	})
 	await publisher.start()
 	fleet.applyConfig(createConfig(3), "store")
@@ -159,6 +151,21 @@
 		})
 	})
 
+	// Guards against one endpoint that ends the updates of all gateways.
+	it("goes on without an endpoint that no message can hold", async () => {
+		const updates = follow(3)
+		await waitForUpdates(updates, 1)
+		fleet.applyEndpoint({...createEndpoint(4), seats: 2.5}, 0)
+		fleet.applyEndpoint({...createEndpoint(5), id: "i-2"}, 0)
+		await vi.waitFor(() => {
+			const ids = updates.flatMap(({endpoints}) => endpoints.map(({id}) => id))
+			expect(ids).toEqual(["i-2"])
+		})
+		const late = follow(3)
+		await waitForUpdates(late, 1)
+		expect(late[0]?.endpoints.map(({id}) => id)).toEqual(["i-2"])
+	})
+
 	it("sends it as it is to a gateway of an earlier build", async () => {
 		const client = new grpc.Client(address, grpc.credentials.createInsecure())
 		const {path, requestSerialize, responseDeserialize} = fleetMethods.follow
--- a/src/gateway/fleet/__tests__/fleetState.test.ts
+++ b/src/gateway/fleet/__tests__/fleetState.test.ts
@@ -190,7 +190,8 @@
 			address,
 			fleet,
 			isFresh: () => health.isFresh,
-			getProofAgeMs: () => health.proofAgeMs
+			getProofAgeMs: () => health.proofAgeMs,
+			log: createLog()
 		})
 		await publisher.start()
 		const stop = (): void => {
--- a/src/gateway/fleet/fleetFollower.ts
+++ b/src/gateway/fleet/fleetFollower.ts
@@ -119,7 +119,7 @@
 		stream.on("data", (update: FleetUpdate) => {
 			if (source.open !== open) return
 			source.lastReceivedAt = now()
-			this.applyUpdate(update, source)
+			this.tryApply(update, source)
 		})
 		stream.on("error", err => {
 			if (source.open === open) this.disconnect(source, messageOf(err))
@@ -137,6 +137,16 @@
 		this.options.log.decide("source.lost", {source: source.address, reason})
 	}
 
+	/** An update that can't be applied ends nothing but itself. */
+	private tryApply(update: FleetUpdate, source: Source): void {
+		try {
+			this.applyUpdate(update, source)
+		} catch (err) {
+			const error = messageOf(err)
+			this.options.log.decide("update.failed", {source: source.address, error})
+		}
+	}
+
 	private applyUpdate(update: FleetUpdate, source: Source): void {
 		const {fleet, log, now} = this.options
 		// A source that has not noticed the store's return from a copy is stale.
--- a/src/gateway/fleet/fleetPublisher.ts
+++ b/src/gateway/fleet/fleetPublisher.ts
@@ -4,19 +4,31 @@
  * whether this gateway's view of the store is fresh.
  */
 import type * as grpc from "@grpc/grpc-js"
-import {create, type MessageInitShape} from "@bufbuild/protobuf"
+import {
+	create,
+	type DescMessage,
+	type MessageInitShape,
+	type MessageShape
+} from "@bufbuild/protobuf"
 import {
 	EndpointState,
 	type FleetConfig,
 	type FleetEndpoint
 } from "../../contract/fleet.js"
 import {
+	AdapterNoticeSchema,
 	type ConfirmAnswer,
 	ConfirmAnswerSchema,
-	FleetUpdateSchema
+	EndpointNoticeSchema,
+	type FleetUpdate,
+	FleetUpdateSchema,
+	RemovalSchema
 } from "../../contract/gen/fleet_pb.js"
+import {findEncodeError} from "../../link/encoding.js"
 import {type FollowCall, startFollowServer} from "../../link/fleetLink.js"
 import type {TlsKeys} from "../../link/tls.js"
+import type {DecisionLog} from "../../program/decisionLog.js"
+import {messageOf} from "../../utils/common.js"
 import type {FleetState} from "./fleetState.js"
 import {
 	compressPublishedConfig,
@@ -33,6 +45,7 @@
 	isFresh: () => boolean
 	/** Age of the proof that the configuration is the newest; infinite without one. */
 	getProofAgeMs: () => number
+	log: DecisionLog
 	tls?: TlsKeys | undefined
 }
 
@@ -210,8 +223,33 @@
 			isFresh: isFresh(),
 			era: fleet.era
 		})
+		const isSendable = findEncodeError(FleetUpdateSchema, message) === undefined
+		if (!isSendable && !this.dropUnsendable(message)) return
 		for (const call of calls) call.write(message)
 	}
+
+	/** Removes what can't be encoded. Returns whether the rest can be sent. */
+	private dropUnsendable(message: FleetUpdate): boolean {
+		const {log} = this.options
+		const isSendable = <Desc extends DescMessage>(
+			schema: Desc,
+			part: MessageShape<Desc>
+		): boolean => {
+			const err = findEncodeError(schema, part)
+			if (err === undefined) return true
+			const error = messageOf(err)
+			log.decide("message.unsendable", {kind: schema.name, error})
+			return false
+		}
+		message.endpoints = message.endpoints.filter(part =>
+			isSendable(EndpointNoticeSchema, part)
+		)
+		message.gone = message.gone.filter(part => isSendable(RemovalSchema, part))
+		message.versions = message.versions.filter(part =>
+			isSendable(AdapterNoticeSchema, part)
+		)
+		return isSendable(FleetUpdateSchema, message)
+	}
 }
 
 function encodeEndpoint(
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -277,6 +277,7 @@
 				fleet: this.fleet,
 				isFresh: options.isFresh ?? (() => false),
 				getProofAgeMs: () => this.freshness.ageMs,
+				log,
 				tls
 			})
 		}
--- a/src/gateway/links/__tests__/agentLink.test.ts
+++ b/src/gateway/links/__tests__/agentLink.test.ts
@@ -22,6 +22,7 @@
 interface Connection {
 	link: AgentLink
 	downs: string[]
+	unsendable: (string | undefined)[]
 	/** Number of states that arrived. */
 	readonly states: number
 	/** Number of connections that the agent accepted. */
@@ -47,6 +48,7 @@
 		}
 	})
 	const downs: string[] = []
+	const unsendable: (string | undefined)[] = []
 	let states = 0
 	let resolveUp: () => void = () => undefined
 	const linkUp = new Promise<void>(resolve => {
@@ -66,7 +68,8 @@
 		onQuota: () => undefined,
 		onOrigin: () => undefined,
 		onUp: resolveUp,
-		onDown: reason => downs.push(reason)
+		onDown: reason => downs.push(reason),
+		onUnsendable: kind => unsendable.push(kind)
 	})
 	cleanups.push(() => {
 		link.close()
@@ -83,6 +86,7 @@
 	await linkUp
 	return {
 		link,
+		unsendable,
 		downs,
 		received,
 		get states() {
@@ -139,6 +143,31 @@
 }
 
 describe("AgentLink", () => {
+	// Guards against one request that ends the link for all others.
+	it("fails an ask that can't be encoded alone", async () => {
+		const {link, unsendable, downs, received, sendToGateway} = await connect(
+			() => 0
+		)
+		const odd = new Promise(resolve => {
+			link.ask(create(AskSchema, {key: "odd", promptTokens: 1e300}), {
+				onGrant: () => undefined,
+				onRefuse: () => undefined,
+				onLost: () => {
+					resolve("lost")
+				}
+			})
+		})
+		expect(await odd).toBe("lost")
+		expect(unsendable).toEqual(["ask"])
+		const sound = ask(link, "sound")
+		await vi.waitFor(() => {
+			expect(received).toContain("ask")
+		})
+		sendToGateway({case: "grant", value: createGrant("sound")})
+		expect(await sound).toBe("granted")
+		expect(downs).toEqual([])
+	})
+
 	it("connects again at once after a pause of this process", async () => {
 		let time = 0
 		const connection = await connect(() => time)
--- a/src/gateway/links/agentLink.ts
+++ b/src/gateway/links/agentLink.ts
@@ -22,6 +22,7 @@
 	RefuseReason,
 	type StreamOrigin
 } from "../../contract/gen/grants_pb.js"
+import {findEncodeError} from "../../link/encoding.js"
 import {type OpenGrantStream, openGrantStream} from "../../link/fleetLink.js"
 import type {TlsKeys} from "../../link/tls.js"
 import {isNotice, type Notice} from "../../notices/index.js"
@@ -92,6 +93,8 @@
 	onOrigin(answer: OriginAnswer): void
 	onUp(): void
 	onDown(reason: string): void
+	/** A message can't be encoded, and is not sent. */
+	onUnsendable(kind: string | undefined, err: unknown): void
 }
 
 /**
@@ -414,8 +417,20 @@
 		origins: StreamOrigin[] = []
 	): void {
 		if (this.openStream === undefined) return
+		const message = create(GatewayMessageSchema, {body, origins})
+		const err = findEncodeError(GatewayMessageSchema, message)
+		if (err !== undefined) {
+			this.options.onUnsendable(body.case, err)
+			if (body.case === "ask") this.dropAsk(body.value.key)
+			return
+		}
 		this.lastSentAt = this.options.now()
-		this.openStream.stream.write(create(GatewayMessageSchema, {body, origins}))
+		this.openStream.stream.write(message)
+	}
+
+	private dropAsk(key: string): void {
+		this.requests.delete(key)
+		this.takePendingAsk(key)?.handlers.onLost()
 	}
 
 	private fail(reason: string): void {
--- a/src/gateway/links/agentLinks.ts
+++ b/src/gateway/links/agentLinks.ts
@@ -27,6 +27,7 @@
 	rankByRendezvous
 } from "../../policy/index.js"
 import type {DecisionLog} from "../../program/decisionLog.js"
+import {messageOf} from "../../utils/common.js"
 import {AgentLink, pausedReason} from "./agentLink.js"
 import type {FleetState} from "../fleet/fleetState.js"
 
@@ -304,6 +305,13 @@
 			onQuota: answer => {
 				this.options.onQuota(id, answer)
 			},
+			onUnsendable: (kind, err) => {
+				log.decide("message.unsendable", {
+					endpoint: id,
+					kind,
+					error: messageOf(err)
+				})
+			},
 			onUp: () => {
 				if (this.retired.get(id)?.link === link) return
 				log.decide("agent.up", {endpoint: id})
--- a/src/link/index.ts
+++ b/src/link/index.ts
@@ -1,5 +1,6 @@
 export * from "./fleetLink.js"
 export * from "./clientPool.js"
+export * from "./encoding.js"
 export * from "./engineClient.js"
 export * from "./connectionEnd.js"
 export * from "./httpCall.js"
--- a/src/link/methods.ts
+++ b/src/link/methods.ts
@@ -2,8 +2,7 @@
 import {
 	type DescMessage,
 	fromBinary,
-	type MessageShape,
-	toBinary
+	type MessageShape
 } from "@bufbuild/protobuf"
 import type * as grpc from "@grpc/grpc-js"
 import {
@@ -33,6 +32,8 @@
 	GatewayMessageSchema
 } from "../contract/gen/grants_pb.js"
 
+import {encodeMessage} from "./encoding.js"
+
 const servicePath = "/goldcrestloom.link.v1.Link/"
 const fleetServicePath = "/goldcrestloom.fleet.v1.Fleet/"
 const grantServicePath = "/goldcrestloom.grants.v1.Grants/"
@@ -49,9 +50,9 @@
 		path: service + name,
 		requestStream,
 		responseStream,
-		requestSerialize: message => Buffer.from(toBinary(input, message)),
+		requestSerialize: message => encodeMessage(input, message),
 		requestDeserialize: bytes => fromBinary(input, bytes),
-		responseSerialize: message => Buffer.from(toBinary(output, message)),
+		responseSerialize: message => encodeMessage(output, message),
 		responseDeserialize: bytes => fromBinary(output, bytes)
 	}
 }
