--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -37,7 +37,8 @@
 import {
 	BuildRecorder,
 	type BuildStore,
-	StreamDirectory
+	StreamDirectory,
+	ViewCheck
 } from "./streams/index.js"
 import type {WireCodec} from "./wire.js"
 
@@ -67,6 +68,11 @@
 	isFresh?: () => boolean
 	/** Whether this gateway has recently read the configuration; as `isFresh` else. */
 	isConfigFresh?: () => boolean
+	/**
+	 * Reads all endpoints from the store into the fleet state; rejects if that fails.
+	 * Without it, the state counts as current.
+	 */
+	readEndpoints?: () => Promise<void>
 	/** Where the builds of pools are kept; without it those that left are unknown. */
 	buildStore?: BuildStore
 	/** Whether the system serves for the first time; false by default. */
@@ -209,12 +215,16 @@
 			now
 		})
 		const {fleet, recorder} = this
-		const {isFresh, isConfigFresh = isFresh} = options
+		const {isFresh, isConfigFresh = isFresh, readEndpoints} = options
 		const streams = new StreamDirectory({
 			fleet,
 			links,
 			recorder,
 			isViewFresh: () => isFresh?.() !== false || this.follower.isCovered,
+			viewCheck:
+				readEndpoints === undefined
+					? undefined
+					: new ViewCheck({readEndpoints, log}),
 			now
 		})
 		this.callerBuffers = new CallerBuffers({
--- a/src/gateway/streams/streamDirectory.ts
+++ b/src/gateway/streams/streamDirectory.ts
@@ -16,6 +16,7 @@
 import type {AgentLinks} from "../links/agentLinks.js"
 import type {FleetState} from "../fleet/fleetState.js"
 import type {BuildRecorder} from "./buildRecorder.js"
+import type {ViewCheck} from "./viewCheck.js"
 
 export interface StreamDirectoryOptions {
 	fleet: FleetState
@@ -23,6 +24,8 @@
 	recorder: BuildRecorder
 	/** Whether changes of the endpoints reach this gateway. */
 	isViewFresh: () => boolean
+	/** Undefined where the endpoints come from no store. */
+	viewCheck: ViewCheck | undefined
 	/** Monotonic milliseconds. */
 	now: () => number
 }
@@ -106,6 +109,13 @@
 		return isRecorded ? sole : undefined
 	}
 
+	/** Calls back with whether all endpoints are known that joined before this call. */
+	checkView(onDone: (isCurrent: boolean) => void): void {
+		const {viewCheck} = this.options
+		if (viewCheck === undefined) onDone(true)
+		else viewCheck.run(onDone)
+	}
+
 	/**
 	 * Calls back with the origin of a stream, or with undefined when no agent that
 	 * could be asked knows it.
--- a/src/gateway/streams/streamResumption.ts
+++ b/src/gateway/streams/streamResumption.ts
@@ -14,6 +14,8 @@
 	onRefused: (reason: string) => void
 }
 
+const unknownOrigin = "unknown origin of the stream"
+
 /** How long after its begin the stream of a request may be resumed. */
 export function getStreamSpanMs({route, exchange}: RoutedRequest): number {
 	return Math.max(route.timeoutMs, exchange.head.patienceMs ?? 0)
@@ -30,10 +32,12 @@
 			build: origin?.build,
 			waitedMs: Math.round(ctx.now() - askedAt)
 		})
-		const reason =
-			origin === undefined ? bindUnknown(options) : bind(options, origin)
-		if (reason === undefined) options.onPermitted()
-		else options.onRefused(reason)
+		const finish = (reason: string | undefined): void => {
+			if (reason === undefined) options.onPermitted()
+			else options.onRefused(reason)
+		}
+		if (origin === undefined) bindUnknown(options, finish)
+		else finish(bind(options, origin))
 	}
 	if (originId === "") decide(undefined)
 	else ctx.streams.find(originId, decide)
@@ -41,18 +45,24 @@
 
 /**
  * Binds a request of unknown origin to the only build that can have begun its
- * stream. Returns why the stream can't go on if there may have been another.
+ * stream. Calls back with why the stream can't go on if there may have been another.
  */
-function bindUnknown({
-	ctx,
-	request,
-	binding
-}: StreamResumptionOptions): string | undefined {
+function bindUnknown(
+	{ctx, request, binding}: StreamResumptionOptions,
+	onDone: (reason: string | undefined) => void
+): void {
 	const spanMs = getStreamSpanMs(request)
-	const build = ctx.streams.findSettled(request.pool, spanMs)
-	if (build === undefined) return "unknown origin of the stream"
-	binding.bind(build)
-	return undefined
+	const findBuild = (): string | undefined =>
+		ctx.streams.findSettled(request.pool, spanMs)
+	if (findBuild() === undefined) {
+		onDone(unknownOrigin)
+		return
+	}
+	ctx.streams.checkView(isCurrent => {
+		const build = isCurrent ? findBuild() : undefined
+		if (build !== undefined) binding.bind(build)
+		onDone(build === undefined ? unknownOrigin : undefined)
+	})
 }
 
 /**
