--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -219,8 +219,10 @@
 			)
 			this.loop.requestReport()
 		} else if (body.case === "version") {
-			const {model, adapter, version} = body.value
-			if (!this.scheduler.slots.announce(model, adapter, version, now)) return
+			const {model, adapter, version, ageMs} = body.value
+			const announcedAt = now - ageMs
+			if (!this.scheduler.slots.announce(model, adapter, version, announcedAt))
+				return
 			this.options.log.decide("version.newer", {model, adapter, version})
 			this.loop.requestPlan()
 		} else if (isNotice(body)) {
@@ -319,7 +321,8 @@
 	private handleAsk(owner: string, ask: Ask, now: number): void {
 		if (ask.minVersion > 0) {
 			const {model, adapter, minVersion} = ask
-			this.scheduler.slots.announce(model, adapter, minVersion, now)
+			const announcedAt = now - ask.minVersionAgeMs
+			this.scheduler.slots.announce(model, adapter, minVersion, announcedAt)
 		}
 		this.sendDecisions(this.scheduler.submit(decodeAsk(owner, ask, now), now))
 		this.loop.requestPlan()
--- a/src/gateway/fleet/__tests__/fleetState.test.ts
+++ b/src/gateway/fleet/__tests__/fleetState.test.ts
@@ -77,6 +77,16 @@
 		expect(fleet.getMinVersion("m", "a")).toBe(3)
 	})
 
+	it("knows since when a version is announced, unless it was found in a list", () => {
+		const fleet = new FleetState(createLog())
+		fleet.applyVersion({model: "m", adapter: "a", version: 3}, 100)
+		expect(fleet.getVersionAgeMs("m", "a", 700)).toBe(600)
+		fleet.applyVersion({model: "m", adapter: "a", version: 3}, 600)
+		expect(fleet.getVersionAgeMs("m", "a", 700)).toBe(600)
+		fleet.applyVersion({model: "m", adapter: "a", version: 4})
+		expect(fleet.getVersionAgeMs("m", "a", 700)).toBe(Infinity)
+	})
+
 	it("ignores older revisions of an endpoint, also after its removal", () => {
 		const fleet = new FleetState(createLog())
 		fleet.applyEndpoint(createEndpoint("i-1", 4, EndpointState.Draining), 0)
--- a/src/gateway/fleet/fleetFollower.ts
+++ b/src/gateway/fleet/fleetFollower.ts
@@ -159,7 +159,8 @@
 		}
 		if (isFresh) fleet.noteEra(update.era, source.address)
 		this.applyConfig(update, source)
-		for (const version of update.versions) fleet.applyVersion(version)
+		const heardAt = update.isWhole ? undefined : now()
+		for (const version of update.versions) fleet.applyVersion(version, heardAt)
 		// A source that lost the store may still list removed endpoints, so its list
 		// is used only while this gateway knows no endpoints.
 		if (!isFresh && fleet.listEndpoints().length > 0) return
--- a/src/gateway/fleet/fleetState.ts
+++ b/src/gateway/fleet/fleetState.ts
@@ -48,6 +48,8 @@
 	>()
 	private knownEra = 0
 	private readonly versions = new Map<string, AnnouncedVersion>()
+	/** When each of `versions` was heard of; see `applyVersion`. */
+	private readonly versionHeardAt = new Map<string, number>()
 	/**
 	 * Endpoints whose registration is missing after a store outage, with the time
 	 * at which they are removed unless they register again after that revision.
@@ -284,11 +286,19 @@
 		this.notifyEndpointsChanged()
 	}
 
-	applyVersion(version: AnnouncedVersion): void {
+	/**
+	 * Applies an announced version. `heardAt` is the time of its announcement as far as
+	 * is known; by default it may be long ago, as for a version found in a list.
+	 */
+	applyVersion(
+		version: AnnouncedVersion,
+		heardAt = Number.NEGATIVE_INFINITY
+	): void {
 		const key = slotKey(version.model, version.adapter)
 		const known = this.versions.get(key)
 		if (known !== undefined && known.version >= version.version) return
 		this.versions.set(key, version)
+		this.versionHeardAt.set(key, heardAt)
 		this.log.decide("version.newest", {...version})
 		for (const listener of this.listeners) listener.onVersion?.(version)
 	}
@@ -298,6 +308,12 @@
 		return this.versions.get(key)
 	}
 
+	/** Time since the newest version was announced; infinite if that is not known. */
+	getVersionAgeMs(model: string, adapter: string, now: number): number {
+		const heardAt = this.versionHeardAt.get(slotKey(model, adapter))
+		return heardAt === undefined ? 0 : now - heardAt
+	}
+
 	/** Lowest version that may serve: the newest announced one, 0 if none was. */
 	getMinVersion(model: string, adapter: string): number {
 		return this.versions.get(slotKey(model, adapter))?.version ?? 0
--- a/src/gateway/links/agentLink.ts
+++ b/src/gateway/links/agentLink.ts
@@ -20,8 +20,11 @@
 	type QuotaAsk,
 	type QuotaUse,
 	RefuseReason,
-	type StreamOrigin
+	type StreamOrigin,
+	VersionNoticeSchema
 } from "../../contract/gen/grants_pb.js"
+import type {AnnouncedVersion} from "../../contract/fleet.js"
+import {toCount} from "../../contract/wireValues.js"
 import {findEncodeError} from "../../link/encoding.js"
 import {type OpenGrantStream, openGrantStream} from "../../link/fleetLink.js"
 import type {TlsKeys} from "../../link/tls.js"
@@ -192,9 +195,17 @@
 	}
 
 	/** Tells the agent the newest announced version of an adapter. */
-	announceVersion(model: string, adapter: string, version: number): void {
-		const $typeName = "goldcrestloom.grants.v1.VersionNotice"
-		this.send({case: "version", value: {$typeName, model, adapter, version}})
+	announceVersion(
+		{model, adapter, version}: AnnouncedVersion,
+		ageMs: number
+	): void {
+		const value = create(VersionNoticeSchema, {
+			model,
+			adapter,
+			version,
+			ageMs: toCount(ageMs)
+		})
+		this.send({case: "version", value})
 	}
 
 	/**
--- a/src/gateway/links/agentLinks.ts
+++ b/src/gateway/links/agentLinks.ts
@@ -4,7 +4,11 @@
  * address changes, and passes each agent's `EngineState` to the engine choice.
  */
 import {create} from "@bufbuild/protobuf"
-import {slotKey, type FleetEndpoint} from "../../contract/fleet.js"
+import {
+	type AnnouncedVersion,
+	type FleetEndpoint,
+	slotKey
+} from "../../contract/fleet.js"
 import {
 	type EngineLimits,
 	EngineLimitsSchema,
@@ -96,12 +100,12 @@
 				this.syncLinks()
 				for (const link of this.links.values()) link.sendHello()
 			},
-			onVersion: ({model, adapter, version}) => {
+			onVersion: version => {
 				// The other agents hear it when they load the adapter, and with each ask.
-				const key = slotKey(model, adapter)
+				const key = slotKey(version.model, version.adapter)
 				for (const [id, link] of this.links) {
 					if (!options.engineChoice.isResident(id, key)) continue
-					link.announceVersion(model, adapter, version)
+					this.announceVersion(link, version)
 				}
 			}
 		})
@@ -290,7 +294,7 @@
 				for (const key of [...state.resident, ...state.loaded]) {
 					const newest = fleet.findVersion(key)
 					if (newest === undefined) continue
-					link.announceVersion(newest.model, newest.adapter, newest.version)
+					this.announceVersion(link, newest)
 				}
 			},
 			onNotice: notice => {
@@ -328,6 +332,12 @@
 		return link
 	}
 
+	private announceVersion(link: AgentLink, version: AnnouncedVersion): void {
+		const {fleet, now} = this.options
+		const {model, adapter} = version
+		link.announceVersion(version, fleet.getVersionAgeMs(model, adapter, now()))
+	}
+
 	private getLimits(pool: string): EngineLimits | undefined {
 		const engine = this.options.fleet.getPool(pool)?.engine
 		if (engine === undefined) return undefined
--- a/src/gateway/sends/engineSearch.ts
+++ b/src/gateway/sends/engineSearch.ts
@@ -302,6 +302,7 @@
 			model,
 			adapter,
 			minVersion: ctx.fleet.getMinVersion(model, adapter),
+			minVersionAgeMs: toCount(ctx.fleet.getVersionAgeMs(model, adapter, now)),
 			parts: generation.parts.map(part => ({
 				$typeName: "goldcrestloom.grants.v1.PromptPart",
 				...part
--- a/src/policy/grants/__tests__/adapterSlots.test.ts
+++ b/src/policy/grants/__tests__/adapterSlots.test.ts
@@ -84,6 +84,19 @@
 		expect(slots.getReadyVersion("base", "a1", 2000)).toBeUndefined()
 	})
 
+	// Guards against grants on an old version by an agent that heard late of the newer.
+	it("counts the grace period from the earliest announcement that it is told of", () => {
+		const slots = createSlots(["a1"])
+		slots.pin("base", "a1", 0)
+		expect(slots.announce("base", "a1", 4, 7000)).toBe(true)
+		expect(slots.getReadyVersion("base", "a1", 7001)).toBe(1)
+		expect(slots.announce("base", "a1", 4, 100)).toBe(false)
+		expect(slots.getReadyVersion("base", "a1", 7001)).toBeUndefined()
+		expect(slots.announce("base", "a1", 4, 7000)).toBe(false)
+		expect(slots.getReadyVersion("base", "a1", 7001)).toBeUndefined()
+		expect(slots.planOrder([], 7001, true)).toMatchObject({version: 4})
+	})
+
 	it("replaces a version that became outdated during its load", () => {
 		const slots = createSlots(["a1"])
 		slots.announce("base", "a1", 4, 0)
--- a/src/policy/grants/adapterSlots.ts
+++ b/src/policy/grants/adapterSlots.ts
@@ -103,19 +103,24 @@
 	}
 
 	/**
-	 * Records that `version` of the adapter exists. Returns false if that version
-	 * or a newer one was announced before.
+	 * Records that `version` of the adapter was announced at that time, or before: the
+	 * earliest time that a gateway states counts, since this agent or a gateway may
+	 * have heard of it late. Returns false if that version or a newer one is known.
 	 */
 	announce(
 		model: string,
 		adapter: string,
 		version: number,
-		now: number
+		announcedAt: number
 	): boolean {
 		const key = slotKey(model, adapter)
 		const known = this.newestVersions.get(key)
-		if (known !== undefined && known.version >= version) return false
-		this.newestVersions.set(key, {version, learnedAt: now})
+		if (known !== undefined && known.version > version) return false
+		if (known?.version === version) {
+			known.announcedAt = Math.min(known.announcedAt, announcedAt)
+			return false
+		}
+		this.newestVersions.set(key, {version, announcedAt})
 		return true
 	}
 
@@ -140,7 +145,7 @@
 		if (this.isEvictionPending(key)) return undefined
 		const newest = this.newestVersions.get(key)
 		const isStale = newest !== undefined && slot.version < newest.version
-		if (isStale && now > newest.learnedAt + outdatedVersionGraceMs)
+		if (isStale && now > newest.announcedAt + outdatedVersionGraceMs)
 			return undefined
 		return slot.version
 	}
--- a/src/policy/grants/orderPlan.ts
+++ b/src/policy/grants/orderPlan.ts
@@ -26,8 +26,8 @@
 
 export interface NewestVersion {
 	version: number
-	/** Time at which a gateway announced it to the agent. */
-	learnedAt: number
+	/** Earliest time at which it was announced, as far as gateways know. */
+	announcedAt: number
 }
 
 /** The adapter, or with an empty name the base model, that a request needs. */
@@ -100,7 +100,7 @@
 		// requests are granted on the old version, and the engine replaces it once its
 		// runs have ended.
 		const isDue =
-			!view.isPinned(key) || now > newest.learnedAt + outdatedVersionGraceMs
+			!view.isPinned(key) || now > newest.announcedAt + outdatedVersionGraceMs
 		if (!isDue || countLoading(view) >= maxLoadingAdapters) continue
 		const {model, adapter} = slot
 		const {version} = newest
