--- a/src/gateway/fleet/__tests__/fleetPublisher.test.ts
+++ b/src/gateway/fleet/__tests__/fleetPublisher.test.ts
@@ -2,11 +2,7 @@
 import * as grpc from "@grpc/grpc-js"
 import {create} from "@bufbuild/protobuf"
 import {afterEach, beforeEach, describe, expect, it, vi} from "vitest"
-import {
-	EndpointState,
-	type FleetConfig,
-	type FleetEndpoint
-} from "../../../contract/fleet.js"
+import type {FleetConfig} from "../../../contract/fleet.js"
 import {
 	FollowRequestSchema,
 	type FleetUpdate
@@ -17,6 +13,7 @@
 import {createLoopbackIp} from "../../__tests__/loopback.js"
 import {FleetPublisher} from "../fleetPublisher.js"
 import {FleetState} from "../fleetState.js"
+import {createEndpoint} from "./endpoints.js"
 import {
 	decodePublishedConfig,
 	inflatePublishedConfig
@@ -32,22 +29,6 @@
 	return {version, routes: [], pools: [], limits, members: undefined}
 }
 
-function createEndpoint(revision: number): FleetEndpoint {
-	return {
-		id: "i-1",
-		pool: "desk",
-		address: "10.0.0.1:80",
-		failureDomain: "a",
-		seats: 6,
-		state: EndpointState.Ready,
-		bornAt: 1,
-		build: "v1",
-		era: 1,
-		revision,
-		residents: []
-	}
-}
-
 let address: string
 let fleet: FleetState
 let publisher: FleetPublisher
--- a/src/gateway/fleet/__tests__/lapsedRegistrations.test.ts
+++ b/src/gateway/fleet/__tests__/lapsedRegistrations.test.ts
@@ -1,29 +1,13 @@
 // Guards against requests to endpoints that left around an outage of the store, and
 // against the loss of live endpoints whose registrations lapsed in it.
 import {beforeEach, describe, expect, it} from "vitest"
-import {EndpointState, type FleetEndpoint} from "../../../contract/fleet.js"
 import {createSilentLog} from "../../../program/__tests__/silentLog.js"
 import {FleetState} from "../fleetState.js"
+import {createEndpoint} from "./endpoints.js"
 
 const era = 1
 const graceMs = 2000
 
-function createEndpoint(revision: number): FleetEndpoint {
-	return {
-		id: "i-1",
-		pool: "desk",
-		address: "10.0.0.1:80",
-		failureDomain: "a",
-		seats: 6,
-		state: EndpointState.Ready,
-		bornAt: 1,
-		build: "v1",
-		era,
-		revision,
-		residents: []
-	}
-}
-
 let fleet: FleetState
 
 beforeEach(() => {
--- a/src/gateway/fleet/fleetState.ts
+++ b/src/gateway/fleet/fleetState.ts
@@ -24,6 +24,7 @@
 	withholdMs
 } from "../../policy/registrations/index.js"
 import type {DecisionLog} from "../../program/decisionLog.js"
+import {AnnouncedVersions} from "./announcedVersions.js"
 
 export interface FleetListener {
 	onConfig?(config: FleetConfig): void
@@ -47,9 +48,7 @@
 		{endpoint: FleetEndpoint; admitAt: number}
 	>()
 	private knownEra = 0
-	private readonly versions = new Map<string, AnnouncedVersion>()
-	/** When each of `versions` was heard of; see `applyVersion`. */
-	private readonly versionHeardAt = new Map<string, number>()
+	private readonly versions = new AnnouncedVersions()
 	/**
 	 * Endpoints whose registration is missing after a store outage, with the time
 	 * at which they are removed unless they register again after that revision.
@@ -294,29 +293,24 @@
 		version: AnnouncedVersion,
 		heardAt = Number.NEGATIVE_INFINITY
 	): void {
-		const key = slotKey(version.model, version.adapter)
-		const known = this.versions.get(key)
-		if (known !== undefined && known.version >= version.version) return
-		this.versions.set(key, version)
-		this.versionHeardAt.set(key, heardAt)
+		if (!this.versions.add(version, heardAt)) return
 		this.log.decide("version.newest", {...version})
 		for (const listener of this.listeners) listener.onVersion?.(version)
 	}
 
 	/** The newest announced version of the adapter with this slot key. */
 	findVersion(key: string): AnnouncedVersion | undefined {
-		return this.versions.get(key)
+		return this.versions.find(key)
 	}
 
 	/** Time since the newest version was announced; infinite if that is not known. */
 	getVersionAgeMs(model: string, adapter: string, now: number): number {
-		const heardAt = this.versionHeardAt.get(slotKey(model, adapter))
-		return heardAt === undefined ? 0 : now - heardAt
+		return this.versions.getAgeMs(slotKey(model, adapter), now)
 	}
 
 	/** Lowest version that may serve: the newest announced one, 0 if none was. */
 	getMinVersion(model: string, adapter: string): number {
-		return this.versions.get(slotKey(model, adapter))?.version ?? 0
+		return this.versions.find(slotKey(model, adapter))?.version ?? 0
 	}
 
 	/** Registrations that were removed, each with the revision of its removal. */
@@ -325,7 +319,7 @@
 	}
 
 	listVersions(): AnnouncedVersion[] {
-		return [...this.versions.values()]
+		return this.versions.list()
 	}
 
 	private indexMembers(members: readonly Member[]): void {
