--- a/src/policy/streams/__tests__/buildRecord.test.ts
+++ b/src/policy/streams/__tests__/buildRecord.test.ts
@@ -61,6 +61,18 @@
 		}
 	})
 
+	// Guards against a record that a conflict brought, which lacks a build seen since.
+	it("counts a build that it has seen and the record lacks", () => {
+		const plan = createPlan()
+		plan.applyRead({builds: ["v1"], era, revision: 4}, 0)
+		plan.observe(new Set(["v2"]), 10)
+		plan.applyRead({builds: ["v1"], era, revision: 5}, 10)
+		expect(plan.isSole("v1", era)).toBe(false)
+		plan.observe(new Set(["v1"]), 10 + forgetAfterMs)
+		plan.plan(era, 10 + forgetAfterMs)
+		expect(plan.isSole("v1", era)).toBe(true)
+	})
+
 	it("never shows a restarted gateway one build while streams of two may go on", () => {
 		const step = fc.record({
 			present: fc.subarray(["v1", "v2", "v3"], {minLength: 1}),
--- a/src/policy/streams/buildRecord.ts
+++ b/src/policy/streams/buildRecord.ts
@@ -71,10 +71,14 @@
 		return isCurrent && isSameList(builds, record.builds) ? undefined : builds
 	}
 
-	/** Whether no other build than this one can have begun a stream. */
+	/**
+	 * Whether no other build than this one can have begun a stream, by the record and
+	 * by what this gateway has seen that isn't on it yet.
+	 */
 	isSole(build: string, era: number): boolean {
 		const {record} = this
 		if (record === undefined || record.revision === 0) return false
+		for (const seen of this.lastSeenAt.keys()) if (seen !== build) return false
 		const {builds} = record
 		return record.era === era && builds.length === 1 && builds[0] === build
 	}
