--- a/src/gateway/streams/viewCheck.ts
+++ b/src/gateway/streams/viewCheck.ts
@@ -41,7 +41,8 @@
 			clearTimeout(timer)
 			this.isReading = false
 			for (const onDone of served) onDone(isCurrent)
-			if (this.waiting.length > 0) this.read()
+			// A handler may have started a read that serves those that wait.
+			if (this.waiting.length > 0 && !this.isReading) this.read()
 		}
 		const fail = (reason: string): void => {
 			if (isOpen) this.options.log.decide("endpoints.unconfirmed", {reason})
