--- a/src/gateway/streams/viewCheck.ts
+++ b/src/gateway/streams/viewCheck.ts
@@ -27,7 +27,12 @@
 	/** Calls back once, with whether all that joined before this call is known. */
 	run(onDone: DoneHandler): void {
 		this.waiting.push(onDone)
-		if (!this.isReading) this.read()
+		this.readNext()
+	}
+
+	/** Starts a read for those that wait, unless one is running. */
+	private readNext(): void {
+		if (this.waiting.length > 0 && !this.isReading) this.read()
 	}
 
 	private read(): void {
@@ -41,8 +46,7 @@
 			clearTimeout(timer)
 			this.isReading = false
 			for (const onDone of served) onDone(isCurrent)
-			// A handler may have started a read that serves those that wait.
-			if (this.waiting.length > 0 && !this.isReading) this.read()
+			this.readNext()
 		}
 		const fail = (reason: string): void => {
 			if (isOpen) this.options.log.decide("endpoints.unconfirmed", {reason})
