Record builds of configured pools, each by itself

Four gateways of the users logged "builds.failed", status 400, again and again.

Cause: gateways recorded the builds of each pool that any entry names.

Records are now kept for pools that a configuration has named, and each write fails alone. The stand-in of the store rejects the same names.

buildRecorder.test.ts: 2 of 2 failed before and pass. mixedBuilds, storeView and store tests pass with the stricter stand-in.

--- a/src/gateway/streams/buildRecorder.ts
+++ b/src/gateway/streams/buildRecorder.ts
@@ -56,14 +56,19 @@
 		this.isBusy = true
 		void this.step(store)
 			.catch((err: unknown) => {
-				this.retryAt = now() + retryDelayMs
-				this.options.log.decide("builds.failed", {error: messageOf(err)})
+				this.noteFailure(err, {})
 			})
 			.finally(() => {
 				this.isBusy = false
 			})
 	}
 
+	private noteFailure(err: unknown, fields: {pool?: string}): void {
+		this.retryAt = this.options.now() + retryDelayMs
+		const error = messageOf(err)
+		this.options.log.decide("builds.failed", {...fields, error})
+	}
+
 	private async step(store: BuildStore): Promise<void> {
 		if (this.records === undefined) {
 			await this.read(store)
@@ -71,20 +76,33 @@
 		}
 		if (!this.options.isWriter()) return
 		for (const [pool, plan] of this.plans) {
-			const builds = plan.plan(store.era, this.options.now())
-			if (builds === undefined) continue
-			const written = await store.write(pool, builds, plan.revision)
-			this.options.log.decide("builds.written", {
-				pool,
-				builds,
-				isConflict: written === undefined
-			})
-			// Another gateway wrote; what it saw counts, too.
-			if (written === undefined) await this.read(store)
-			else plan.applyWritten(written)
+			try {
+				await this.write(store, pool, plan)
+			} catch (err) {
+				// The store may reject the record of one pool and take those of others.
+				this.noteFailure(err, {pool})
+			}
 		}
 	}
 
+	private async write(
+		store: BuildStore,
+		pool: string,
+		plan: BuildRecordPlan
+	): Promise<void> {
+		const builds = plan.plan(store.era, this.options.now())
+		if (builds === undefined) return
+		const written = await store.write(pool, builds, plan.revision)
+		this.options.log.decide("builds.written", {
+			pool,
+			builds,
+			isConflict: written === undefined
+		})
+		// Another gateway wrote; what it saw counts, too.
+		if (written === undefined) await this.read(store)
+		else plan.applyWritten(written)
+	}
+
 	private async read(store: BuildStore): Promise<void> {
 		const {now} = this.options
 		const records = await store.readAll()
@@ -104,9 +122,12 @@
 		return plan
 	}
 
+	/** Builds of the pools that a configuration has named; entries may name others. */
 	private listBuilds(): Map<string, Set<string>> {
+		const {fleet} = this.options
 		const pools = new Map<string, Set<string>>()
-		for (const {pool, build} of this.options.fleet.listEndpoints()) {
+		for (const {pool, build} of fleet.listEndpoints()) {
+			if (fleet.getPool(pool) === undefined && !this.plans.has(pool)) continue
 			const builds = pools.get(pool) ?? new Set()
 			builds.add(build)
 			pools.set(pool, builds)
--- a/standins/fleet/fleetStore.ts
+++ b/standins/fleet/fleetStore.ts
@@ -15,6 +15,8 @@
 	spec: unknown
 }
 
+const maxNameLength = 255
+
 export class FleetStore {
 	address = ""
 	/** Answers every call with this status and does nothing; 0 for never. */
@@ -237,13 +239,18 @@
 				spec: unknown
 			}
 			const name = path === "" ? body.metadata.name : path
+			if (!isStorable(name) || !isWellFormed(JSON.stringify(body.spec))) {
+				this.reply(res, 400, {})
+				return
+			}
 			const known = this.getOrCreateItems(kind).get(name)
 			const isConflict =
 				path === ""
 					? known !== undefined
 					: known?.revision !== body.metadata.revision
 			if (isConflict) {
-				this.reply(res, 409, encode(known))
+				const status = known === undefined ? 404 : 409
+				this.reply(res, status, encode(known))
 				return
 			}
 			this.put(kind, name, body.spec)
@@ -253,6 +260,16 @@
 	}
 }
 
+/** The users' store was seen to reject an empty name and one of 300 characters. */
+function isStorable(name: string): boolean {
+	return name !== "" && name.length <= maxNameLength && isWellFormed(name)
+}
+
+/** A lone surrogate has no encoding in UTF-8. */
+function isWellFormed(text: string): boolean {
+	return !/\p{Surrogate}|\\ud[89a-f]/u.test(text)
+}
+
 /** Stands for bytes in names that are no UTF-8, and sorts behind U+FFFD as they do. */
 const unreadable = /\uffff/g
 
