--- a/src/gateway/wire.ts
+++ b/src/gateway/wire.ts
@@ -94,7 +94,7 @@
 	 * the address, or the engine does not hold the expected adapter version.
 	 */
 	isMisdirected: boolean
-	/** Whether its body is a stream of events. */
+	/** Whether its body can be a stream of events, by the type that it states. */
 	isEventStream: boolean
 	load: EndpointLoad | undefined
 	/** Whether the endpoint states that it is leaving. */
