Answer what still runs at the end of a drain (LOST)

Callers whose request ran longer than the rest of the grace period, or whose body wasn't whole by then, got a closed connection.

Cause: the end of a drain closed connections, and nothing told the requests on them. They now end as they do when the process's buffers are full: 503 if they have not run, 502 if they may have; streams that have begun are cut, as before.

--- a/src/gateway/callers/callerExchange.ts
+++ b/src/gateway/callers/callerExchange.ts
@@ -55,6 +55,8 @@
 const overQuota = "over the quota"
 /** Why a request ends whose bytes the process can't hold any longer. */
 export const buffersFull = "buffers are full"
+/** Why a request ends because its process does. */
+export const leaving = "leaving"
 /** Slow callers at the bound are gone by then. */
 export const overflowRetryAfterMs = 1000
 
@@ -63,9 +65,10 @@
 	onDisconnect: (() => void) | undefined
 	/**
 	 * Called when the request has to end before its response has begun, because the
-	 * process's buffers are full. Without it, the request is refused as not run.
+	 * process's buffers are full or the process ends. Without it, the request is refused
+	 * as not run.
 	 */
-	onOverflow: (() => void) | undefined
+	onGivenUp: ((reason: string) => void) | undefined
 	/** Called when the stream has room again. */
 	onRoom: (() => void) | undefined
 	/** What the gateway holds in memory for this request. */
@@ -218,6 +221,17 @@
 		this.recordOutcome(RequestOutcome.Rejected, {status, reason, ...logFields})
 	}
 
+	/**
+	 * Answers the request because the process ends, unless its response has begun: as
+	 * not run or as unknown.
+	 */
+	endForDrain(): void {
+		if (this.hasEnded || this.isHeadWritten) return
+		this.options.res.setHeader("Connection", "close")
+		if (this.onGivenUp !== undefined) this.onGivenUp(leaving)
+		else this.refuse(leaving, 0, {})
+	}
+
 	/**
 	 * Ends a request that is to be answered as not run although it may have run or its
 	 * response has begun: nothing of that kind may be said any more.
@@ -255,7 +269,7 @@
 		log.request("request.shed", head.id, fields)
 		// What is left of the body is dropped.
 		if (part === BufferPart.Upload) res.setHeader("Connection", "close")
-		if (this.onOverflow !== undefined) this.onOverflow()
+		if (this.onGivenUp !== undefined) this.onGivenUp(buffersFull)
 		else this.refuse(buffersFull, overflowRetryAfterMs, {})
 	}
 
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -17,7 +17,7 @@
 } from "../contract/fleet.js"
 import {CallerConnections} from "../program/callerConnections.js"
 import {sleep} from "../utils/common.js"
-import {CallerExchange, CloseReason} from "./callers/callerExchange.js"
+import {CallerExchange, CloseReason, leaving} from "./callers/callerExchange.js"
 import {readBody} from "./callers/readBody.js"
 import {DeadlineSource, type GatewayContext} from "./gatewayContext.js"
 import {GenerationTask} from "./sends/generationTask.js"
@@ -48,10 +48,12 @@
 /** Time within which the load balancer notices that the readiness probe fails. */
 const balancerNoticeMs = 2500
 /**
- * Time at the end of the grace period that is reserved for closing the remaining
- * connections.
+ * Time at the end of the grace period that is reserved for answering what still runs
+ * and for closing the remaining connections.
  */
 const closeReserveMs = 700
+/** Part of it in which answers are written. */
+const answerReserveShare = 0.5
 const drainPollMs = 50
 const httpNotFound = 404
 const httpTooLarge = 413
@@ -65,6 +67,8 @@
 	/** Connections that the gateway closed because they were idle. */
 	private readonly idleSockets = new WeakSet<Socket>()
 	private readonly connections: CallerConnections
+	/** Requests whose connections are open. */
+	private readonly exchanges = new Set<CallerExchange>()
 	/** Whether no further connections are accepted. */
 	private hasStoppedListening = false
 	private isClosingAll = false
@@ -121,23 +125,32 @@
 
 	/**
 	 * Fails the readiness probe, keeps serving until the load balancer has noticed,
-	 * then waits for active requests until shortly before the grace period ends.
+	 * then waits for active requests until shortly before the grace period ends, and
+	 * answers those whose response has not begun.
 	 */
 	async drain(): Promise<void> {
-		const {now} = this.options.ctx
-		this.drainStartedAt = now()
-		const closeBy = this.drainStartedAt + this.options.graceMs - closeReserveMs
+		const {ctx, graceMs} = this.options
+		this.drainStartedAt = ctx.now()
+		const reserveMs = closeReserveMs
+		const answerBy = this.drainStartedAt + graceMs - reserveMs
 		await sleep(balancerNoticeMs)
 		// From here on a request can only arrive on a connection that has an active
 		// request; the response to that request closes the connection.
 		this.server.close()
 		this.hasStoppedListening = true
-		while (this.activeRequests > 0 && now() < closeBy) {
+		await this.waitForRequests(answerBy)
+		for (const exchange of [...this.exchanges]) exchange.endForDrain()
+		// Streams that have begun go on meanwhile.
+		await this.waitForRequests(answerBy + reserveMs * answerReserveShare)
+		this.isClosingAll = true
+		this.server.closeAllConnections()
+	}
+
+	private async waitForRequests(deadline: number): Promise<void> {
+		while (this.activeRequests > 0 && this.options.ctx.now() < deadline) {
 			this.server.closeIdleConnections()
 			await sleep(drainPollMs)
 		}
-		this.isClosingAll = true
-		this.server.closeAllConnections()
 	}
 
 	private closeIdleSocket(socket: Socket): void {
@@ -204,6 +217,8 @@
 			getCloseReason: () => this.getCloseReason(req.socket),
 			now
 		})
+		this.exchanges.add(exchange)
+		res.once("close", () => this.exchanges.delete(exchange))
 		if (fleet.config === undefined) {
 			exchange.refuse("no configuration yet", unconfiguredRetryAfterMs, {})
 			return
@@ -256,7 +271,7 @@
 		}
 		// The process may be killed before the request ends.
 		if (this.hasStoppedListening) {
-			exchange.refuse("leaving", 0, {})
+			exchange.refuse(leaving, 0, {})
 			return
 		}
 		const request = {
--- a/src/gateway/sends/requestTask.ts
+++ b/src/gateway/sends/requestTask.ts
@@ -36,8 +36,8 @@
 			if (this.hasBegun) this.handleDisconnect()
 			else this.cancel()
 		}
-		exchange.onOverflow = () => {
-			this.handleOverflow()
+		exchange.onGivenUp = reason => {
+			this.giveUp(reason)
 		}
 		this.endAccessWatch = ctx.access.watch(() => {
 			this.recheckAccess()
@@ -103,8 +103,8 @@
 	/** Whether a call to an endpoint is open. */
 	protected abstract get hasOpenCall(): boolean
 
-	/** Called when the request has to end because the process's buffers are full. */
-	protected abstract handleOverflow(): void
+	/** Called when the request has to end for a reason that isn't its own. */
+	protected abstract giveUp(reason: string): void
 
 	/** Called when the caller disconnects before its response is complete. */
 	protected abstract handleDisconnect(): void
--- a/src/gateway/sends/serviceTask.ts
+++ b/src/gateway/sends/serviceTask.ts
@@ -7,7 +7,6 @@
 import {type FleetEndpoint, RouteKind} from "../../contract/fleet.js"
 import {BodyBuffer} from "../callers/bodyBuffer.js"
 import {
-	buffersFull,
 	type LogFields,
 	overflowRetryAfterMs
 } from "../callers/callerExchange.js"
@@ -335,14 +334,14 @@
 		return this.openCalls.size > 0
 	}
 
-	protected override handleOverflow(): void {
+	protected override giveUp(reason: string): void {
 		const {exchange} = this.request
 		const wasSent =
 			this.mayHaveRun || [...this.openCalls].some(call => call.wasSent)
 		this.cancel()
 		const logFields = {sends: this.sends, tried: [...this.tried]}
-		if (wasSent) exchange.respondUnknown(buffersFull, logFields)
-		else exchange.refuse(buffersFull, overflowRetryAfterMs, logFields)
+		if (wasSent) exchange.respondUnknown(reason, logFields)
+		else exchange.refuse(reason, overflowRetryAfterMs, logFields)
 	}
 
 	protected override handleDeadline(): void {
