--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -47,11 +47,14 @@
 const unconfiguredRetryAfterMs = 500
 /** Time within which the load balancer notices that the readiness probe fails. */
 const balancerNoticeMs = 2500
+/** The rest of a short grace period is left to requests on their way. */
+const maxNoticeShare = 0.75
 /**
  * Time at the end of the grace period that is reserved for answering what still runs
  * and for closing the remaining connections.
  */
 const closeReserveMs = 700
+const maxCloseReserveShare = 0.3
 /** Part of it in which answers are written. */
 const answerReserveShare = 0.5
 const drainPollMs = 50
@@ -131,9 +134,10 @@
 	async drain(): Promise<void> {
 		const {ctx, graceMs} = this.options
 		this.drainStartedAt = ctx.now()
-		const reserveMs = closeReserveMs
+		const reserveMs = Math.min(closeReserveMs, graceMs * maxCloseReserveShare)
 		const answerBy = this.drainStartedAt + graceMs - reserveMs
-		await sleep(balancerNoticeMs)
+		const noticeMs = (graceMs - reserveMs) * maxNoticeShare
+		await sleep(Math.min(balancerNoticeMs, noticeMs))
 		// From here on a request can only arrive on a connection that has an active
 		// request; the response to that request closes the connection.
 		this.server.close()
