Refuse calls at an entry that has stopped listening (LOST)

A call that came on an open connection after the lame-duck time was begun, and cut without an answer when the drain ended before it did.

The entry now refuses such calls as not run.

callerServer.test.ts, "a call on an open connection isn't begun after the lame-duck time": got 200 before, gets 503 now; the call that was running ends with 200.

--- a/src/entry/__tests__/callerServer.test.ts
+++ b/src/entry/__tests__/callerServer.test.ts
@@ -3,7 +3,7 @@
  * served, because bytes behind it on its connection can't be read.
  */
 import type {IncomingMessage, ServerResponse} from "node:http"
-import {connect} from "node:net"
+import {connect, type Socket} from "node:net"
 import {expect, test} from "vitest"
 import {createLoopbackIp} from "../../gateway/__tests__/loopback.js"
 import {sleep} from "../../utils/common.js"
@@ -12,9 +12,15 @@
 const port = 9300
 const serveMs = 300
 
-/** Sends a call and then `bytes`, and returns the statuses that the caller gets. */
-async function callBefore(bytes: string): Promise<string[]> {
-	const address = `${createLoopbackIp()}:${port}`
+interface StartedServer {
+	server: CallerServer
+	host: string
+	/** Number of calls that were begun. */
+	countRuns: () => number
+}
+
+async function startServer(): Promise<StartedServer> {
+	const host = createLoopbackIp()
 	let runs = 0
 	const handleService = async (
 		_req: IncomingMessage,
@@ -25,7 +31,7 @@
 		res.end("booked")
 	}
 	const server = await CallerServer.start({
-		address,
+		address: `${host}:${port}`,
 		handler: {services: {handleService}} as never,
 		isReady: () => true,
 		counters: {add: () => undefined} as never,
@@ -33,21 +39,61 @@
 		callerCert: "",
 		callerKey: ""
 	})
-	const [host = ""] = address.split(":")
+	return {server, host, countRuns: () => runs}
+}
+
+const call =
+	"POST /v1/services/book HTTP/1.1\r\nHost: entry\r\nContent-Length: 0\r\n\r\n"
+
+/** Opens a connection; `statuses` resolves as it closes. */
+function openConnection(host: string): {
+	socket: Socket
+	statuses: Promise<string[]>
+} {
 	const socket = connect(port, host)
 	let received = ""
 	socket.on("data", chunk => (received += chunk.toString()))
 	socket.on("error", () => undefined)
-	const closed = new Promise(resolve => socket.once("close", resolve))
-	const head = `POST /v1/services/book HTTP/1.1\r\nHost: entry\r\n`
-	socket.write(`${head}Content-Length: 0\r\n\r\n`)
-	await expect.poll(() => runs).toBe(1)
+	const statuses = new Promise<string[]>(resolve =>
+		socket.once("close", () => {
+			resolve(received.match(/(?<=HTTP\/1\.1 )\d+/g) ?? [])
+		})
+	)
+	return {socket, statuses}
+}
+
+/** Sends a call and then `bytes`, and returns the statuses that the caller gets. */
+async function callBefore(bytes: string): Promise<string[]> {
+	const {server, host, countRuns} = await startServer()
+	const {socket, statuses} = openConnection(host)
+	socket.write(call)
+	await expect.poll(countRuns).toBe(1)
 	socket.write(bytes)
-	await closed
+	const received = await statuses
 	await server.drain(0, Date.now())
-	return received.match(/(?<=HTTP\/1\.1 )\d+/g) ?? []
+	return received
 }
 
 test("a call that is being served isn't answered 400 for what follows it", async () => {
 	expect(await callBefore("nonsense\r\n\r\n")).toEqual(["200"])
 })
+
+// Guards against calls that are begun as the process ends and cut with it (LOST).
+test("a call on an open connection isn't begun after the lame-duck time", async () => {
+	const {server, host, countRuns} = await startServer()
+	const late = openConnection(host)
+	const early = openConnection(host)
+	await sleep(50)
+	early.socket.write(call)
+	await expect.poll(countRuns).toBe(1)
+	// A connection with a part of a request isn't closed as idle.
+	late.socket.write(call.slice(0, 20))
+	await sleep(50)
+	const drained = server.drain(50, Date.now() + 2000)
+	await sleep(100)
+	late.socket.write(call.slice(20))
+	expect(await late.statuses).toEqual(["503"])
+	expect(await early.statuses).toEqual(["200"])
+	await drained
+	expect(countRuns()).toBe(1)
+})
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -10,6 +10,7 @@
 import type {Socket} from "node:net"
 import polka from "polka"
 import {BadRequestError, SettingsError} from "../contract/errors.js"
+import {NotRunReason} from "../contract/gen/link_pb.js"
 import {
 	addHealthRoutes,
 	type Counters,
@@ -19,7 +20,7 @@
 } from "../program/index.js"
 import {messageOf, sleep} from "../utils/common.js"
 import {MethodError} from "./methodError.js"
-import {sendError} from "./outcome.js"
+import {notRunOutcome, sendError, sendFailure} from "./outcome.js"
 import type {RequestHandler} from "./requestHandler.js"
 
 export interface CallerServerOptions {
@@ -50,6 +51,8 @@
 export class CallerServer {
 	private activeRequests = 0
 	private isDraining = false
+	/** Whether no further connections and requests are accepted. */
+	private hasStoppedListening = false
 	private server: Server | undefined
 
 	private constructor(private readonly options: CallerServerOptions) {}
@@ -62,13 +65,14 @@
 
 	/**
 	 * Reports not ready for `lameDuckMs`, then stops accepting connections and
-	 * waits for the running requests. At `deadline` it closes the connections of
-	 * those that still run.
+	 * requests, and waits for the running ones. At `deadline` it closes the
+	 * connections of those that still run.
 	 */
 	async drain(lameDuckMs: number, deadline: number): Promise<void> {
 		this.isDraining = true
 		await sleep(lameDuckMs)
 		this.server?.close()
+		this.hasStoppedListening = true
 		while (this.activeRequests > 0 && Date.now() < deadline)
 			await sleep(drainPollMs)
 		this.server?.closeAllConnections()
@@ -188,6 +192,11 @@
 	 */
 	private trackRequest(handle: AsyncHandler): polka.Middleware {
 		return (req, res) => {
+			if (this.hasStoppedListening) {
+				const detail = "the entry is leaving"
+				sendFailure(res, notRunOutcome(NotRunReason.LEAVING, detail), "")
+				return
+			}
 			this.activeRequests += 1
 			let isCounted = true
 			const release = (): void => {
