--- a/src/entry/__tests__/callerServer.test.ts
+++ b/src/entry/__tests__/callerServer.test.ts
@@ -7,7 +7,7 @@
 import {expect, test} from "vitest"
 import {createLoopbackIp} from "../../gateway/__tests__/loopback.js"
 import {sleep} from "../../utils/common.js"
-import {CallerServer} from "../callerServer.js"
+import {CallerServer, type CallerServerOptions} from "../callerServer.js"
 
 const port = 9300
 const serveMs = 300
@@ -19,7 +19,9 @@
 	countRuns: () => number
 }
 
-async function startServer(): Promise<StartedServer> {
+async function startServer(
+	options: Partial<CallerServerOptions> = {}
+): Promise<StartedServer> {
 	const host = createLoopbackIp()
 	let runs = 0
 	const handleService = async (
@@ -37,7 +39,8 @@
 		counters: {add: () => undefined} as never,
 		log: {debug: () => undefined} as never,
 		callerCert: "",
-		callerKey: ""
+		callerKey: "",
+		...options
 	})
 	return {server, host, countRuns: () => runs}
 }
@@ -97,3 +100,21 @@
 	await drained
 	expect(countRuns()).toBe(1)
 })
+
+// Guards against a close that meets a call which arrived in time, and which the process
+// had yet to read since it had stood still.
+test("a connection is kept if a call came while the process stood still", async () => {
+	const {server, host, countRuns} = await startServer({keepAliveMs: 100})
+	const {socket, statuses} = openConnection(host)
+	socket.write(call)
+	await expect.poll(countRuns).toBe(1)
+	await sleep(serveMs + 100)
+	// What is blocked before the next turn of the event loop meets its timers first.
+	await new Promise(setImmediate)
+	socket.write(call)
+	// Node.js closes connections one second after the limit that it announces.
+	const frozenUntil = performance.now() + 1500
+	while (performance.now() < frozenUntil);
+	expect(await statuses).toEqual(["200", "200"])
+	await server.drain(0, Date.now())
+})
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -14,6 +14,7 @@
 import {
 	addHealthRoutes,
 	type Counters,
+	callIfIdle,
 	listen,
 	type Log,
 	CallerConnections
@@ -32,6 +33,8 @@
 	/** Paths of PEM files; both empty for plain HTTP. */
 	callerCert: string
 	callerKey: string
+	/** How long a connection may stay idle. */
+	keepAliveMs?: number
 }
 
 type CallerRequest = Parameters<polka.Middleware>[0]
@@ -46,7 +49,7 @@
 	"/v1/tickets/:route": "POST"
 }
 const drainPollMs = 20
-const keepAliveMs = 65_000
+const defaultKeepAliveMs = 65_000
 
 export class CallerServer {
 	private activeRequests = 0
@@ -80,12 +83,18 @@
 
 	private async open(): Promise<void> {
 		const {handler, counters, isReady, address, log} = this.options
+		const {keepAliveMs = defaultKeepAliveMs} = this.options
 		const server = this.createServer()
 		const connections = new CallerConnections({
 			onUnreadable: (code, serving) => {
 				log.debug("connection can't be read", {code, serving})
 			}
 		})
+		server.on("timeout", (socket: Socket) => {
+			callIfIdle(socket, () => {
+				socket.destroy()
+			})
+		})
 		server.on("clientError", (err, socket: Socket) => {
 			connections.handleError(err, socket)
 		})
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -15,7 +15,7 @@
 	type PoolShare,
 	RouteKind
 } from "../contract/fleet.js"
-import {CallerConnections} from "../program/callerConnections.js"
+import {CallerConnections, callIfIdle} from "../program/callerConnections.js"
 import {sleep} from "../utils/common.js"
 import {CallerExchange, CloseReason, leaving} from "./callers/callerExchange.js"
 import {readBody} from "./callers/readBody.js"
@@ -99,7 +99,9 @@
 		// be read while earlier ones are still being served.
 		this.server.requestTimeout = 0
 		this.server.on("timeout", (socket: Socket) => {
-			this.closeIdleSocket(socket)
+			callIfIdle(socket, () => {
+				this.closeIdleSocket(socket)
+			})
 		})
 		this.server.on("clientError", (err, socket: Socket) => {
 			this.connections.handleError(err, socket)
--- a/src/program/callerConnections.ts
+++ b/src/program/callerConnections.ts
@@ -107,3 +107,14 @@
 	res.destroy()
 	if (isWaiting && !res.closed) res.emit("close")
 }
+
+/**
+ * Calls back if nothing has arrived on a connection whose idle limit has passed. After
+ * the process stood still, timers run before what arrived meanwhile is read.
+ */
+export function callIfIdle(socket: Socket, onIdle: () => void): void {
+	const {bytesRead} = socket
+	setImmediate(() => {
+		if (!socket.destroyed && socket.bytesRead === bytesRead) onIdle()
+	})
+}
