Let callers return at once that a drain ends before a send

A plain request that had not been sent when the grace period ended got the Retry-After of full buffers, 1 s, though another gateway could serve it at once. The reason now comes with its time. A failed send of an answer that is no stream says so in its log line.

No test has such a request: plain requests are sent or refused within some 400 ms. drain, joinedStreams and slowCallers tests pass.

--- a/src/gateway/callers/callerExchange.ts
+++ b/src/gateway/callers/callerExchange.ts
@@ -58,7 +58,7 @@
 /** Why a request ends because its process does. */
 export const leaving = "leaving"
 /** Slow callers at the bound are gone by then. */
-export const overflowRetryAfterMs = 1000
+const overflowRetryAfterMs = 1000
 
 export class CallerExchange {
 	/** Called once if the caller disconnects before the response is complete. */
@@ -66,9 +66,9 @@
 	/**
 	 * Called when the request has to end before its response has begun, because the
 	 * process's buffers are full or the process ends. Without it, the request is refused
-	 * as not run.
+	 * as not run. If it has not run, the caller may return after the time.
 	 */
-	onGivenUp: ((reason: string) => void) | undefined
+	onGivenUp: ((reason: string, retryAfterMs: number) => void) | undefined
 	/** Called when the stream has room again. */
 	onRoom: (() => void) | undefined
 	/** What the gateway holds in memory for this request. */
@@ -228,7 +228,7 @@
 	endForDrain(): void {
 		if (this.hasEnded || this.isHeadWritten) return
 		this.options.res.setHeader("Connection", "close")
-		if (this.onGivenUp !== undefined) this.onGivenUp(leaving)
+		if (this.onGivenUp !== undefined) this.onGivenUp(leaving, 0)
 		else this.refuse(leaving, 0, {})
 	}
 
@@ -269,7 +269,8 @@
 		log.request("request.shed", head.id, fields)
 		// What is left of the body is dropped.
 		if (part === BufferPart.Upload) res.setHeader("Connection", "close")
-		if (this.onGivenUp !== undefined) this.onGivenUp(buffersFull)
+		if (this.onGivenUp !== undefined)
+			this.onGivenUp(buffersFull, overflowRetryAfterMs)
 		else this.refuse(buffersFull, overflowRetryAfterMs, {})
 	}
 
--- a/src/gateway/sends/generationTask.ts
+++ b/src/gateway/sends/generationTask.ts
@@ -31,6 +31,7 @@
 
 /** Limit on sends of one request, including those an engine did not run. */
 const maxSends = 4
+const httpOk = 200
 const suspectedPrompt = "prompt may have crashed an engine"
 
 export class GenerationTask extends RequestTask {
@@ -451,7 +452,8 @@
 
 /** Why the complete answer of an engine doesn't end the request. */
 function describeAnswer(send: GenerationSend, {status}: ResponseHead): string {
-	if (!send.isStream) return `status ${status}`
+	if (!send.isStream)
+		return status === httpOk ? "not a stream of events" : `status ${status}`
 	if (send.hasPartialEvent) return "incomplete last event"
 	return send.isResumption ? "no event left, which isn't proven" : "no event"
 }
--- a/src/gateway/sends/requestTask.ts
+++ b/src/gateway/sends/requestTask.ts
@@ -36,8 +36,8 @@
 			if (this.hasBegun) this.handleDisconnect()
 			else this.cancel()
 		}
-		exchange.onGivenUp = reason => {
-			this.giveUp(reason)
+		exchange.onGivenUp = (reason, retryAfterMs) => {
+			this.giveUp(reason, retryAfterMs)
 		}
 		this.endAccessWatch = ctx.access.watch(() => {
 			this.recheckAccess()
@@ -103,8 +103,11 @@
 	/** Whether a call to an endpoint is open. */
 	protected abstract get hasOpenCall(): boolean
 
-	/** Called when the request has to end for a reason that isn't its own. */
-	protected abstract giveUp(reason: string): void
+	/**
+	 * Called when the request has to end for a reason that isn't its own. If it has not
+	 * run, its caller may return after the time.
+	 */
+	protected abstract giveUp(reason: string, retryAfterMs: number): void
 
 	/** Called when the caller disconnects before its response is complete. */
 	protected abstract handleDisconnect(): void
--- a/src/gateway/sends/serviceTask.ts
+++ b/src/gateway/sends/serviceTask.ts
@@ -6,10 +6,7 @@
  */
 import {type FleetEndpoint, RouteKind} from "../../contract/fleet.js"
 import {BodyBuffer} from "../callers/bodyBuffer.js"
-import {
-	type LogFields,
-	overflowRetryAfterMs
-} from "../callers/callerExchange.js"
+import type {LogFields} from "../callers/callerExchange.js"
 import {CrashAdmission} from "../crashes/crashAdmission.js"
 import {CrashSubject} from "../crashes/crashGuard.js"
 import {computeRequestDigest} from "../crashes/requestDigest.js"
@@ -334,14 +331,14 @@
 		return this.openCalls.size > 0
 	}
 
-	protected override giveUp(reason: string): void {
+	protected override giveUp(reason: string, retryAfterMs: number): void {
 		const {exchange} = this.request
 		const wasSent =
 			this.mayHaveRun || [...this.openCalls].some(call => call.wasSent)
 		this.cancel()
 		const logFields = {sends: this.sends, tried: [...this.tried]}
 		if (wasSent) exchange.respondUnknown(reason, logFields)
-		else exchange.refuse(reason, overflowRetryAfterMs, logFields)
+		else exchange.refuse(reason, retryAfterMs, logFields)
 	}
 
 	protected override handleDeadline(): void {
