Wait for a port that is taken as a process starts

Callers saw a gateway that was missing for as long as another process held any of its four ports, and an engine without an agent likewise: the process ended with exit code 1 at each start, 0.2 s after it, whichever port it was. Standard error had `listen EADDRINUSE` or `No address added out of total 1 resolved`, the log nothing.

Cause: start() gave up at the first failed attempt to bind. A predecessor that still drains, or an address that is assigned late, is over within seconds.

Now a first attempt that fails with EADDRINUSE or EADDRNOTAVAIL is logged (`listen.waiting`) and repeated each 200 ms until it succeeds (`listen.bound`) or the process is asked to end. The four ports of a gateway don't wait for each other, and its readiness probe fails until the port for callers is bound. An agent orders its engine only after its port is bound. Other errors end the start with the address, its purpose and the reason. Repeated attempts of gRPC test the address with a plain socket first, as gRPC prints each failure on standard error.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -20,6 +20,7 @@
 } from "../contract/gen/grants_pb.js"
 import {startGrantServer} from "../link/fleetLink.js"
 import type {TlsKeys} from "../link/tls.js"
+import {bindWhenFree} from "../program/bindWhenFree.js"
 import {
 	CrashNotices,
 	isNotice,
@@ -97,7 +98,7 @@
 	private server: grpc.Server | undefined
 	private readonly loop: EngineLoop
 	private timer: NodeJS.Timeout | undefined
-	private isStopped = false
+	private readonly stopping = new AbortController()
 	private tickAt = Number.POSITIVE_INFINITY
 
 	constructor(private readonly options: AgentTaskOptions) {
@@ -161,12 +162,29 @@
 		})
 	}
 
-	async start(): Promise<void> {
-		const {address, tls} = this.options
+	/**
+	 * Resolves after the first attempt to bind the address. The engine is ordered only
+	 * once it is bound, since that keeps a second agent from ordering it.
+	 */
+	start(): Promise<void> {
+		const {address, tls, log} = this.options
 		const onCall = this.links.accept
-		this.server = await startGrantServer({address, tls, onCall})
-		this.scheduleTick(idleTickMs)
-		this.loop.start()
+		return bindWhenFree({
+			address,
+			purpose: "gateways",
+			bind: ({isRetry}) =>
+				startGrantServer({address, tls, onCall, probesFirst: isRetry}),
+			onBound: server => {
+				this.server = server
+				this.scheduleTick(idleTickMs)
+				this.loop.start()
+			},
+			unbind: server => {
+				server.forceShutdown()
+			},
+			signal: this.stopping.signal,
+			log
+		})
 	}
 
 	/**
@@ -174,7 +192,7 @@
 	 * for the adapters that the engine holds.
 	 */
 	stop(): void {
-		this.isStopped = true
+		this.stopping.abort()
 		clearTimeout(this.timer)
 		this.loop.stop()
 		this.permits.stop()
@@ -373,7 +391,7 @@
 	/** Ticks after the delay, unless an earlier tick is scheduled. */
 	private scheduleTick(delayMs: number): void {
 		const at = this.now() + delayMs
-		if (this.isStopped || at >= this.tickAt) return
+		if (this.stopping.signal.aborted || at >= this.tickAt) return
 		this.tickAt = at
 		clearTimeout(this.timer)
 		this.timer = setTimeout(() => {
--- a/src/gateway/fleet/fleetPublisher.ts
+++ b/src/gateway/fleet/fleetPublisher.ts
@@ -27,6 +27,7 @@
 import {findEncodeError} from "../../link/encoding.js"
 import {type FollowCall, startFollowServer} from "../../link/fleetLink.js"
 import type {TlsKeys} from "../../link/tls.js"
+import {bindWhenFree} from "../../program/bindWhenFree.js"
 import type {DecisionLog} from "../../program/decisionLog.js"
 import {messageOf} from "../../utils/common.js"
 import type {FleetState} from "./fleetState.js"
@@ -70,6 +71,7 @@
 	 * `lapsedFields`, so that its return is a change.
 	 */
 	private readonly publishedFields = new Map<string, string>()
+	private readonly stopping = new AbortController()
 	private server: grpc.Server | undefined
 	private timer: NodeJS.Timeout | undefined
 	private compressed: {version: number; bytes: Uint8Array} | undefined
@@ -91,22 +93,38 @@
 		})
 	}
 
-	async start(): Promise<void> {
-		const {address, tls} = this.options
-		this.server = await startFollowServer({
-			address,
-			tls,
-			onCall: call => {
-				this.addSubscriber(call)
-			},
-			confirm: () => this.confirm()
-		})
+	/** Resolves after the first attempt to bind the address. */
+	start(): Promise<void> {
+		const {address, tls, log} = this.options
 		this.timer = setInterval(() => {
 			this.beat()
 		}, heartbeatMs)
+		return bindWhenFree({
+			address,
+			purpose: "other gateways",
+			bind: ({isRetry}) =>
+				startFollowServer({
+					address,
+					tls,
+					probesFirst: isRetry,
+					onCall: call => {
+						this.addSubscriber(call)
+					},
+					confirm: () => this.confirm()
+				}),
+			onBound: server => {
+				this.server = server
+			},
+			unbind: server => {
+				server.forceShutdown()
+			},
+			signal: this.stopping.signal,
+			log
+		})
 	}
 
 	stop(): void {
+		this.stopping.abort()
 		clearInterval(this.timer)
 		for (const call of this.subscribers) call.end()
 		this.server?.forceShutdown()
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -15,8 +15,10 @@
 	type PoolShare,
 	RouteKind
 } from "../contract/fleet.js"
+import {bindWhenFree} from "../program/bindWhenFree.js"
 import {CallerConnections, callIfIdle} from "../program/callerConnections.js"
 import {sleep} from "../utils/common.js"
+import {listenAt} from "../utils/listenAt.js"
 import {CallerExchange, CloseReason, leaving} from "./callers/callerExchange.js"
 import {readBody} from "./callers/readBody.js"
 import {DeadlineSource, type GatewayContext} from "./gatewayContext.js"
@@ -58,6 +60,8 @@
 /** Part of it in which answers are written. */
 const answerReserveShare = 0.5
 const drainPollMs = 50
+/** Connections that may wait to be accepted. */
+const backlog = 1024
 const httpNotFound = 404
 const httpTooLarge = 413
 const httpHeadersTooLarge = 431
@@ -75,6 +79,7 @@
 	/** Whether no further connections are accepted. */
 	private hasStoppedListening = false
 	private isClosingAll = false
+	private readonly stopping = new AbortController()
 
 	constructor(private readonly options: GatewayServerOptions) {
 		const {ctx, headerCheckMs} = options
@@ -114,28 +119,39 @@
 		})
 	}
 
+	/** Resolves after the first attempt to bind the address. */
 	start(): Promise<void> {
-		const [host, port] = this.options.address.split(":")
-		return new Promise((resolve, reject) => {
-			this.server.once("error", reject)
-			this.server.listen({host, port: Number(port), backlog: 1024}, resolve)
+		const {address, ctx} = this.options
+		return bindWhenFree({
+			address,
+			purpose: "callers",
+			bind: () => listenAt(this.server, address, {backlog}),
+			unbind: () => {
+				this.server.close()
+			},
+			signal: this.stopping.signal,
+			log: ctx.log
 		})
 	}
 
 	get isReady(): boolean {
 		const {fleet, access} = this.options.ctx
-		if (this.drainStartedAt !== undefined) return false
+		if (this.drainStartedAt !== undefined || !this.server.listening)
+			return false
 		return fleet.config !== undefined && access.canServeMembers
 	}
 
 	/**
 	 * Fails the readiness probe, keeps serving until the load balancer has noticed,
 	 * then waits for active requests until shortly before the grace period ends, and
-	 * answers those whose response has not begun.
+	 * answers those whose response has not begun. Resolves at once if the address was
+	 * not bound yet.
 	 */
 	async drain(): Promise<void> {
 		const {ctx, graceMs} = this.options
 		this.drainStartedAt = ctx.now()
+		this.stopping.abort()
+		if (!this.server.listening) return
 		const reserveMs = Math.min(closeReserveMs, graceMs * maxCloseReserveShare)
 		const answerBy = this.drainStartedAt + graceMs - reserveMs
 		const noticeMs = (graceMs - reserveMs) * maxNoticeShare
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -20,7 +20,11 @@
 import {CrashRecords} from "../policy/crashes/index.js"
 import {StatedLimits} from "../policy/limits/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
-import {startProbeServer} from "../program/probeServer.js"
+import {bindWhenFree} from "../program/bindWhenFree.js"
+import {
+	type ProbeServerOptions,
+	startProbeServer
+} from "../program/probeServer.js"
 import {AgentLinks} from "./links/agentLinks.js"
 import {CallerBuffers} from "./callers/callerBuffers.js"
 import {FleetFollower} from "./fleet/fleetFollower.js"
@@ -133,6 +137,7 @@
 	private readonly follower: FleetFollower
 	/** Whether this gateway watches the store and publishes it to the others. */
 	readonly isPublisher: boolean
+	private readonly stopping = new AbortController()
 	private timer: NodeJS.Timeout | undefined
 
 	constructor(private readonly options: GatewayTaskOptions) {
@@ -330,17 +335,22 @@
 		return !this.fleet.hasMembers || this.renewal.isConfirmed
 	}
 
+	/**
+	 * Resolves after the first attempt to bind each address; those that are taken are
+	 * bound later, and what the others serve doesn't wait for them.
+	 */
 	async start(): Promise<void> {
 		const {readyAddress, metricsAddress} = this.options
-		await this.publisher?.start()
-		await this.server.start()
-		this.servers.push(
-			await startProbeServer(readyAddress, {isReady: () => this.server.isReady})
-		)
-		if (metricsAddress !== "") {
-			const {registry} = this.metrics
-			this.servers.push(await startProbeServer(metricsAddress, {registry}))
-		}
+		const isReady = (): boolean => this.server.isReady
+		const {registry} = this.metrics
+		await Promise.all([
+			this.publisher?.start(),
+			this.server.start(),
+			this.startProbes("readiness probe", readyAddress, {isReady}),
+			metricsAddress === ""
+				? undefined
+				: this.startProbes("metrics", metricsAddress, {registry})
+		])
 		this.renewal.start()
 		this.recorder.tick()
 		this.timer = setInterval(() => {
@@ -349,6 +359,7 @@
 	}
 
 	async drain(): Promise<void> {
+		this.stopping.abort()
 		await this.server.drain()
 		clearInterval(this.timer)
 		this.ctx.quotas.close()
@@ -359,6 +370,26 @@
 		for (const server of this.servers) server.close()
 	}
 
+	private startProbes(
+		purpose: string,
+		address: string,
+		options: ProbeServerOptions
+	): Promise<void> {
+		return bindWhenFree({
+			address,
+			purpose,
+			bind: () => startProbeServer(address, options),
+			onBound: server => {
+				this.servers.push(server)
+			},
+			unbind: server => {
+				server.close()
+			},
+			signal: this.stopping.signal,
+			log: this.options.log
+		})
+	}
+
 	private tick(): void {
 		const {links, quotas, retryBudgets, streams, now} = this.ctx
 		links.tick()
--- a/src/link/fleetLink.ts
+++ b/src/link/fleetLink.ts
@@ -13,8 +13,9 @@
 	FollowRequestSchema
 } from "../contract/gen/fleet_pb.js"
 import type {AgentMessage, GatewayMessage} from "../contract/gen/grants_pb.js"
+import {bindGrpc, type GrpcBindOptions} from "./bindGrpc.js"
 import {fleetMethods, grantMethods} from "./methods.js"
-import {clientCredentials, serverCredentials, type TlsKeys} from "./tls.js"
+import {clientCredentials, type TlsKeys} from "./tls.js"
 
 export type GrantStream = grpc.ClientDuplexStream<GatewayMessage, AgentMessage>
 export type GrantCall = grpc.ServerDuplexStream<GatewayMessage, AgentMessage>
@@ -122,15 +123,9 @@
 	}
 }
 
-export interface StreamServerOptions {
-	/** `ip:port`. */
-	address: string
-	tls?: TlsKeys | undefined
-}
-
 /** Serves grant streams to gateways; rejects when the address is in use. */
 export function startGrantServer(
-	options: StreamServerOptions & {onCall: (call: GrantCall) => void}
+	options: GrpcBindOptions & {onCall: (call: GrantCall) => void}
 ): Promise<grpc.Server> {
 	return bindServer(options, server => {
 		server.addService(grantMethods, {grants: options.onCall})
@@ -139,7 +134,7 @@
 
 /** Serves other gateways; rejects when the address is in use. */
 export function startFollowServer(
-	options: StreamServerOptions & {
+	options: GrpcBindOptions & {
 		onCall: (call: FollowCall) => void
 		/** Answers a call to confirm. */
 		confirm: () => ConfirmAnswer
@@ -168,16 +163,11 @@
 }
 
 async function bindServer(
-	{address, tls}: StreamServerOptions,
+	options: GrpcBindOptions,
 	addServices: (server: grpc.Server) => void
 ): Promise<grpc.Server> {
 	const server = new grpc.Server({"grpc.so_reuseport": 0})
 	addServices(server)
-	await new Promise<void>((resolve, reject) => {
-		server.bindAsync(address, serverCredentials(tls), err => {
-			if (err === null) resolve()
-			else reject(err)
-		})
-	})
+	await bindGrpc(server, options)
 	return server
 }
--- a/src/link/index.ts
+++ b/src/link/index.ts
@@ -1,4 +1,5 @@
 export * from "./fleetLink.js"
+export * from "./bindGrpc.js"
 export * from "./clientPool.js"
 export * from "./encoding.js"
 export * from "./engineClient.js"
--- a/src/link/linkServer.ts
+++ b/src/link/linkServer.ts
@@ -17,8 +17,8 @@
 	TicketRequest
 } from "../contract/gen/link_pb.js"
 import {messageOf} from "../utils/common.js"
+import {bindGrpc, type GrpcBindOptions} from "./bindGrpc.js"
 import {linkMethods} from "./methods.js"
-import {serverCredentials, type TlsKeys} from "./tls.js"
 
 export type RunCall = grpc.ServerWritableStream<RunRequest, RunEvent>
 export type ReportCall = grpc.ServerDuplexStream<ReportAck, Report>
@@ -35,11 +35,8 @@
 	ticket?: (req: TicketRequest) => Promise<Ticket>
 }
 
-export interface LinkServerOptions {
-	/** `ip:port`; port 0 binds a free port. */
-	address: string
+export interface LinkServerOptions extends GrpcBindOptions {
 	handlers: LinkHandlers
-	tls?: TlsKeys | undefined
 }
 
 /** Thrown by a handler to answer a call with this gRPC status. */
@@ -76,7 +73,7 @@
 			"grpc.so_reuseport": 0
 		})
 		addHandlers(server, options.handlers)
-		const port = await bind(server, options)
+		const port = await bindGrpc(server, options)
 		const ip = options.address.slice(0, options.address.lastIndexOf(":"))
 		return new LinkServer(server, `${ip}:${port}`)
 	}
@@ -95,18 +92,6 @@
 	}
 }
 
-function bind(
-	server: grpc.Server,
-	{address, tls}: LinkServerOptions
-): Promise<number> {
-	return new Promise((resolve, reject) => {
-		server.bindAsync(address, serverCredentials(tls), (err, port) => {
-			if (err === null) resolve(port)
-			else reject(err)
-		})
-	})
-}
-
 function addHandlers(server: grpc.Server, handlers: LinkHandlers): void {
 	const implementation: grpc.UntypedServiceImplementation = {}
 	if (handlers.run !== undefined) implementation.run = handlers.run
--- a/src/program/health.ts
+++ b/src/program/health.ts
@@ -1,6 +1,7 @@
 /** HTTP routes for the health, readiness and counters of a process. */
 import type {Server, ServerResponse} from "node:http"
 import polka from "polka"
+import {splitAddress} from "../utils/common.js"
 import type {Counters} from "./counters.js"
 
 export interface HealthOptions {
@@ -48,11 +49,9 @@
 
 /** Listens at `ip:port`; resolves with the server once it is bound. */
 export function listen(app: polka.Polka, address: string): Promise<Server> {
-	const separator = address.lastIndexOf(":")
-	const ip = address.slice(0, separator).replace(/^\[|\]$/g, "")
-	const port = Number(address.slice(separator + 1))
+	const {host, port} = splitAddress(address)
 	return new Promise((resolve, reject) => {
-		app.listen(port, ip)
+		app.listen(port, host)
 		const server = app.server
 		if (server === undefined) {
 			reject(new TypeError("the HTTP server did not start"))
--- a/src/program/index.ts
+++ b/src/program/index.ts
@@ -1,3 +1,4 @@
+export * from "./bindWhenFree.js"
 export * from "./callerConnections.js"
 export * from "./commonSpecs.js"
 export * from "./counters.js"
--- a/src/utils/common.ts
+++ b/src/utils/common.ts
@@ -10,6 +10,13 @@
 	return err instanceof Error ? err.message : String(err)
 }
 
+/** Splits `ip:port`; an IPv6 address may be in brackets. */
+export function splitAddress(address: string): {host: string; port: number} {
+	const separator = address.lastIndexOf(":")
+	const host = address.slice(0, separator).replace(/^\[|\]$/g, "")
+	return {host, port: Number(address.slice(separator + 1))}
+}
+
 /** For the default of a switch: fails type checking when a case is missing. */
 export function assertNever(value: never): never {
 	throw new TypeError(`unexpected value ${JSON.stringify(value)}`)
--- a/src/utils/index.ts
+++ b/src/utils/index.ts
@@ -1,2 +1,3 @@
 export * from "./common.js"
+export * from "./listenAt.js"
 export * from "./suspension.js"
--- /dev/null
+++ b/src/utils/listenAt.ts
@@ -0,0 +1,30 @@
+/** Binds servers of Node.js to addresses. */
+import type {Server} from "node:net"
+import {splitAddress} from "./common.js"
+
+export interface ListenOptions {
+	/** Connections that may wait to be accepted. */
+	backlog?: number
+}
+
+/**
+ * Listens at `ip:port`; rejects if that fails, after which the server may listen
+ * again. Leaves no listeners behind, however often it fails.
+ */
+export function listenAt(
+	server: Server,
+	address: string,
+	{backlog}: ListenOptions = {}
+): Promise<void> {
+	return new Promise((resolve, reject) => {
+		const settle = (err?: Error): void => {
+			server.off("error", settle)
+			server.off("listening", settle)
+			if (err === undefined) resolve()
+			else reject(err)
+		}
+		server.on("error", settle)
+		server.on("listening", settle)
+		server.listen({...splitAddress(address), backlog})
+	})
+}
