Go on when nobody reads the log (FAULT)

Callers saw gateways and agents of a host end at once, long after their start: exit code 1 at the next log line after the reader of standard output had gone, since nothing listened to the error event (write EPIPE). Entries and endpoints, which log to standard error, ended their drain the same way. With a reader that stood still the lines waited in memory without a bound. On a full disk a write threw at whoever logged, and the stream wrote nothing any more.

Both loggers now write through one output that never throws: it bounds what waits for a reader to 1 MiB, counts lines that were dropped or could not be written, and says so in log.dropped before the next line that is written. Files are written without the stream of Node.js. Errors of a start go through the same output on standard error.

Evidence: outputs.test.ts failed before in all its tests: both programs and the entry had ended (code 1), and a second reader of a named pipe got nothing.

--- a/src/program/decisionLog.ts
+++ b/src/program/decisionLog.ts
@@ -5,6 +5,8 @@
  * Lines about state changes are never dropped.
  */
 import winston from "winston"
+import {getStandardOutput} from "./logOutput.js"
+import {createLogTransport} from "./logTransport.js"
 
 export interface DecisionLogOptions {
 	role: string
@@ -40,9 +42,10 @@
 				winston.format.timestamp(),
 				winston.format.json()
 			),
-			// winston's declarations of transports and of formats disagree.
-			// eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
-			transports: [options.transport ?? new winston.transports.Console()]
+			transports: [
+				options.transport ??
+					createLogTransport(getStandardOutput(), {role, host})
+			]
 		})
 	}
 
--- a/src/program/log.ts
+++ b/src/program/log.ts
@@ -3,6 +3,8 @@
  * requests are logged at `debug` only; the levels above are for state changes.
  */
 import winston from "winston"
+import {getStandardError} from "./logOutput.js"
+import {createLogTransport} from "./logTransport.js"
 
 export type Log = winston.Logger
 
@@ -21,12 +23,6 @@
 			winston.format.timestamp(),
 			winston.format.json()
 		),
-		transports: [
-			// winston's declarations of transports and of formats disagree.
-			// eslint-disable-next-line @typescript-eslint/no-unsafe-class-instance-assignment
-			new winston.transports.Console({
-				stderrLevels: ["error", "warn", "info", "debug"]
-			})
-		]
+		transports: [createLogTransport(getStandardError(), {role, hostId})]
 	})
 }
--- a/src/program/run.ts
+++ b/src/program/run.ts
@@ -6,6 +6,7 @@
 import {SettingsError} from "../contract/errors.js"
 import {messageOf} from "../utils/common.js"
 import {restoreFlagText} from "./flagText.js"
+import {printError} from "./logOutput.js"
 import {
 	formatFlagName,
 	readSettings,
@@ -66,7 +67,7 @@
 		// `start` reads files and checks combinations of settings, so it may throw
 		// a SettingsError too.
 		if (err instanceof SettingsError) exitOnFault(options.name, err)
-		process.stderr.write(`${options.name}: ${messageOf(err)}\n`)
+		printError(`${options.name}: ${messageOf(err)}`)
 		process.exit(ExitCode.Failed)
 	}
 }
@@ -101,7 +102,7 @@
 /** Prints every fault and exits with the usage code. */
 export function exitOnFault(name: string, err: unknown): never {
 	const faults = err instanceof SettingsError ? err.faults : [messageOf(err)]
-	for (const fault of faults) process.stderr.write(`${name}: ${fault}\n`)
+	for (const fault of faults) printError(`${name}: ${fault}`)
 	process.exit(ExitCode.Usage)
 }
 
@@ -114,7 +115,7 @@
 		service.drain().then(
 			() => process.exit(ExitCode.Ok),
 			(err: unknown) => {
-				process.stderr.write(`drain: ${messageOf(err)}\n`)
+				printError(`drain: ${messageOf(err)}`)
 				process.exit(ExitCode.Failed)
 			}
 		)
