End a command with its own code when its reader has left (FAULT)

goldcrestloom-check and goldcrestloom-burn, whose report goes into a pipe that is closed, ended with a stack and the code 1, which of a check means findings. Nothing listened to the error event of the output.

--- a/src/bin/burn.ts
+++ b/src/bin/burn.ts
@@ -8,6 +8,8 @@
 	ExitCode,
 	exitOnFault,
 	formatFlagName,
+	outliveReaders,
+	printError,
 	settingSchemas,
 	programVersion,
 	readSettings,
@@ -70,7 +72,7 @@
 		})
 		await printReport(report, settings)
 	} catch (err) {
-		process.stderr.write(`${program}: ${messageOf(err)}\n`)
+		printError(`${program}: ${messageOf(err)}`)
 		process.exitCode = ExitCode.Failed
 	}
 }
@@ -117,4 +119,5 @@
 	process.stdout.write(text)
 }
 
+outliveReaders()
 await main()
