Bound the bytes of each answer where callHttp reads it (FAULT)

Seen: a store whose answer did not end grew gateways without bound until they ran out of memory, and the requests of all their callers ended with them; an engine's report, order or health answer grew its agent.

Cause: callHttp had limits of time only. It kept every body until its end, and interim heads, chunk sizes and tiny chunks were read for as long as time allowed. ServiceClient checked the size of an answer after all of it had arrived.

Change: callHttp counts what the connection reads for one answer, before the parser sees it, so that bytes outside the body count too, and ends the call with AnswerTooLargeError (peer, bytes, limit) and its connection. A stated length over the limit ends it with its head. The body is collected in one buffer, since a list of tiny chunks keeps a whole read for each.

--- a/src/link/httpCall.ts
+++ b/src/link/httpCall.ts
@@ -5,6 +5,11 @@
 	type IncomingMessage,
 	request as httpRequest
 } from "node:http"
+import {
+	AnswerTooLargeError,
+	CollectedBody,
+	limitBytesRead
+} from "./answerBytes.js"
 import {findReset, isFramed} from "./connectionEnd.js"
 
 export interface HttpCallOptions {
@@ -30,8 +35,13 @@
 	 * the head of the response.
 	 */
 	bodyLimits?: BodyLimits
+	/** Limit for all bytes of the response, head and framing included. */
+	maxBytes?: number
 }
 
+/** Many times what a peer states about itself. */
+export const defaultMaxAnswerBytes = 1024 * 1024
+
 export interface BodyLimits {
 	/** For the wait for each part of the body. */
 	stallMs: number
@@ -48,10 +58,12 @@
 /**
  * Resolves with the complete response, whatever its status. Rejects when it does
  * not arrive within the limits, and then destroys the connection so that no other
- * call reuses it.
+ * call reuses it; the error is an AnswerTooLargeError if the response has too many
+ * bytes.
  */
 export function callHttp(options: HttpCallOptions): Promise<HttpResponse> {
 	const {address, agent, method, path, timeoutMs, bodyLimits} = options
+	const {maxBytes = defaultMaxAnswerBytes} = options
 	const [host, port] = address.split(":")
 	const payload = encodePayload(options)
 	const headers = {...options.headers}
@@ -67,6 +79,7 @@
 		}
 		let timer = setTimeout(endLate, timeoutMs)
 		let received: IncomingMessage | undefined
+		let stopCounting: (() => unknown) | undefined
 		const failIfReset = (): void => {
 			if (received === undefined || isFramed(received.headers)) return
 			const reset = findReset(req.socket ?? received.socket)
@@ -74,13 +87,22 @@
 		}
 		const finish = (): void => {
 			clearTimeout(timer)
+			stopCounting?.()
 			req.socket?.removeListener("end", failIfReset)
 		}
 		const fail = (err: Error): void => {
 			finish()
 			reject(err)
 		}
-		req.on("socket", socket => socket.prependListener("end", failIfReset))
+		const endTooLarge = (bytes: number): void => {
+			const err = new AnswerTooLargeError(address, bytes, maxBytes)
+			fail(err)
+			req.destroy(err)
+		}
+		req.on("socket", socket => {
+			socket.prependListener("end", failIfReset)
+			stopCounting = limitBytesRead(socket, maxBytes, endTooLarge)
+		})
 		req.on("error", fail)
 		req.on("response", res => {
 			received = res
@@ -89,7 +111,12 @@
 				req.destroy(new Error("response to another request"))
 				return
 			}
-			const chunks: Buffer[] = []
+			const statedBytes = Number(res.headers["content-length"] ?? 0)
+			if (statedBytes > maxBytes) {
+				endTooLarge(statedBytes)
+				return
+			}
+			const body = new CollectedBody()
 			const bodyDeadline = performance.now() + (bodyLimits?.totalMs ?? 0)
 			const awaitPart = (): void => {
 				if (bodyLimits === undefined) return
@@ -99,14 +126,14 @@
 			}
 			awaitPart()
 			res.on("data", (chunk: Buffer) => {
-				chunks.push(chunk)
+				body.add(chunk)
 				awaitPart()
 			})
 			res.on("error", fail)
 			res.on("end", () => {
 				finish()
 				const status = res.statusCode ?? 0
-				resolve({status, headers: res.headers, body: Buffer.concat(chunks)})
+				resolve({status, headers: res.headers, body: body.take()})
 			})
 		})
 		req.end(payload)
--- a/src/link/index.ts
+++ b/src/link/index.ts
@@ -1,5 +1,6 @@
 export * from "./fleetLink.js"
 export * from "./bindGrpc.js"
+export * from "./answerBytes.js"
 export * from "./clientPool.js"
 export * from "./encoding.js"
 export * from "./engineClient.js"
--- a/src/link/serviceClient.ts
+++ b/src/link/serviceClient.ts
@@ -37,6 +37,8 @@
 }
 
 const maxAnswerBytes = 1024 * 1024
+/** With the head and the framing of a body in small chunks. */
+const maxReadBytes = 2 * maxAnswerBytes
 const staleFenceStatus = 409
 const unavailableStatus = 503
 /** Set by the service on a rejection that it made before running the call. */
@@ -66,7 +68,8 @@
 				headers: this.buildHeaders(call),
 				requestId: call.requestId,
 				payload: call.body.length > 0 ? call.body : undefined,
-				timeoutMs
+				timeoutMs,
+				maxBytes: maxReadBytes
 			})
 			const bytes = new Uint8Array(res.body)
 			this.throwIfRejected(res.status, res.headers)
