Bound what all answers of the store hold together (FAULT)

Seen: a store whose answers did not end filled the memory of gateways with several of them at once, and a list that says forever that it has more grew with each page.

Cause: each answer has a limit now, but up to eight are read at once, and a list kept every object of every page until its end, also those of other writers that nothing uses.

Change: the answers of one StoreClient share 16 MiB (AnswerLedger, which is pure). Beyond that an answer is not read on until others have ended, bounded by its time limit. The large answer that began first goes on, so that no two wait for each other; answers below 1 MiB go on, so that changes and leases never wait for a large one. The time limit of a call no longer restarts a timer with each part of an answer.

--- a/src/link/answerBytes.ts
+++ b/src/link/answerBytes.ts
@@ -46,12 +46,9 @@
 	private buffer = Buffer.alloc(0)
 	private length = 0
 
-	/** Bytes in memory. */
-	get capacity(): number {
-		return this.buffer.length
-	}
-
-	add(part: Buffer): void {
+	/** Returns by how many bytes the buffer grew. */
+	add(part: Buffer): number {
+		const before = this.buffer.length
 		const length = this.length + part.length
 		if (length > this.buffer.length) {
 			const capacity = Math.max(minCapacity, length, 2 * this.buffer.length)
@@ -61,6 +58,7 @@
 		}
 		part.copy(this.buffer, this.length)
 		this.length = length
+		return this.buffer.length - before
 	}
 
 	take(): Buffer {
--- a/src/link/httpCall.ts
+++ b/src/link/httpCall.ts
@@ -5,11 +5,14 @@
 	type IncomingMessage,
 	request as httpRequest
 } from "node:http"
+import type {AnswerAccount} from "../policy/buffers/index.js"
 import {
 	AnswerTooLargeError,
 	CollectedBody,
 	limitBytesRead
 } from "./answerBytes.js"
+import type {AnswerMemory} from "./answerMemory.js"
+import {CallDeadline} from "./callDeadline.js"
 import {findReset, isFramed} from "./connectionEnd.js"
 
 export interface HttpCallOptions {
@@ -37,6 +40,14 @@
 	bodyLimits?: BodyLimits
 	/** Limit for all bytes of the response, head and framing included. */
 	maxBytes?: number
+	/** For a response whose memory counts together with that of others. */
+	share?: AnswerShare
+}
+
+export interface AnswerShare {
+	memory: AnswerMemory
+	/** The caller closes it when it no longer holds the body. */
+	account: AnswerAccount
 }
 
 /** Many times what a peer states about itself. */
@@ -63,7 +74,7 @@
  */
 export function callHttp(options: HttpCallOptions): Promise<HttpResponse> {
 	const {address, agent, method, path, timeoutMs, bodyLimits} = options
-	const {maxBytes = defaultMaxAnswerBytes} = options
+	const {maxBytes = defaultMaxAnswerBytes, share} = options
 	const [host, port] = address.split(":")
 	const payload = encodePayload(options)
 	const headers = {...options.headers}
@@ -74,10 +85,14 @@
 	if (options.body !== undefined) headers["Content-Type"] = "application/json"
 	return new Promise((resolve, reject) => {
 		const req = httpRequest({host, port, method, path, headers, agent})
-		const endLate = (): void => {
-			req.destroy(new Error("no complete response within the timeout"))
-		}
-		let timer = setTimeout(endLate, timeoutMs)
+		let isWaiting = false
+		const deadline = new CallDeadline(() => {
+			const reason = isWaiting
+				? "other responses held the memory until the timeout"
+				: "no complete response within the timeout"
+			req.destroy(new Error(reason))
+		})
+		deadline.set(performance.now() + timeoutMs)
 		let received: IncomingMessage | undefined
 		let stopCounting: (() => unknown) | undefined
 		const failIfReset = (): void => {
@@ -86,8 +101,9 @@
 			if (reset !== undefined) fail(reset)
 		}
 		const finish = (): void => {
-			clearTimeout(timer)
+			deadline.end()
 			stopCounting?.()
+			share?.memory.stopWaiting(share.account)
 			req.socket?.removeListener("end", failIfReset)
 		}
 		const fail = (err: Error): void => {
@@ -120,14 +136,26 @@
 			const bodyDeadline = performance.now() + (bodyLimits?.totalMs ?? 0)
 			const awaitPart = (): void => {
 				if (bodyLimits === undefined) return
-				clearTimeout(timer)
-				const leftMs = bodyDeadline - performance.now()
-				timer = setTimeout(endLate, Math.min(bodyLimits.stallMs, leftMs))
+				const partDeadline = performance.now() + bodyLimits.stallMs
+				deadline.set(Math.min(partDeadline, bodyDeadline))
+			}
+			const awaitTurn = ({memory, account}: AnswerShare): void => {
+				isWaiting = true
+				res.pause()
+				if (bodyLimits !== undefined) deadline.set(bodyDeadline)
+				memory.awaitTurn(account, () => {
+					isWaiting = false
+					awaitPart()
+					res.resume()
+				})
 			}
 			awaitPart()
-			res.on("data", (chunk: Buffer) => {
-				body.add(chunk)
+			res.on("data", (part: Buffer) => {
+				const added = body.add(part)
 				awaitPart()
+				if (share === undefined) return
+				share.memory.add(share.account, added)
+				if (!share.memory.mayGrow(share.account)) awaitTurn(share)
 			})
 			res.on("error", fail)
 			res.on("end", () => {
--- a/src/link/index.ts
+++ b/src/link/index.ts
@@ -1,6 +1,7 @@
 export * from "./fleetLink.js"
 export * from "./bindGrpc.js"
 export * from "./answerBytes.js"
+export * from "./answerMemory.js"
 export * from "./clientPool.js"
 export * from "./encoding.js"
 export * from "./engineClient.js"
--- a/src/policy/buffers/index.ts
+++ b/src/policy/buffers/index.ts
@@ -1,1 +1,2 @@
+export * from "./answerLedger.js"
 export * from "./bufferLedger.js"
