Keep small pieces of endpoints' answers in few blocks

Callers saw their connections closed without an answer: the gateway had ended by itself (signal 6, heap out of memory). An endpoint that sent its body in chunks of a byte, or comments or blank lines in place of events, ended it with a few MiB.

Cause: each chunk, comment and blank line was kept as an object of its own. The bound counts their bytes, 4 MiB for an answer; the objects took up to two hundred times as much, on the heap, where nothing bounds them.

It also no longer joins what it holds with each chunk that arrives, which copied an event of 4 MiB some 32 times, and returns nothing after text that is no event; a send forwards nothing after its call has ended.

--- a/src/gateway/callers/bodyBuffer.ts
+++ b/src/gateway/callers/bodyBuffer.ts
@@ -5,14 +5,14 @@
 
 import {BufferPart} from "../../policy/buffers/index.js"
 import type {RequestBuffers} from "./callerBuffers.js"
+import {ChunkList} from "./chunkList.js"
 
 /** Longest body or event that an endpoint may send: the default limit on requests. */
 export const maxBufferedBytes = 4 * 2 ** 20
 
 export class BodyBuffer {
-	private chunks: Buffer[] = []
+	private readonly chunks = new ChunkList()
 	private length = 0
-	private heldBytes = 0
 
 	/** What is collected counts among the buffers of the caller's request. */
 	constructor(private readonly buffers: RequestBuffers) {}
@@ -22,7 +22,6 @@
 		this.length += chunk.length
 		if (this.length > maxBufferedBytes) return false
 		this.chunks.push(chunk)
-		this.heldBytes += chunk.length
 		this.buffers.add(BufferPart.Answer, chunk.length)
 		return true
 	}
@@ -32,10 +31,7 @@
 	 * each is freed as soon as it was sent.
 	 */
 	take(): Buffer[] {
-		const {chunks} = this
-		this.buffers.remove(BufferPart.Answer, this.heldBytes)
-		this.heldBytes = 0
-		this.chunks = []
-		return chunks
+		this.buffers.remove(BufferPart.Answer, this.chunks.length)
+		return this.chunks.take()
 	}
 }
--- a/src/gateway/sends/__tests__/eventSplitter.test.ts
+++ b/src/gateway/sends/__tests__/eventSplitter.test.ts
@@ -47,4 +47,21 @@
 			{seed: 28}
 		)
 	})
+
+	// Guards against an object for each blank line that an endpoint sends.
+	it.each(["\n", "\r\n", ": note\n\n", ":\n\n\n"])(
+		"are one as long as there is only %j",
+		rest => {
+			const splitter = new EventSplitter()
+			const sent = rest.repeat(1000)
+			const events = [
+				...splitter.push(Buffer.from(sent)),
+				...splitter.push(Buffer.from("id: 1\ndata: a\n\n"))
+			]
+			expect(events.length).toBeLessThanOrEqual(3)
+			expect(events.map(({id}) => id).join("")).toBe("1")
+			const bytes = Buffer.concat(events.map(each => each.bytes)).toString()
+			expect(bytes).toBe(`${sent}id: 1\ndata: a\n\n`)
+		}
+	)
 })
--- a/src/gateway/sends/eventSplitter.ts
+++ b/src/gateway/sends/eventSplitter.ts
@@ -3,6 +3,7 @@
  * forwards a truncated event, so that another engine can resume the generation
  * after the last complete one.
  */
+import {ChunkList} from "../callers/chunkList.js"
 import {isHeaderText} from "../../contract/wireValues.js"
 
 export interface StreamEvent {
@@ -10,7 +11,7 @@
 	bytes: Buffer
 	/** Value of the `id` field; empty when there is none. */
 	id: string
-	/** Whether it holds comments only, as sent to keep a connection open. */
+	/** Whether it is comments and blank lines only, as sent to keep a connection open. */
 	isComment: boolean
 	/** Why it is neither an event of a stream nor a comment. */
 	defect: EventDefect | undefined
@@ -24,34 +25,92 @@
 
 const lineFeed = 0x0a
 const carriageReturn = 0x0d
+const colon = 0x3a
+
+/** Bytes before a blank line's last one that tell that it is blank. */
+const overlapBytes = 2
 
 export class EventSplitter {
-	private buffered: Buffer = Buffer.alloc(0)
-	/** Bytes of `buffered` in which no event ends. */
-	private searchedBytes = 0
+	private readonly pending = new ChunkList()
+	/** The last bytes of `pending`. */
+	private tail: Buffer = Buffer.alloc(0)
 
 	/** Number of bytes received of an event that is not complete. */
 	get pendingBytes(): number {
-		return this.buffered.length
+		return this.pending.length
 	}
 
-	/** Appends a chunk and returns the events that it completes. */
+	/**
+	 * Appends a chunk and returns the events that it completes, up to the first one with
+	 * a defect. Comments and blank lines between two events are one, so that an endpoint
+	 * can't fill the memory with objects for a few bytes each.
+	 */
 	push(chunk: Buffer): StreamEvent[] {
-		this.buffered =
-			this.buffered.length === 0 ? chunk : Buffer.concat([this.buffered, chunk])
 		const events: StreamEvent[] = []
-		for (;;) {
-			const end = findEventEnd(this.buffered, this.searchedBytes)
-			if (end < 0) {
-				// The last bytes may be the begin of a blank line.
-				this.searchedBytes = Math.max(0, this.buffered.length - 3)
-				return events
-			}
-			const bytes = this.buffered.subarray(0, end)
-			this.buffered = this.buffered.subarray(end)
-			this.searchedBytes = 0
-			events.push(decodeEvent(bytes))
+		let rest = chunk
+		const firstEnd = this.findFirstEnd(chunk)
+		if (firstEnd > 0 && this.pending.length > 0) {
+			this.pending.push(chunk.subarray(0, firstEnd))
+			const [event] = splitEvents(Buffer.concat(this.pending.take())).events
+			if (event !== undefined) events.push(event)
+			if (event?.defect !== undefined) return events
+			rest = chunk.subarray(firstEnd)
+		}
+		if (firstEnd > 0) {
+			const split = splitEvents(rest)
+			events.push(...split.events)
+			rest = split.rest
+			this.tail = Buffer.alloc(0)
+		}
+		this.pending.push(rest)
+		this.tail = Buffer.concat([this.tail, rest.subarray(-overlapBytes)])
+		this.tail = this.tail.subarray(-overlapBytes)
+		return events
+	}
+
+	/** Index in the chunk after the first blank line, or -1 if there is none. */
+	private findFirstEnd(chunk: Buffer): number {
+		const {tail} = this
+		const seam = Buffer.concat([tail, chunk.subarray(0, overlapBytes)])
+		const end = findEventEnd(seam, 0)
+		return end < 0 ? findEventEnd(chunk, 0) : end - tail.length
+	}
+}
+
+function splitEvents(bytes: Buffer): {events: StreamEvent[]; rest: Buffer} {
+	const events: StreamEvent[] = []
+	let from = 0
+	for (;;) {
+		const commentsEnd = findCommentsEnd(bytes, from)
+		if (commentsEnd > from) {
+			events.push(createComments(bytes.subarray(from, commentsEnd)))
+			from = commentsEnd
 		}
+		const end = findEventEnd(bytes, from)
+		if (end < 0) return {events, rest: bytes.subarray(from)}
+		const event = decodeEvent(bytes.subarray(from, end))
+		events.push(event)
+		from = end
+		if (event.defect !== undefined) return {events, rest: Buffer.alloc(0)}
+	}
+}
+
+function createComments(bytes: Buffer): StreamEvent {
+	return {bytes, id: "", isComment: true, defect: undefined}
+}
+
+/** Index after the last blank line before which there are only comments. */
+function findCommentsEnd(buffer: Buffer, from: number): number {
+	let end = from
+	for (let at = from; ;) {
+		const lineEnd = buffer.indexOf(lineFeed, at)
+		if (lineEnd < 0) return end
+		const isBlank =
+			lineEnd === at || (lineEnd === at + 1 && buffer[at] === carriageReturn)
+		if (!isBlank && buffer[at] !== colon) return end
+		// The first line of a block may be blank without ending it.
+		if (isBlank && at > end) end = lineEnd + 1
+		at = lineEnd + 1
 	}
 }
 
@@ -77,11 +136,9 @@
 
 function decodeEvent(bytes: Buffer): StreamEvent {
 	const lines = bytes.toString("utf8").split(/\r?\n/)
-	const isComment = lines.every(line => line === "" || line.startsWith(":"))
 	const line = lines.find(each => each.startsWith("id:"))
 	const id = line?.slice("id:".length).trim() ?? ""
-	const defect = isComment ? undefined : findDefect(lines, id)
-	return {bytes, id, isComment, defect}
+	return {bytes, id, isComment: false, defect: findDefect(lines, id)}
 }
 
 /** Text of an error, or the head of another answer, has no fields of an event. */
--- a/src/gateway/sends/generationSend.ts
+++ b/src/gateway/sends/generationSend.ts
@@ -73,6 +73,7 @@
 	private silenceTimer: NodeJS.Timeout | undefined
 	private isPaused = false
 	private hasPaused = false
+	private hasEnded = false
 
 	constructor(options: GenerationSendOptions) {
 		const {ctx, request, target, resumeAfter} = options
@@ -114,6 +115,7 @@
 					this.receive(chunk)
 				},
 				onEnd: (outcome, detail) => {
+					this.hasEnded = true
 					clearTimeout(this.silenceTimer)
 					options.onEnd(this, outcome, detail)
 					this.releaseBuffers()
@@ -257,6 +259,8 @@
 			}
 			if (event.isComment) this.receiveComment(event.bytes)
 			else this.receiveEvent(responseHead, event)
+			// The last one may have ended the call.
+			if (this.hasEnded) return
 		}
 		this.countPending(this.splitter.pendingBytes)
 		if (this.splitter.pendingBytes > maxBufferedBytes)
