Keep the errors of a listening server from ending its process

Callers of a process that can't accept connections for a moment, for lack of descriptors, memory or buffers, would have lost the whole process and all requests in it: exit code 1, an unhandled `error` event.

Cause: HTTP servers kept the handler of their start, which swallowed the first such error without a line and was gone by the second; gRPC leaves its HTTP/2 servers without any handler, so that the first error ends the process. Seen by emitting the event, not in a run with real lack of descriptors.

The handler is a required option, so that no listener is started without one; the calls in two tests and two benches pass one that throws or prints.

--- a/bench/capacity/peer.ts
+++ b/bench/capacity/peer.ts
@@ -95,6 +95,7 @@
 		endpoints.push(endpoint)
 		const server = await LinkServer.start({
 			address: "127.0.0.1:0",
+			onError: console.error,
 			handlers: {
 				run: call => {
 					void streamChunks(call)
--- a/bench/capacity/wire.ts
+++ b/bench/capacity/wire.ts
@@ -130,6 +130,7 @@
 async function measureAnnouncements(): Promise<void> {
 	const server = await LinkServer.start({
 		address: "127.0.0.1:0",
+		onError: console.error,
 		handlers: {announce: () => Promise.resolve(create(AckSchema, {generation}))}
 	})
 	const counter = await ByteCounter.start(server.address)
--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -172,8 +172,8 @@
 		return bindWhenFree({
 			address,
 			purpose: "gateways",
-			bind: ({isRetry}) =>
-				startGrantServer({address, tls, onCall, probesFirst: isRetry}),
+			bind: ({isRetry: probesFirst, onError}) =>
+				startGrantServer({address, tls, onCall, probesFirst, onError}),
 			onBound: server => {
 				this.server = server
 				this.scheduleTick(idleTickMs)
--- a/src/endpoint/endpointTask.ts
+++ b/src/endpoint/endpointTask.ts
@@ -36,6 +36,7 @@
 import {Counters} from "../program/counters.js"
 import {startHealthServer} from "../program/health.js"
 import {ExitCode} from "../program/exitCode.js"
+import {createListenerErrorLog} from "../program/listenerErrors.js"
 import {createLog, type Log} from "../program/log.js"
 import {EndReason, endProcess} from "../program/processLife.js"
 import {isMatchingToken} from "../program/token.js"
@@ -163,6 +164,7 @@
 		this.link = await LinkServer.start({
 			address: link,
 			tls: this.tls,
+			onError: this.createErrorLog("link", link),
 			handlers: {
 				run: call => {
 					this.run(call)
@@ -179,7 +181,8 @@
 		if (health !== undefined) {
 			this.health = await startHealthServer(health, {
 				isReady: () => this.isReady,
-				counters: this.counters
+				counters: this.counters,
+				onError: this.createErrorLog("health", health)
 			})
 		}
 		this.store.onInstall(root => {
@@ -271,6 +274,19 @@
 		return create(TicketSchema, {ticket, expiresMs: expiresAt})
 	}
 
+	private createErrorLog(
+		purpose: string,
+		address: string
+	): (err: Error) => void {
+		return createListenerErrorLog({
+			address,
+			purpose,
+			write: (event, inputs) => {
+				this.log.error(event, inputs)
+			}
+		})
+	}
+
 	private run(call: RunCall): void {
 		const write: Sink = (event, isLast) => {
 			if (call.cancelled) return
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -15,6 +15,7 @@
 	addHealthRoutes,
 	type Counters,
 	callIfIdle,
+	createListenerErrorLog,
 	listen,
 	type Log,
 	CallerConnections
@@ -160,7 +161,14 @@
 				return handler.services.handleService(req, res, path)
 			})
 		)
-		this.server = await listen(app, address)
+		const onError = createListenerErrorLog({
+			address: address,
+			purpose: "callers",
+			write: (event, inputs) => {
+				log.error(event, inputs)
+			}
+		})
+		this.server = await listen(app, address, onError)
 		this.server.keepAliveTimeout = keepAliveMs
 	}
 
--- a/src/entry/entryTask.ts
+++ b/src/entry/entryTask.ts
@@ -36,6 +36,7 @@
 import {
 	getAdvertisedAddress,
 	Counters,
+	createListenerErrorLog,
 	createLog,
 	EndReason,
 	endProcess,
@@ -170,6 +171,13 @@
 		this.link = await LinkServer.start({
 			address: this.settings.link,
 			tls: this.tls,
+			onError: createListenerErrorLog({
+				address: this.settings.link,
+				purpose: "link",
+				write: (event, inputs) => {
+					this.log.error(event, inputs)
+				}
+			}),
 			handlers: {
 				config: req => Promise.resolve(answerConfigRequest(this.store, req)),
 				offer: offer => this.handleOffer(offer),
--- a/src/gateway/fleet/fleetPublisher.ts
+++ b/src/gateway/fleet/fleetPublisher.ts
@@ -102,11 +102,12 @@
 		return bindWhenFree({
 			address,
 			purpose: "other gateways",
-			bind: ({isRetry}) =>
+			bind: ({isRetry, onError}) =>
 				startFollowServer({
 					address,
 					tls,
 					probesFirst: isRetry,
+					onError,
 					onCall: call => {
 						this.addSubscriber(call)
 					},
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -125,7 +125,7 @@
 		return bindWhenFree({
 			address,
 			purpose: "callers",
-			bind: () => listenAt(this.server, address, {backlog}),
+			bind: ({onError}) => listenAt(this.server, address, {backlog, onError}),
 			unbind: () => {
 				this.server.close()
 			},
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -373,12 +373,12 @@
 	private startProbes(
 		purpose: string,
 		address: string,
-		options: ProbeServerOptions
+		options: Omit<ProbeServerOptions, "onError">
 	): Promise<void> {
 		return bindWhenFree({
 			address,
 			purpose,
-			bind: () => startProbeServer(address, options),
+			bind: ({onError}) => startProbeServer(address, {...options, onError}),
 			onBound: server => {
 				this.servers.push(server)
 			},
--- a/src/gateway/links/__tests__/agentLink.test.ts
+++ b/src/gateway/links/__tests__/agentLink.test.ts
@@ -42,6 +42,9 @@
 	let calls = 0
 	const server = await startGrantServer({
 		address,
+		onError: err => {
+			throw err
+		},
 		onCall: call => {
 			calls += 1
 			onAccept(call)
--- a/src/link/__tests__/link.test.ts
+++ b/src/link/__tests__/link.test.ts
@@ -35,7 +35,13 @@
 	handlers: LinkHandlers,
 	address = "127.0.0.1:0"
 ): Promise<LinkServer> {
-	const server = await LinkServer.start({address, handlers})
+	const server = await LinkServer.start({
+		address,
+		handlers,
+		onError: err => {
+			throw err
+		}
+	})
 	servers.push(server)
 	return server
 }
--- a/src/program/bindWhenFree.ts
+++ b/src/program/bindWhenFree.ts
@@ -5,6 +5,7 @@
  */
 import {messageOf, sleep} from "../utils/common.js"
 import type {DecisionLog} from "./decisionLog.js"
+import {createListenerErrorLog} from "./listenerErrors.js"
 
 export interface BindOptions<T> {
 	/** `ip:port`. */
@@ -27,6 +28,8 @@
 export interface BindAttempt {
 	/** Whether an earlier attempt failed. */
 	isRetry: boolean
+	/** To be called with each error of the listener after it was bound. */
+	onError: (err: Error) => void
 }
 
 /** An address that can't be bound, whoever else holds or releases it. */
@@ -54,14 +57,21 @@
  */
 export async function bindWhenFree<T>(options: BindOptions<T>): Promise<void> {
 	const {address, purpose, bind, log} = options
+	const onError = createListenerErrorLog({
+		address,
+		purpose,
+		write: (event, inputs) => {
+			log.decide(event, inputs)
+		}
+	})
 	let bound: T
 	try {
-		bound = await bind({isRetry: false})
+		bound = await bind({isRetry: false, onError})
 	} catch (err) {
 		const code = findTransientCode(err)
 		if (code === undefined) throw new ListenError(purpose, address, err)
 		log.decide("listen.waiting", {address, purpose, error: messageOf(err)})
-		void retryBind(options, code)
+		void retryBind(options, {isRetry: true, onError}, code)
 		return
 	}
 	finishBind(options, bound)
@@ -69,6 +79,7 @@
 
 async function retryBind<T>(
 	options: BindOptions<T>,
+	attempt: BindAttempt,
 	firstCode: string
 ): Promise<void> {
 	const {address, purpose, bind, signal, log} = options
@@ -79,7 +90,7 @@
 		await sleep(retryMs, signal)
 		if (signal.aborted) return
 		try {
-			const bound = await bind({isRetry: true})
+			const bound = await bind(attempt)
 			const waitedMs = Math.round(performance.now() - startedAt)
 			log.decide("listen.bound", {address, purpose, waitedMs})
 			finishBind(options, bound)
--- a/src/program/health.ts
+++ b/src/program/health.ts
@@ -9,6 +9,11 @@
 	counters: Counters
 }
 
+export interface HealthServerOptions extends HealthOptions {
+	/** Called with each error of the server after it listens. */
+	onError: (err: Error) => void
+}
+
 const httpOk = 200
 const httpUnavailable = 503
 
@@ -40,15 +45,22 @@
 /** Starts an HTTP server at `ip:port` with the health routes alone. */
 export function startHealthServer(
 	address: string,
-	options: HealthOptions
+	{onError, ...options}: HealthServerOptions
 ): Promise<Server> {
 	const app = polka()
 	addHealthRoutes(app, options)
-	return listen(app, address)
+	return listen(app, address, onError)
 }
 
-/** Listens at `ip:port`; resolves with the server once it is bound. */
-export function listen(app: polka.Polka, address: string): Promise<Server> {
+/**
+ * Listens at `ip:port`; resolves with the server once it is bound, whose errors from
+ * then on are passed to `onError`.
+ */
+export function listen(
+	app: polka.Polka,
+	address: string,
+	onError: (err: Error) => void
+): Promise<Server> {
 	const {host, port} = splitAddress(address)
 	return new Promise((resolve, reject) => {
 		app.listen(port, host)
@@ -59,6 +71,8 @@
 		}
 		server.once("error", reject)
 		server.once("listening", () => {
+			server.on("error", onError)
+			server.off("error", reject)
 			resolve(server)
 		})
 	})
--- a/src/program/probeServer.ts
+++ b/src/program/probeServer.ts
@@ -8,6 +8,8 @@
 export interface ProbeServerOptions {
 	isReady?: () => boolean
 	registry?: Registry
+	/** Called with each error of the server after it listens. */
+	onError: (err: Error) => void
 }
 
 const httpOk = 200
@@ -17,7 +19,7 @@
 /** Serves `/ready` if `isReady` is given, and `/metrics` if `registry` is. */
 export function startProbeServer(
 	address: string,
-	{isReady, registry}: ProbeServerOptions
+	{isReady, registry, onError}: ProbeServerOptions
 ): Promise<Server> {
 	const app = polka()
 	if (isReady !== undefined) {
@@ -40,5 +42,5 @@
 			)
 		})
 	}
-	return listen(app, address)
+	return listen(app, address, onError)
 }
