Let entries and endpoints wait for taken addresses

Callers of an entry, and probes of an endpoint, got nothing for as long as another process held `--listen` or `--health`: the process ended with exit code 1 at each start.

Both addresses are now awaited like those of a gateway, with `listen.waiting` and `listen.bound` as warnings on standard error, and a planned stop meanwhile ends the process with code 0. The address of the link stays as it was: tests state that a process ends if that is taken or not assigned, as it stands for the host. The handler of requests is added once, since a server that listens again keeps its handlers.

--- a/src/endpoint/endpointTask.ts
+++ b/src/endpoint/endpointTask.ts
@@ -33,6 +33,7 @@
 	type TlsKeys
 } from "../link/index.js"
 import {getAdvertisedAddress} from "../program/commonSpecs.js"
+import {bindWhenFree} from "../program/bindWhenFree.js"
 import {Counters} from "../program/counters.js"
 import {startHealthServer} from "../program/health.js"
 import {ExitCode} from "../program/exitCode.js"
@@ -82,6 +83,7 @@
 	private readonly reporter: Reporter
 	private link: LinkServer | undefined
 	private health: Server | undefined
+	private readonly stopping = new AbortController()
 	private pool: EndpointPool | undefined
 	private isPoolOpening = false
 	private incarnation = 0
@@ -148,6 +150,7 @@
 	}
 
 	async close(): Promise<void> {
+		this.stopping.abort()
 		this.reporter.close()
 		this.contacts.close()
 		this.incarnationTask?.close()
@@ -164,7 +167,13 @@
 		this.link = await LinkServer.start({
 			address: link,
 			tls: this.tls,
-			onError: this.createErrorLog("link", link),
+			onError: createListenerErrorLog({
+				address: link,
+				purpose: "link",
+				write: (event, inputs) => {
+					this.log.error(event, inputs)
+				}
+			}),
 			handlers: {
 				run: call => {
 					this.run(call)
@@ -179,10 +188,27 @@
 			}
 		})
 		if (health !== undefined) {
-			this.health = await startHealthServer(health, {
-				isReady: () => this.isReady,
-				counters: this.counters,
-				onError: this.createErrorLog("health", health)
+			await bindWhenFree({
+				address: health,
+				purpose: "health checks",
+				bind: ({onError}) =>
+					startHealthServer(health, {
+						isReady: () => this.isReady,
+						counters: this.counters,
+						onError
+					}),
+				onBound: server => {
+					this.health = server
+				},
+				unbind: server => {
+					server.close()
+				},
+				signal: this.stopping.signal,
+				log: {
+					decide: (event, inputs) => {
+						this.log.warn(event, inputs)
+					}
+				}
 			})
 		}
 		this.store.onInstall(root => {
@@ -274,19 +300,6 @@
 		return create(TicketSchema, {ticket, expiresMs: expiresAt})
 	}
 
-	private createErrorLog(
-		purpose: string,
-		address: string
-	): (err: Error) => void {
-		return createListenerErrorLog({
-			address,
-			purpose,
-			write: (event, inputs) => {
-				this.log.error(event, inputs)
-			}
-		})
-	}
-
 	private run(call: RunCall): void {
 		const write: Sink = (event, isLast) => {
 			if (call.cancelled) return
--- a/src/entry/callerServer.ts
+++ b/src/entry/callerServer.ts
@@ -13,14 +13,14 @@
 import {NotRunReason} from "../contract/gen/link_pb.js"
 import {
 	addHealthRoutes,
+	bindWhenFree,
 	type Counters,
 	callIfIdle,
-	createListenerErrorLog,
-	listen,
 	type Log,
 	CallerConnections
 } from "../program/index.js"
 import {messageOf, sleep} from "../utils/common.js"
+import {listenAt} from "../utils/listenAt.js"
 import {MethodError} from "./methodError.js"
 import {notRunOutcome, sendError, sendFailure} from "./outcome.js"
 import type {RequestHandler} from "./requestHandler.js"
@@ -58,9 +58,11 @@
 	/** Whether no further connections and requests are accepted. */
 	private hasStoppedListening = false
 	private server: Server | undefined
+	private readonly stopping = new AbortController()
 
 	private constructor(private readonly options: CallerServerOptions) {}
 
+	/** Resolves after the first attempt to bind the address. */
 	static async start(options: CallerServerOptions): Promise<CallerServer> {
 		const callerServer = new CallerServer(options)
 		await callerServer.open()
@@ -70,16 +72,19 @@
 	/**
 	 * Reports not ready for `lameDuckMs`, then stops accepting connections and
 	 * requests, and waits for the running ones. At `deadline` it closes the
-	 * connections of those that still run.
+	 * connections of those that still run. Resolves at once if the address was not
+	 * bound yet.
 	 */
 	async drain(lameDuckMs: number, deadline: number): Promise<void> {
 		this.isDraining = true
+		this.stopping.abort()
+		if (this.server?.listening !== true) return
 		await sleep(lameDuckMs)
-		this.server?.close()
+		this.server.close()
 		this.hasStoppedListening = true
 		while (this.activeRequests > 0 && Date.now() < deadline)
 			await sleep(drainPollMs)
-		this.server?.closeAllConnections()
+		this.server.closeAllConnections()
 	}
 
 	private async open(): Promise<void> {
@@ -161,15 +166,25 @@
 				return handler.services.handleService(req, res, path)
 			})
 		)
-		const onError = createListenerErrorLog({
-			address: address,
+		server.on("request", (req, res) => {
+			app.handler(req as Parameters<typeof app.handler>[0], res)
+		})
+		server.keepAliveTimeout = keepAliveMs
+		this.server = server
+		await bindWhenFree({
+			address,
 			purpose: "callers",
-			write: (event, inputs) => {
-				log.error(event, inputs)
+			bind: ({onError}) => listenAt(server, address, {onError}),
+			unbind: () => {
+				server.close()
+			},
+			signal: this.stopping.signal,
+			log: {
+				decide: (event, inputs) => {
+					log.warn(event, inputs)
+				}
 			}
 		})
-		this.server = await listen(app, address, onError)
-		this.server.keepAliveTimeout = keepAliveMs
 	}
 
 	/**
