Log that the memory of a process nears its limit (FAULT)

A process that is killed above the platform's bound on memory, or that aborts at the heap's limit, has no line about its end. Nothing told it from other ends.

memory.high is logged once as the heap is at 85 in 100 of its limit, or the process at 85 in 100 of limits.memory_mb of its settings file, which may be absent: resident, heap and external bytes, what is held for callers, and what of the log is unread. memory.normal follows below 75 in 100; the lines are at least 5 s apart.

--- a/src/program/run.ts
+++ b/src/program/run.ts
@@ -9,7 +9,8 @@
 import {restoreFlagText} from "./flagText.js"
 import type {Log} from "./log.js"
 import {printError} from "./logOutput.js"
-import {EndReason, endProcess, logLife} from "./processLife.js"
+import {MemoryWatch} from "./memoryWatch.js"
+import {EndReason, endProcess, type LogEvent, logLife} from "./processLife.js"
 import {
 	formatFlagName,
 	readSettings,
@@ -27,6 +28,8 @@
 	 * timeout has passed.
 	 */
 	drain(): Promise<void>
+	/** Bytes that the process counts as held for others. */
+	getBufferedBytes?(): number
 }
 
 export interface DaemonOptions<S extends SettingSpecs> {
@@ -54,7 +57,9 @@
 	}
 	const log = options.createLog?.(settings)
 	if (log !== undefined) {
-		logLife(programVersion, (event, fields) => log.info(event, fields))
+		const logEvent: LogEvent = (event, fields) => log.info(event, fields)
+		logLife(programVersion, logEvent)
+		new MemoryWatch({log: logEvent}).start()
 	}
 	try {
 		drainOnSignal(await options.start(settings))
