Let no single fault end all requests of a process (FAULT)

One exception in a callback, one rejection or one error event without a listener (as an accept that fails a second time) ended the process, and with it all the requests that it served, with nothing in the log.

Once a long-running program serves, such a fault is logged as process.fault with its stack and the number of faults so far (10 lines at once, then 1 a second), and the process goes on. Before that it ends the start with code 5, the stack on standard error and process.ended.

--- a/src/program/decisionLog.ts
+++ b/src/program/decisionLog.ts
@@ -5,6 +5,7 @@
  * Lines about state changes are never dropped.
  */
 import winston from "winston"
+import {FaultRate} from "./faultRate.js"
 import {getStandardOutput} from "./logOutput.js"
 import {createLogTransport} from "./logTransport.js"
 
@@ -28,6 +29,7 @@
 	private tokens: number
 	private refilledAt: number
 	private omitted = 0
+	private readonly faults: FaultRate
 
 	constructor(options: DecisionLogOptions) {
 		const {role, host} = options
@@ -35,6 +37,7 @@
 		this.now = options.now ?? (() => performance.now())
 		this.tokens = this.linesPerSecond
 		this.refilledAt = this.now()
+		this.faults = new FaultRate(this.now)
 		this.logger = winston.createLogger({
 			level: "info",
 			defaultMeta: {role, host},
@@ -68,6 +71,20 @@
 		this.logger.info(event, {request: id, ...inputs, ...omittedField})
 	}
 
+	/**
+	 * Logs an exception that was caught at a boundary, so that only what is inside of
+	 * that ended. Lines above a rate are left out; each carries the number of faults.
+	 */
+	fault(
+		where: string,
+		err: unknown,
+		inputs: Record<string, unknown> = {}
+	): void {
+		const fields = this.faults.admit(where, err)
+		if (fields !== undefined)
+			this.logger.error("process.fault", {...fields, ...inputs})
+	}
+
 	private refill(): void {
 		const now = this.now()
 		const newTokens = ((now - this.refilledAt) * this.linesPerSecond) / 1000
--- a/src/program/run.ts
+++ b/src/program/run.ts
@@ -7,6 +7,8 @@
 import {messageOf} from "../utils/common.js"
 import {ExitCode} from "./exitCode.js"
 import {restoreFlagText} from "./flagText.js"
+import {FaultRate} from "./faultRate.js"
+import {markStarted, outliveFaults} from "./lastResort.js"
 import type {Log} from "./log.js"
 import {printError} from "./logOutput.js"
 import {MemoryWatch} from "./memoryWatch.js"
@@ -59,10 +61,16 @@
 	if (log !== undefined) {
 		const logEvent: LogEvent = (event, fields) => log.info(event, fields)
 		logLife(programVersion, logEvent)
+		const faults = new FaultRate(() => performance.now())
+		outliveFaults((where, err) => {
+			const fields = faults.admit(where, err)
+			if (fields !== undefined) log.error("process.fault", fields)
+		})
 		new MemoryWatch({log: logEvent}).start()
 	}
 	try {
 		drainOnSignal(await options.start(settings))
+		markStarted()
 	} catch (err) {
 		endFailedStart(options.name, err)
 	}
