Keep a gateway within its site's memory beside an endless store (FAULT)

Seen: with its store's answers bounded, a gateway process whose store poured out answers without end still reached 183 MB, 94 MB above its 89 MB when idle; the smallest host that callers reach has 210 MB, and callers' buffers may hold 50 MB.

Cause: a body that grew by doubling left twice its size to the collector with each answer that was cut off.

--- a/src/link/answerBytes.ts
+++ b/src/link/answerBytes.ts
@@ -36,32 +36,40 @@
 	return () => socket.removeListener("data", check)
 }
 
-const minCapacity = 4096
+/** Most answers fit into it. */
+const firstBlockBytes = 4096
+const blockBytes = 64 * 1024
 
 /**
- * A body in one buffer: a list of small parts would keep a whole read of the socket for
- * each of them.
+ * A body in blocks of its own: a list of small parts would keep a whole read of the
+ * socket for each of them.
  */
 export class CollectedBody {
-	private buffer = Buffer.alloc(0)
+	private readonly blocks: Buffer[] = []
 	private length = 0
+	/** Of the last block. */
+	private free = 0
 
-	/** Returns by how many bytes the buffer grew. */
+	/** Returns by how many bytes the memory grew. */
 	add(part: Buffer): number {
-		const before = this.buffer.length
-		const length = this.length + part.length
-		if (length > this.buffer.length) {
-			const capacity = Math.max(minCapacity, length, 2 * this.buffer.length)
-			const larger = Buffer.allocUnsafeSlow(capacity)
-			this.buffer.copy(larger, 0, 0, this.length)
-			this.buffer = larger
+		let grownBytes = 0
+		for (let at = 0; at < part.length;) {
+			if (this.free === 0) {
+				const isFirst = this.blocks.length === 0
+				this.free = isFirst ? firstBlockBytes : blockBytes
+				this.blocks.push(Buffer.allocUnsafeSlow(this.free))
+				grownBytes += this.free
+			}
+			const block = this.blocks.at(-1) ?? part
+			const copied = part.copy(block, block.length - this.free, at)
+			at += copied
+			this.free -= copied
+			this.length += copied
 		}
-		part.copy(this.buffer, this.length)
-		this.length = length
-		return this.buffer.length - before
+		return grownBytes
 	}
 
 	take(): Buffer {
-		return this.buffer.subarray(0, this.length)
+		return Buffer.concat(this.blocks, this.length)
 	}
 }
--- a/standins/fleet/fleetStore.ts
+++ b/standins/fleet/fleetStore.ts
@@ -16,6 +16,7 @@
 }
 
 const maxNameLength = 255
+const endlessPart = Buffer.alloc(65_536, '"an answer without end",')
 
 export class FleetStore {
 	address = ""
@@ -25,6 +26,11 @@
 	isDroppingWriteAnswers = false
 	/** Calls neither take effect nor are answered. */
 	isHanging = false
+	/**
+	 * Answers every call with a body that never ends and is sent as fast as it is taken,
+	 * up to this number of bytes; 0 for never.
+	 */
+	endlessBytes = 0
 	pageSize = 50
 	/** Called before each page of a list is answered. */
 	onPage: (() => void) | undefined
@@ -145,6 +151,10 @@
 		const url = new URL(req.url ?? "/", "http://store")
 		const [, , kind = "", name = ""] = url.pathname.split("/")
 		if (this.isHanging) return
+		if (this.endlessBytes > 0) {
+			pour(res, this.endlessBytes)
+			return
+		}
 		if (this.failureStatus > 0) {
 			this.reply(res, this.failureStatus, {})
 			return
@@ -260,6 +270,15 @@
 	}
 }
 
+function pour(res: ServerResponse, bytesLeft: number): void {
+	const pourMore = (): void => {
+		if (bytesLeft > 0) pour(res, bytesLeft - endlessPart.length)
+	}
+	if (res.destroyed) return
+	if (res.write(endlessPart)) setImmediate(pourMore)
+	else res.once("drain", pourMore)
+}
+
 /** The users' store was seen to reject an empty name and one of 300 characters. */
 function isStorable(name: string): boolean {
 	return name !== "" && name.length <= maxNameLength && isWellFormed(name)
