State the limits of messages between gateways and agents

Seen: nothing by callers. A gateway's first update to another one has the whole fleet; with 1,600 engines of 200 adapters each it has 6 MB, and the stream ended with RESOURCE_EXHAUSTED at each try, since gRPC's own limit of 4 MiB was in force.

Change: 16 MiB for updates, of which a gateway has few sources; 4 MiB stays for agents' messages, now stated. A message over its limit is cut off with the length that stands before it, so one without end is not kept: that held before as well.

The 97 tests of src/link, src/gateway/fleet, src/gateway/links and configSpread pass.

--- a/src/link/fleetLink.ts
+++ b/src/link/fleetLink.ts
@@ -27,13 +27,23 @@
 }
 
 const reconnectBackoffMs = 200
+/**
+ * Limit for a message of an agent, bytes; it ends the stream. A gateway has a stream to
+ * each agent, and an agent's state has changes only.
+ */
+const maxAgentMessageBytes = 4 * 1024 * 1024
+/**
+ * The same for a gateway's update, of which there are few sources: the first one has the
+ * whole fleet and the configuration, compressed or not.
+ */
+const maxUpdateBytes = 16 * 1024 * 1024
 
 /** Opens a grant stream on its own connection. */
 export function openGrantStream(
 	address: string,
 	tls?: TlsKeys
 ): OpenGrantStream {
-	const client = openClient(address, tls)
+	const client = openClient(address, tls, maxAgentMessageBytes)
 	const {path, requestSerialize, responseDeserialize} = grantMethods.grants
 	const stream = client.makeBidiStreamRequest(
 		path,
@@ -84,7 +94,7 @@
 	address: string,
 	{gateway, configVersion, tls}: FollowOptions
 ): OpenFollowStream {
-	const client = openClient(address, tls)
+	const client = openClient(address, tls, maxUpdateBytes)
 	const {path, requestSerialize, responseDeserialize} = fleetMethods.follow
 	const stream = client.makeServerStreamRequest(
 		path,
@@ -151,10 +161,15 @@
 	})
 }
 
-function openClient(address: string, tls: TlsKeys | undefined): grpc.Client {
+function openClient(
+	address: string,
+	tls: TlsKeys | undefined,
+	maxMessageBytes: number
+): grpc.Client {
 	// Without keepalive options: gRPC's shortest keepalive period is seconds, so
 	// the users of the streams send heartbeats of their own.
 	return new grpc.Client(address, clientCredentials(tls), {
+		"grpc.max_receive_message_length": maxMessageBytes,
 		"grpc.initial_reconnect_backoff_ms": reconnectBackoffMs,
 		"grpc.max_reconnect_backoff_ms": reconnectBackoffMs,
 		"grpc.use_local_subchannel_pool": 1,
