Bound what endpoints send beyond their answers

Cause: the bounds on bodies and events count what the parser passes on as a body. Framing of chunks never reaches them, and comments did before the first event only. A service's call whose head has arrived isn't silent either.

Each call now counts what its connection has read. A call that ends for that counts as a failure of the engine also when it had not been read for a time. send.failed has peer and readBytes.

--- a/src/gateway/sends/endpointCall.ts
+++ b/src/gateway/sends/endpointCall.ts
@@ -11,7 +11,9 @@
 import type {IncomingMessage} from "node:http"
 import {connect, type Socket} from "node:net"
 import {findReset, isFramed} from "../../link/connectionEnd.js"
+import {hasExcessFraming} from "../../policy/buffers/index.js"
 import {messageOf} from "../../utils/common.js"
+import type {LogFields} from "../callers/callerExchange.js"
 import type {RunRecord} from "../callers/runRecord.js"
 import type {ResponseHead, RequestHead, WireCodec} from "../wire.js"
 
@@ -82,6 +84,9 @@
 	private isConnected = false
 	private isSettled = false
 	private interimAnswers = 0
+	private bodyBytes = 0
+	private pieces = 0
+	private wasRejected = false
 	private connectTimer: NodeJS.Timeout | undefined
 
 	constructor(options: EndpointCallOptions) {
@@ -148,6 +153,12 @@
 		req.on("upgrade", () => {
 			this.reject("connection was upgraded")
 		})
+		// After the parser's own listener, so that the body's bytes are counted.
+		req.on("socket", () => {
+			socket.on("data", () => {
+				this.checkFraming(socket)
+			})
+		})
 		req.on("information", () => {
 			this.interimAnswers += 1
 			if (this.interimAnswers > maxInterimAnswers)
@@ -166,6 +177,7 @@
 
 	/** Ends the call because what arrives is no usable answer. */
 	reject(detail: string): void {
+		this.wasRejected = true
 		this.settle(CallOutcome.Broken, detail)
 	}
 
@@ -178,6 +190,17 @@
 		this.res?.resume()
 	}
 
+	/** Whether the gateway ended the call because of what arrived. */
+	get isRejected(): boolean {
+		return this.wasRejected
+	}
+
+	/** For log lines: who sent how much. */
+	get sizeFields(): LogFields {
+		const {address: peer} = this.options
+		return {peer, readBytes: this.socket?.bytesRead ?? 0}
+	}
+
 	/** Whether the connection was established, so that the request may have run. */
 	get wasSent(): boolean {
 		return this.isConnected
@@ -202,6 +225,8 @@
 			return
 		}
 		res.on("data", (chunk: Buffer) => {
+			this.bodyBytes += chunk.length
+			this.pieces += 1
 			if (!this.isSettled) handlers.onData(chunk)
 		})
 		res.on("end", () => {
@@ -213,6 +238,14 @@
 		})
 	}
 
+	private checkFraming({bytesRead: readBytes}: Socket): void {
+		const {res, pieces} = this
+		const bodyBytes = this.bodyBytes + (res?.readableLength ?? 0)
+		if (this.isSettled) return
+		if (!hasExcessFraming({readBytes, bodyBytes, pieces})) return
+		this.reject(res === undefined ? "head without end" : "framing without end")
+	}
+
 	/** A response that ends with its connection is complete unless that was reset. */
 	private detectResetAtEnd(socket: Socket): void {
 		if (this.isSettled || this.res === undefined) return
--- a/src/gateway/sends/generationSend.ts
+++ b/src/gateway/sends/generationSend.ts
@@ -3,7 +3,7 @@
  * complete events, and reports when no event arrives in time.
  */
 import type {StreamOrigin} from "../../contract/gen/grants_pb.js"
-import {BufferPart} from "../../policy/buffers/index.js"
+import {BufferPart, CommentRun} from "../../policy/buffers/index.js"
 import type {LogFields} from "../callers/callerExchange.js"
 import {BodyBuffer, maxBufferedBytes} from "../callers/bodyBuffer.js"
 import {CallOutcome, EndpointCall} from "./endpointCall.js"
@@ -68,6 +68,7 @@
 	private firstEventAt = 0
 	/** Comments before the first event; forwarded with it. */
 	private readonly leadingComments: BodyBuffer
+	private readonly commentRun = new CommentRun()
 	/** Bytes of the incomplete event that are counted as held. */
 	private pendingBytes = 0
 	private silenceTimer: NodeJS.Timeout | undefined
@@ -144,6 +145,16 @@
 		return this.call.wasSent
 	}
 
+	/** Whether the gateway ended it because of what arrived. */
+	get isRejected(): boolean {
+		return this.call.isRejected
+	}
+
+	/** For log lines: who sent how much. */
+	get sizeFields(): LogFields {
+		return this.call.sizeFields
+	}
+
 	/** Whether no event has arrived. */
 	get isUnanswered(): boolean {
 		return this.eventCount === 0
@@ -273,14 +284,16 @@
 	}
 
 	private receiveComment(bytes: Buffer): void {
-		if (!this.isUnanswered) this.options.onComment(this, bytes)
-		else if (!this.leadingComments.tryPush(bytes))
+		if (!this.commentRun.tryAdd(bytes.length))
 			this.call.reject("comments without end")
+		else if (this.isUnanswered) this.leadingComments.tryPush(bytes)
+		else this.options.onComment(this, bytes)
 	}
 
 	private receiveEvent(responseHead: ResponseHead, event: StreamEvent): void {
 		const {target, onEvent, createOriginNotice} = this.options
 		this.eventCount += 1
+		this.commentRun.end()
 		if (this.eventCount > 1) onEvent(this, responseHead, event)
 		else {
 			this.firstEventAt = this.options.ctx.now()
@@ -308,11 +321,11 @@
 	send: GenerationSend,
 	outcome: CallOutcome
 ): void {
-	const {target, responseHead, wasPaused} = send
+	const {target, responseHead, wasPaused, isRejected} = send
 	// No failure: the engine evicted the adapter or has restarted.
 	if (responseHead?.isMisdirected === true) return
 	// Engines cut off answers that are not read.
-	if (wasPaused && outcome === CallOutcome.Broken) return
+	if (wasPaused && !isRejected && outcome === CallOutcome.Broken) return
 	const isComplete = outcome === CallOutcome.Complete
 	// Whether that is so isn't known.
 	if (isComplete && send.statesNoneLeft) return
--- a/src/gateway/sends/generationTask.ts
+++ b/src/gateway/sends/generationTask.ts
@@ -298,6 +298,7 @@
 			detail,
 			lastEvent: this.stream.lastEventId,
 			elapsedMs: Math.round(ctx.now() - send.sentAt),
+			...send.sizeFields,
 			...send.promptFields
 		})
 		const hasNotRun =
--- a/src/gateway/sends/serviceTask.ts
+++ b/src/gateway/sends/serviceTask.ts
@@ -220,7 +220,7 @@
 	}
 
 	private handleCallEnd(
-		{responseHead}: EndpointCall,
+		{responseHead, sizeFields}: EndpointCall,
 		{id, outcome, detail, received, checked}: ServiceSendEnd
 	): void {
 		const {ctx, request} = this
@@ -252,7 +252,8 @@
 			endpoint: id,
 			end: outcome,
 			detail,
-			status: responseHead?.status
+			status: responseHead?.status,
+			...sizeFields
 		})
 		if (outcome === CallOutcome.Complete) this.goOn(detail)
 		else
--- a/src/policy/buffers/index.ts
+++ b/src/policy/buffers/index.ts
@@ -1,2 +1,3 @@
 export * from "./answerLedger.js"
+export * from "./answerBounds.js"
 export * from "./bufferLedger.js"
