--- a/src/link/__tests__/fleetLink.test.ts
+++ b/src/link/__tests__/fleetLink.test.ts
@@ -33,7 +33,14 @@
 ): Promise<FleetUpdate | grpc.ServiceError> {
 	const address = `${createLoopbackIp()}:9302`
 	const confirm = () => create(ConfirmAnswerSchema)
-	server = await startFollowServer({address, onCall, confirm})
+	server = await startFollowServer({
+		address,
+		onCall,
+		confirm,
+		onError: err => {
+			throw err
+		}
+	})
 	const follow = openFollowStream(address, {
 		gateway: "g",
 		configVersion: undefined
