Count contained faults as breaches in soaks and fuzz tests (FAULT)

A fault that earlier ended a process, which the soak and the fuzz test of processes count, would now go unseen there. It is also printed on standard error, and both fail on that.

Evidence: the new test of judgeProcesses failed before (no breach).

--- a/bench/soak/__tests__/processes.test.ts
+++ b/bench/soak/__tests__/processes.test.ts
@@ -32,4 +32,11 @@
 		const unaskedEnds = [{code: null, signal: "SIGHUP" as const, output}]
 		expect(judgeProcesses(createDeployment({unaskedEnds}))).toHaveLength(1)
 	})
+
+	it("may not have a fault that an earlier build would have ended at", () => {
+		const stderr = "warning\nprocess.fault in timer: Error: no\n    at f"
+		expect(judgeProcesses(createDeployment({stderr}))).toEqual([
+			"gateway-1 had a fault: process.fault in timer: Error: no"
+		])
+	})
 })
--- a/bench/soak/soak.ts
+++ b/bench/soak/soak.ts
@@ -1,4 +1,5 @@
 /** Runs faults of one seed against a deployment and judges its promises. */
+import {faultEvent} from "../../src/program/faultRate.js"
 import {sleep} from "../../src/utils/common.js"
 import {Random} from "../load/random.js"
 import {CallEnd, Callers, type CallRecord} from "./callers.js"
@@ -208,7 +209,10 @@
 		...gateways.map(({process}) => process),
 		...sites.flatMap(({agent}) => agent ?? [])
 	]
-	return children.flatMap(({name, unaskedEnds, stderr}) =>
+	const faults = children
+		.filter(({stderr}) => stderr.includes(faultEvent))
+		.map(({name, stderr}) => `${name} had a fault: ${findFault(stderr)}`)
+	const ends = children.flatMap(({name, unaskedEnds, stderr}) =>
 		unaskedEnds.flatMap(({code, signal, output}) => {
 			// Sent by a fault before the process had a handler for it.
 			if (signal === "SIGHUP" && !output.includes(startedLine)) return []
@@ -217,6 +221,12 @@
 			return `${name} ended by itself: ${how} ${lastLine}`.trim()
 		})
 	)
+	return [...ends, ...faults]
+}
+
+/** The line about the first fault. */
+function findFault(stderr: string): string {
+	return stderr.split("\n").find(line => line.includes(faultEvent)) ?? ""
 }
 
 /** What workers saw, against what callers were told. */
--- a/src/program/decisionLog.ts
+++ b/src/program/decisionLog.ts
@@ -5,8 +5,8 @@
  * Lines about state changes are never dropped.
  */
 import winston from "winston"
-import {FaultRate} from "./faultRate.js"
-import {getStandardOutput} from "./logOutput.js"
+import {faultEvent, FaultRate} from "./faultRate.js"
+import {getStandardOutput, printError} from "./logOutput.js"
 import {createLogTransport} from "./logTransport.js"
 
 export interface DecisionLogOptions {
@@ -73,7 +73,8 @@
 
 	/**
 	 * Logs an exception that was caught at a boundary, so that only what is inside of
-	 * that ended. Lines above a rate are left out; each carries the number of faults.
+	 * that ended, also on standard error. Lines above a rate are left out; each carries
+	 * the number of faults.
 	 */
 	fault(
 		where: string,
@@ -81,8 +82,9 @@
 		inputs: Record<string, unknown> = {}
 	): void {
 		const fields = this.faults.admit(where, err)
-		if (fields !== undefined)
-			this.logger.error("process.fault", {...fields, ...inputs})
+		if (fields === undefined) return
+		this.logger.error(faultEvent, {...fields, ...inputs})
+		printError(`${faultEvent} in ${where}: ${fields.stack ?? fields.error}`)
 	}
 
 	private refill(): void {
--- a/src/program/faultRate.ts
+++ b/src/program/faultRate.ts
@@ -1,6 +1,8 @@
 /** Bounds the log lines about faults; a fault may recur at each request. */
 import {messageOf} from "../utils/common.js"
 
+/** Begins what standard error says of a fault. */
+export const faultEvent = "process.fault"
 const burst = 10
 const linesPerSecond = 1
 /** Frames of a stack that are logged. */
@@ -11,6 +13,7 @@
 	error: string
 	/** Faults of this process so far. */
 	count: number
+	stack: string | undefined
 }
 
 export class FaultRate {
--- a/src/program/log.ts
+++ b/src/program/log.ts
@@ -3,6 +3,7 @@
  * requests are logged at `debug` only; the levels above are for state changes.
  */
 import winston from "winston"
+import {faultEvent, FaultRate} from "./faultRate.js"
 import {getStandardError} from "./logOutput.js"
 import {createLogTransport} from "./logTransport.js"
 
@@ -26,3 +27,11 @@
 		transports: [createLogTransport(getStandardError(), {role, hostId})]
 	})
 }
+
+const faults = new FaultRate(() => performance.now())
+
+/** Logs an exception that ended only what it was in; see `DecisionLog.fault`. */
+export function logFault(log: Log, where: string, err: unknown): void {
+	const fields = faults.admit(where, err)
+	if (fields !== undefined) log.error(faultEvent, fields)
+}
--- a/src/program/processLife.ts
+++ b/src/program/processLife.ts
@@ -4,6 +4,7 @@
  */
 import {messageOf} from "../utils/common.js"
 import {ExitCode} from "./exitCode.js"
+import {printError} from "./logOutput.js"
 
 export type LogEvent = (event: string, fields: Record<string, unknown>) => void
 
@@ -53,3 +54,18 @@
 	end = cause
 	process.exit(cause.code)
 }
+
+/** Ends this process once it has drained, or can't do so in order. */
+export async function endAfter(
+	drained: Promise<void>,
+	cause: ProcessEnd
+): Promise<never> {
+	try {
+		await drained
+	} catch (err) {
+		printError(`drain: ${messageOf(err)}`)
+		const reason = EndReason.StopFailed
+		endProcess({...cause, code: ExitCode.StopFailed, reason, err})
+	}
+	endProcess(cause)
+}
--- a/src/program/run.ts
+++ b/src/program/run.ts
@@ -7,12 +7,17 @@
 import {messageOf} from "../utils/common.js"
 import {ExitCode} from "./exitCode.js"
 import {restoreFlagText} from "./flagText.js"
-import {FaultRate} from "./faultRate.js"
 import {markStarted, outliveFaults} from "./lastResort.js"
-import type {Log} from "./log.js"
+import {type Log, logFault} from "./log.js"
 import {printError} from "./logOutput.js"
 import {MemoryWatch} from "./memoryWatch.js"
-import {EndReason, endProcess, type LogEvent, logLife} from "./processLife.js"
+import {
+	endAfter,
+	EndReason,
+	endProcess,
+	type LogEvent,
+	logLife
+} from "./processLife.js"
 import {
 	formatFlagName,
 	readSettings,
@@ -61,10 +66,8 @@
 	if (log !== undefined) {
 		const logEvent: LogEvent = (event, fields) => log.info(event, fields)
 		logLife(programVersion, logEvent)
-		const faults = new FaultRate(() => performance.now())
 		outliveFaults((where, err) => {
-			const fields = faults.admit(where, err)
-			if (fields !== undefined) log.error("process.fault", fields)
+			logFault(log, where, err)
 		})
 		new MemoryWatch({log: logEvent}).start()
 	}
@@ -127,14 +130,8 @@
 	const drain = (signal: NodeJS.Signals): void => {
 		if (isDraining) return
 		isDraining = true
-		service.drain().then(
-			() => endProcess({code: ExitCode.Ok, reason: EndReason.Signal, signal}),
-			(err: unknown) => {
-				printError(`drain: ${messageOf(err)}`)
-				const reason = EndReason.StopFailed
-				endProcess({code: ExitCode.StopFailed, reason, signal, err})
-			}
-		)
+		const reason = EndReason.Signal
+		void endAfter(service.drain(), {code: ExitCode.Ok, reason, signal})
 	}
 	process.on("SIGTERM", drain)
 	process.on("SIGINT", drain)
