Restart essential loops after a fault (FAULT)

An exception in the agent's engine loop, in its tick or in a follower of the store ended the process; with the last resort it would have ended only the loop: no orders, no heartbeats or no changes any more, with all else going on.

An order that throws counts as unanswered, so that the next one is planned. An endpoint whose pool can't be opened ends its start, as it did, now with a line; so does a drain by order that fails.

The loops of entries and endpoints and the agent's tick have no test of their own.

--- a/src/agent/__tests__/engineLoop.test.ts
+++ b/src/agent/__tests__/engineLoop.test.ts
@@ -1,4 +1,4 @@
-import {afterEach, describe, expect, it} from "vitest"
+import {afterEach, describe, expect, it, vi} from "vitest"
 import winston from "winston"
 import {
 	type EngineOrder,
@@ -119,6 +119,22 @@
 }
 
 describe("EngineLoop", () => {
+	it("goes on after a fault, since nothing else orders", async () => {
+		const engine = new ScriptedEngine()
+		const {loop, scheduler} = await startLoop(engine)
+		vi.spyOn(engine, "order").mockRejectedValueOnce(new TypeError("a fault"))
+		vi.spyOn(scheduler, "planOrder").mockImplementationOnce(() => {
+			throw new TypeError("another fault")
+		})
+		requestOtherAdapter(loop, scheduler)
+		await vi.waitFor(
+			() => {
+				expect(engine.orders.length).toBeGreaterThan(0)
+			},
+			{timeout: 5000}
+		)
+	})
+
 	it("evicts an unused adapter when a request waits for another one", async () => {
 		const engine = new ScriptedEngine()
 		const {loop, scheduler} = await startLoop(engine)
--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -396,10 +396,20 @@
 		clearTimeout(this.timer)
 		this.timer = setTimeout(() => {
 			this.tickAt = Number.POSITIVE_INFINITY
-			this.tick()
+			this.tryTick()
 		}, delayMs)
 	}
 
+	/** Without a next tick, gateways would take this agent for lost. */
+	private tryTick(): void {
+		try {
+			this.tick()
+		} catch (err) {
+			this.options.log.fault("tick", err)
+			this.scheduleTick(idleTickMs)
+		}
+	}
+
 	private tick(): void {
 		if (this.scheduler.waitingCount > 0) {
 			this.sendDecisions(this.scheduler.schedule(this.now()))
--- a/src/agent/engineLoop.ts
+++ b/src/agent/engineLoop.ts
@@ -12,7 +12,7 @@
 	OrderOutcome
 } from "../policy/grants/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
-import {messageOf, sleep} from "../utils/common.js"
+import {messageOf, runDespiteFaults, sleep} from "../utils/common.js"
 import {
 	EngineGoneError,
 	type EnginePort,
@@ -78,7 +78,13 @@
 
 	start(): void {
 		void this.acquireFencingToken()
-		void this.run()
+		void runDespiteFaults(
+			() => this.run(),
+			err => {
+				this.options.log.fault("engine loop", err)
+				this.nextReportAt = 0
+			}
+		)
 	}
 
 	stop(): void {
@@ -234,7 +240,10 @@
 	private async sendOrder(order: EngineOrder, fence: number): Promise<void> {
 		const {engine, log} = this.options
 		this.options.scheduler.slots.beginOrder(order)
-		const outcome = await engine.order(order, fence)
+		const outcome = await engine.order(order, fence).catch((err: unknown) => {
+			log.fault("order", err)
+			return OrderOutcome.Unanswered
+		})
 		this.options.scheduler.endOrder(outcome, this.options.now())
 		log.decide("order", {
 			order: order.kind,
--- a/src/endpoint/endpointTask.ts
+++ b/src/endpoint/endpointTask.ts
@@ -38,12 +38,12 @@
 import {startHealthServer} from "../program/health.js"
 import {ExitCode} from "../program/exitCode.js"
 import {createListenerErrorLog} from "../program/listenerErrors.js"
-import {createLog, type Log} from "../program/log.js"
-import {EndReason, endProcess} from "../program/processLife.js"
+import {createLog, type Log, logFault} from "../program/log.js"
+import {endAfter, EndReason, endProcess} from "../program/processLife.js"
 import {isMatchingToken} from "../program/token.js"
 import type {RunningService} from "../program/run.js"
 import {answerConfigRequest, ConfigStore} from "../spread/index.js"
-import {sleep} from "../utils/common.js"
+import {runDespiteFaults, sleep} from "../utils/common.js"
 import {
 	type EndpointPool,
 	type EndpointPoolOptions,
@@ -212,9 +212,20 @@
 			})
 		}
 		this.store.onInstall(root => {
-			void this.configure(root)
+			this.configure(root).catch((err: unknown) => {
+				logFault(this.log, "configure", err)
+				if (this.pool !== undefined) return
+				// Nothing would open the pool any more.
+				const reason = EndReason.StartFailed
+				endProcess({code: ExitCode.Failed, reason, err})
+			})
 		})
-		void this.contacts.run()
+		void runDespiteFaults(
+			() => this.contacts.run(),
+			err => {
+				logFault(this.log, "contacts", err)
+			}
+		)
 	}
 
 	/**
@@ -332,9 +343,10 @@
 		if (this.state === HostState.LEAVING) return
 		this.log.error("fenced by a newer process", {worker, detail})
 		this.counters.add("fenced")
-		void this.drain().then(() =>
-			endProcess({code: ExitCode.Failed, reason: EndReason.Fenced})
-		)
+		void endAfter(this.drain(), {
+			code: ExitCode.Failed,
+			reason: EndReason.Fenced
+		})
 	}
 
 	private async handleDrainRequest({token}: DrainRequest): Promise<Ack> {
@@ -344,9 +356,10 @@
 			throw new RefusedCallError(grpc.status.PERMISSION_DENIED, message)
 		}
 		if (this.state !== HostState.LEAVING) {
-			void this.drain().then(() =>
-				endProcess({code: ExitCode.Ok, reason: EndReason.Order})
-			)
+			void endAfter(this.drain(), {
+				code: ExitCode.Ok,
+				reason: EndReason.Order
+			})
 		}
 		return create(AckSchema, {generation: this.store.generation})
 	}
--- a/src/endpoint/enginePool.ts
+++ b/src/endpoint/enginePool.ts
@@ -9,6 +9,8 @@
 	type RunRequest
 } from "../contract/gen/link_pb.js"
 import {EngineClient} from "../link/index.js"
+import {logFault} from "../program/log.js"
+import {runDespiteFaults} from "../utils/common.js"
 import {
 	type AdapterName,
 	type LoadShares,
@@ -176,7 +178,12 @@
 			}
 		})
 		this.workers.set(url, worker)
-		void worker.pollUntilClosed()
+		void runDespiteFaults(
+			() => worker.pollUntilClosed(),
+			err => {
+				logFault(this.options.log, "polls of an engine", err)
+			}
+		)
 	}
 }
 
--- a/src/entry/entryTask.ts
+++ b/src/entry/entryTask.ts
@@ -38,15 +38,16 @@
 	Counters,
 	createListenerErrorLog,
 	createLog,
+	endAfter,
 	EndReason,
-	endProcess,
 	ExitCode,
 	isMatchingToken,
 	type Log,
+	logFault,
 	type RunningService
 } from "../program/index.js"
 import {answerConfigRequest, ConfigStore, SpreadTask} from "../spread/index.js"
-import {sleep} from "../utils/common.js"
+import {runDespiteFaults, sleep} from "../utils/common.js"
 import {BurnTask} from "./burnTask.js"
 import {CallerServer} from "./callerServer.js"
 import {Fleet} from "./fleet.js"
@@ -163,8 +164,12 @@
 			callerCert: this.settings.callerCert,
 			callerKey: this.settings.callerKey
 		})
-		void this.fleet.run()
-		void this.updatePeersUntilClosed()
+		const loops = [() => this.fleet.run(), () => this.updatePeersUntilClosed()]
+		for (const loop of loops) {
+			void runDespiteFaults(loop, err => {
+				logFault(this.log, "loop", err)
+			})
+		}
 	}
 
 	private async openLink(): Promise<void> {
@@ -237,9 +242,10 @@
 	private async handleDrainRequest(req: DrainRequest): Promise<Ack> {
 		this.checkToken(req.token)
 		if (req.hostId === this.settings.id) {
-			void this.drain().then(() =>
-				endProcess({code: ExitCode.Ok, reason: EndReason.Order})
-			)
+			void endAfter(this.drain(), {
+				code: ExitCode.Ok,
+				reason: EndReason.Order
+			})
 			return this.createAck()
 		}
 		const link = this.fleet.getLink(req.hostId)
--- a/src/utils/common.ts
+++ b/src/utils/common.ts
@@ -38,3 +38,24 @@
 		signal?.addEventListener("abort", finish)
 	})
 }
+
+const faultRetryMs = 500
+
+/**
+ * Runs a loop that ends only when it is stopped, and runs it again some time after it
+ * threw: without it the process would go on and not do its work.
+ */
+export async function runDespiteFaults(
+	run: () => Promise<void>,
+	onFault: (err: unknown) => void
+): Promise<void> {
+	for (;;) {
+		try {
+			await run()
+			return
+		} catch (err) {
+			onFault(err)
+			await sleep(faultRetryMs)
+		}
+	}
+}
