End one request, message or step by its own fault (FAULT)

An exception while a request was read, routed or sent ended the gateway and all its requests. With the last resort alone its caller would have heard nothing until its deadline, and a step of the maintenance that throws would have kept those behind it from their work for good.

A request whose handling throws is answered at once: 500 if it can't have run, 502 if it may have, cut if its stream has begun. Its deadline ends it in any case. Each step of the maintenance and each message of an agent is contained by itself. A call to confirm that throws leaves no timer behind that throws again. All are logged as process.fault.

The deadline, messages of agents and the call to confirm have no test of their own.

--- a/src/gateway/callers/callerExchange.ts
+++ b/src/gateway/callers/callerExchange.ts
@@ -221,6 +221,16 @@
 		this.recordOutcome(RequestOutcome.Rejected, {status, reason, ...logFields})
 	}
 
+	/** Ends the request after an exception, in whatever state it is. */
+	endForFault(): void {
+		if (this.hasEnded) return
+		const reason = "internal fault"
+		if (this.isHeadWritten) this.abortStream({detail: reason})
+		else if (this.runs.mayHaveRun) this.respondUnknown(reason, {})
+		else this.turnAway(reason, {})
+		this.onDisconnect?.()
+	}
+
 	/**
 	 * Answers the request because the process ends, unless its response has begun: as
 	 * not run or as unknown.
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -66,6 +66,7 @@
 const httpTooLarge = 413
 const httpHeadersTooLarge = 431
 const httpBadRequest = 400
+const httpInternalError = 500
 
 export class GatewayServer {
 	private readonly server: Server
@@ -97,7 +98,7 @@
 					: {connectionsCheckingInterval: headerCheckMs})
 			},
 			(req, res) => {
-				this.handleRequest(req, res)
+				this.tryHandle(req, res)
 			}
 		)
 		// No timeout for reading a request: on a keep-alive connection a request may
@@ -191,6 +192,17 @@
 		return this.isClosingAll ? CloseReason.Drain : undefined
 	}
 
+	/** A fault in one request ends no other. */
+	private tryHandle(req: IncomingMessage, res: ServerResponse): void {
+		try {
+			this.handleRequest(req, res)
+		} catch (err) {
+			this.options.ctx.log.fault("request", err)
+			if (res.headersSent) res.destroy()
+			else respondWithText(req, res, httpInternalError, "internal fault")
+		}
+	}
+
 	private handleRequest(req: IncomingMessage, res: ServerResponse): void {
 		const {ctx} = this.options
 		const arrivedAt = ctx.now()
@@ -241,6 +253,32 @@
 		})
 		this.exchanges.add(exchange)
 		res.once("close", () => this.exchanges.delete(exchange))
+		this.tryServe(exchange, () => {
+			this.serveRoute(req, res, exchange, route, arrivedAt)
+		})
+	}
+
+	/** Ends a request whose handling throws. */
+	private tryServe(exchange: CallerExchange, serve: () => void): void {
+		try {
+			serve()
+		} catch (err) {
+			const {id} = exchange.head
+			this.options.ctx.log.fault("request", err, {request: id})
+			exchange.endForFault()
+		}
+	}
+
+	private serveRoute(
+		req: IncomingMessage,
+		res: ServerResponse,
+		exchange: CallerExchange,
+		route: ForwardRoute | undefined,
+		arrivedAt: number
+	): void {
+		const {ctx} = this.options
+		const {fleet} = ctx
+		const {head} = exchange
 		if (fleet.config === undefined) {
 			exchange.refuse("no configuration yet", unconfiguredRetryAfterMs, {})
 			return
@@ -268,7 +306,9 @@
 				exchange.reject(httpTooLarge, "body is too large")
 				return
 			}
-			this.startTask(exchange, route, member, body, arrivedAt)
+			this.tryServe(exchange, () => {
+				this.startTask(exchange, route, member, body, arrivedAt)
+			})
 		})
 	}
 
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -390,15 +390,41 @@
 		})
 	}
 
+	/** A step that throws keeps none of the others from its work. */
 	private tick(): void {
-		const {links, quotas, retryBudgets, streams, now} = this.ctx
-		links.tick()
-		quotas.tick()
-		this.follower.tick()
-		this.recorder.tick()
-		streams.tick()
-		retryBudgets.setGateways(links.gatewayCount)
-		this.fleet.settleRegistrations(now())
-		this.crashes.expire(now())
+		const {links, quotas, retryBudgets, streams, now, log} = this.ctx
+		const steps: Record<string, () => void> = {
+			links: () => {
+				links.tick()
+			},
+			quotas: () => {
+				quotas.tick()
+			},
+			follower: () => {
+				this.follower.tick()
+			},
+			recorder: () => {
+				this.recorder.tick()
+			},
+			streams: () => {
+				streams.tick()
+			},
+			retryBudgets: () => {
+				retryBudgets.setGateways(links.gatewayCount)
+			},
+			registrations: () => {
+				this.fleet.settleRegistrations(now())
+			},
+			crashes: () => {
+				this.crashes.expire(now())
+			}
+		}
+		for (const [name, step] of Object.entries(steps)) {
+			try {
+				step()
+			} catch (err) {
+				log.fault(`tick of ${name}`, err)
+			}
+		}
 	}
 }
--- a/src/gateway/links/__tests__/agentLink.test.ts
+++ b/src/gateway/links/__tests__/agentLink.test.ts
@@ -72,7 +72,10 @@
 		onOrigin: () => undefined,
 		onUp: resolveUp,
 		onDown: reason => downs.push(reason),
-		onUnsendable: kind => unsendable.push(kind)
+		onUnsendable: kind => unsendable.push(kind),
+		onUnhandled: (_kind, err) => {
+			throw err
+		}
 	})
 	cleanups.push(() => {
 		link.close()
--- a/src/gateway/links/agentLink.ts
+++ b/src/gateway/links/agentLink.ts
@@ -98,6 +98,8 @@
 	onDown(reason: string): void
 	/** A message can't be encoded, and is not sent. */
 	onUnsendable(kind: string | undefined, err: unknown): void
+	/** A message can't be handled, which ends nothing but itself. */
+	onUnhandled(kind: string | undefined, err: unknown): void
 }
 
 /**
@@ -318,7 +320,7 @@
 		this.sentHello = undefined
 		this.openedAt = this.options.now()
 		connection.stream.on("data", (message: AgentMessage) => {
-			if (this.openStream === connection) this.receive(message)
+			if (this.openStream === connection) this.tryReceive(message)
 		})
 		connection.stream.on("error", (err: Error) => {
 			if (this.openStream === connection) this.fail(err.message)
@@ -374,6 +376,14 @@
 		this.options.onState(state)
 	}
 
+	private tryReceive(message: AgentMessage): void {
+		try {
+			this.receive(message)
+		} catch (err) {
+			this.options.onUnhandled(message.body.case, err)
+		}
+	}
+
 	private receive({body}: AgentMessage): void {
 		if (this.failAfterPause()) return
 		this.lastReceivedAt = this.options.now()
--- a/src/gateway/links/agentLinks.ts
+++ b/src/gateway/links/agentLinks.ts
@@ -316,6 +316,9 @@
 					error: messageOf(err)
 				})
 			},
+			onUnhandled: (kind, err) => {
+				log.fault("message of an agent", err, {endpoint: id, kind})
+			},
 			onUp: () => {
 				if (this.retired.get(id)?.link === link) return
 				log.decide("agent.up", {endpoint: id})
--- a/src/gateway/sends/requestTask.ts
+++ b/src/gateway/sends/requestTask.ts
@@ -27,7 +27,7 @@
 		const leftMs = request.deadline - ctx.now()
 		this.timer = setTimeout(
 			() => {
-				this.handleDeadline()
+				this.tryHandleDeadline()
 			},
 			Math.max(1, leftMs)
 		)
@@ -51,6 +51,18 @@
 		else this.takeQuota(member, member.quota)
 	}
 
+	/** At its deadline a request ends in any case. */
+	private tryHandleDeadline(): void {
+		const {ctx, request} = this
+		try {
+			this.handleDeadline()
+		} catch (err) {
+			const {exchange} = request
+			ctx.log.fault("deadline", err, {request: exchange.head.id})
+			exchange.endForFault()
+		}
+	}
+
 	private begin(): void {
 		this.hasBegun = true
 		this.ctx.retryBudgets.addRequest(this.request.pool)
--- a/src/link/fleetLink.ts
+++ b/src/link/fleetLink.ts
@@ -109,10 +109,6 @@
 	return {
 		stream,
 		confirm: onAnswer => {
-			// Not a gRPC deadline, which is a time of day and moves with its steps.
-			const timer = setTimeout(() => {
-				call.cancel()
-			}, confirmTimeoutMs)
 			const {confirm: method} = fleetMethods
 			const call = client.makeUnaryRequest(
 				method.path,
@@ -124,6 +120,10 @@
 					onAnswer(err === null ? answer : undefined)
 				}
 			)
+			// Not a gRPC deadline, which is a time of day and moves with its steps.
+			const timer = setTimeout(() => {
+				call.cancel()
+			}, confirmTimeoutMs)
 		},
 		close: () => {
 			stream.on("error", () => undefined)
