--- a/standins/relay.ts
+++ b/standins/relay.ts
@@ -128,6 +128,11 @@
 		for (const connection of this.connections) resetBoth(connection)
 	}
 
+	/** Discards all further bytes of open connections, without a close. New ones work. */
+	silence(): void {
+		for (const connection of this.connections) connection.isBroken = true
+	}
+
 	/** Ends all faults, and resets the connections that lost bytes. */
 	heal(): void {
 		this.cutDirection = Cut.None
