--- a/src/program/processLife.ts
+++ b/src/program/processLife.ts
@@ -35,17 +35,32 @@
 
 let end: ProcessEnd | undefined
 
+let logEvent: LogEvent | undefined
+
 /** Logs the start of this process now, and its end when it ends by itself. */
 export function logLife(version: string, log: LogEvent): void {
 	const {pid, arch} = process
 	log("process.starting", {pid, version, node: process.version, arch})
-	process.on("exit", code => {
-		const {reason = EndReason.Unknown, signal, err} = end ?? {}
-		const error = err === undefined ? undefined : messageOf(err)
-		const uptimeSeconds = Math.round(process.uptime())
-		const rssBytes = process.memoryUsage.rss()
-		const cause = {reason, signal, error}
-		log("process.ended", {pid, code, ...cause, uptimeSeconds, rssBytes})
+	logEnd(log)
+}
+
+/** Logs the end of this process when it ends by itself, to the last log given. */
+export function logEnd(log: LogEvent): void {
+	if (logEvent === undefined) process.on("exit", describeEnd)
+	logEvent = log
+}
+
+function describeEnd(code: number): void {
+	const {reason = EndReason.Unknown, signal, err} = end ?? {}
+	const error = err === undefined ? undefined : messageOf(err)
+	logEvent?.("process.ended", {
+		pid: process.pid,
+		code,
+		reason,
+		signal,
+		error,
+		uptimeSeconds: Math.round(process.uptime()),
+		rssBytes: process.memoryUsage.rss()
 	})
 }
 
--- a/src/program/run.ts
+++ b/src/program/run.ts
@@ -62,6 +62,7 @@
 	} catch (err) {
 		exitOnFault(options.name, err)
 	}
+	const stopEnding = endOnSignal()
 	const log = options.createLog?.(settings)
 	if (log !== undefined) {
 		const logEvent: LogEvent = (event, fields) => log.info(event, fields)
@@ -72,7 +73,9 @@
 		new MemoryWatch({log: logEvent}).start()
 	}
 	try {
-		drainOnSignal(await options.start(settings))
+		const service = await options.start(settings)
+		drainOnSignal(service)
+		stopEnding()
 		markStarted()
 	} catch (err) {
 		endFailedStart(options.name, err)
@@ -124,6 +127,22 @@
 	endProcess({code: ExitCode.Usage, reason, err})
 }
 
+/**
+ * Until the returned function is called, a signal to end does so at once: a process
+ * that has not started holds nothing.
+ */
+export function endOnSignal(): () => void {
+	const end = (signal: NodeJS.Signals): void => {
+		endProcess({code: ExitCode.Ok, reason: EndReason.Signal, signal})
+	}
+	process.on("SIGTERM", end)
+	process.on("SIGINT", end)
+	return () => {
+		process.off("SIGTERM", end)
+		process.off("SIGINT", end)
+	}
+}
+
 /** On the first SIGTERM or SIGINT, drains the service and exits. */
 export function drainOnSignal(service: RunningService): void {
 	let isDraining = false
