--- a/src/link/answerBytes.ts
+++ b/src/link/answerBytes.ts
@@ -1,5 +1,6 @@
 /** Limits and collects the bytes of one HTTP answer as they are read. */
 import type {Socket} from "node:net"
+import type {Readable} from "node:stream"
 
 /** An answer is larger than its caller reads; `bytes` were read or stated. */
 export class AnswerTooLargeError extends Error {
@@ -73,3 +74,19 @@
 		return Buffer.concat(this.blocks, this.length)
 	}
 }
+
+/** Reads a whole body; a larger one ends with its connection. */
+export async function readLimited(
+	body: Readable,
+	{peer, maxBytes}: {peer: string; maxBytes: number}
+): Promise<Buffer> {
+	const collected = new CollectedBody()
+	let bytes = 0
+	// Leaving the loop destroys the body and its connection.
+	for await (const part of body as AsyncIterable<Buffer>) {
+		bytes += part.length
+		if (bytes > maxBytes) throw new AnswerTooLargeError(peer, bytes, maxBytes)
+		collected.add(part)
+	}
+	return collected.take()
+}
--- a/src/link/engineClient.ts
+++ b/src/link/engineClient.ts
@@ -7,6 +7,7 @@
 import {z} from "zod"
 import {Step, StepError} from "../contract/errors.js"
 import {messageOf} from "../utils/common.js"
+import {readLimited} from "./answerBytes.js"
 import {readEvents} from "./sse.js"
 
 export interface EngineClientOptions {
@@ -101,6 +102,8 @@
 		.nullish()
 })
 
+/** Limit for a report or the text of an error, bytes: thousands of adapters. */
+const maxAnswerBytes = 1024 * 1024
 const terminalData = "[DONE]"
 const fenceHeader = "x-fencing-number"
 const httpOk = 200
@@ -142,8 +145,8 @@
 		const res = await this.send(Step.Queue, "GET", "/v1/load", {
 			signal: AbortSignal.timeout(this.timeoutMs)
 		})
-		const body: unknown = await res.body.json()
-		return loadSchema.parse(body)
+		const text = await this.readText(Step.Queue, res)
+		return loadSchema.parse(JSON.parse(text))
 	}
 
 	/**
@@ -234,10 +237,22 @@
 			throw new EngineError(step, this.url, 0, messageOf(err))
 		}
 		if (res.statusCode === httpOk) return res
-		const detail = await res.body.text()
+		const detail = await this.readText(step, res)
 		throw new EngineError(step, this.url, res.statusCode, detail)
 	}
 
+	private async readText(
+		step: Step,
+		{statusCode, body}: Dispatcher.ResponseData
+	): Promise<string> {
+		const limit = {peer: this.url, maxBytes: maxAnswerBytes}
+		try {
+			return (await readLimited(body, limit)).toString("utf8")
+		} catch (err) {
+			throw new EngineError(step, this.url, statusCode, messageOf(err))
+		}
+	}
+
 	private async *parseEvents(body: Readable): AsyncGenerator<CompletionEvent> {
 		try {
 			for await (const data of readEvents(body)) {
--- a/src/link/httpPlatform.ts
+++ b/src/link/httpPlatform.ts
@@ -8,6 +8,7 @@
 import {PlatformError, Step} from "../contract/errors.js"
 import {HostRole, HostState} from "../host/host.js"
 import {messageOf} from "../utils/common.js"
+import {readLimited} from "./answerBytes.js"
 import {
 	absentVersion,
 	type HostRecord,
@@ -67,6 +68,9 @@
 /** Time past a watch's deadline after which its call times out. */
 const watchGraceMs = 2000
 
+/** Limit for one answer, bytes: a list has no pages. */
+const maxAnswerBytes = 64 * 1024 * 1024
+
 /** Number of calls by kind, for comparison with the platform's call budget. */
 export interface PlatformCalls {
 	reads: number
@@ -205,7 +209,8 @@
 			headers: {"content-type": "application/json", ...headers},
 			body: body ?? null
 		})
-		const text = await res.body.text()
+		const limit = {peer: this.url, maxBytes: maxAnswerBytes}
+		const text = (await readLimited(res.body, limit)).toString("utf8")
 		return {status: res.statusCode, body: parseJson(text)}
 	}
 
