End a call at its time limit also when its connection is gone (FAULT)

A peer that answers 101 once, or closes while its answer is held back, left callHttp waiting for ever: an agent ordered nothing and reported no engine.down, and a gateway's follower of a kind of the store stopped until a restart.

Cause: without a listener for upgrades Node.js closes the connection and reports nothing; the time limit only destroyed the request, which emits no error where its connection is gone already. Now the call fails by itself, before the request is destroyed, and an upgrade ends it at once.

Evidence: answerLimits.test.ts, the connection switched to another protocol: no answer within 12 s before, passes now.

--- a/src/link/__tests__/answerLimits.test.ts
+++ b/src/link/__tests__/answerLimits.test.ts
@@ -59,6 +59,13 @@
 		expect(opened.list.map(({destroyed}) => destroyed)).toEqual([true])
 	})
 
+	it("is cut off when the connection was switched to another protocol", async () => {
+		const begin =
+			"HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n"
+		expect(await callEndless({begin, rest: "noise "})).toBeInstanceOf(Error)
+		expect(opened.list.map(({destroyed}) => destroyed)).toEqual([true])
+	})
+
 	it("is told from others by its peer and size", async () => {
 		const answer = {begin: "HTTP/1.1 200 OK\r\n\r\n", rest: "body "}
 		const err = await callEndless(answer)
--- a/src/link/httpCall.ts
+++ b/src/link/httpCall.ts
@@ -90,7 +90,7 @@
 			const reason = isWaiting
 				? "other responses held the memory until the timeout"
 				: "no complete response within the timeout"
-			req.destroy(new Error(reason))
+			end(new Error(reason))
 		})
 		deadline.set(performance.now() + timeoutMs)
 		let received: IncomingMessage | undefined
@@ -110,16 +110,24 @@
 			finish()
 			reject(err)
 		}
-		const endTooLarge = (bytes: number): void => {
-			const err = new AnswerTooLargeError(address, bytes, maxBytes)
+		// A request whose connection is gone already emits no error when it is destroyed.
+		const end = (err: Error): void => {
 			fail(err)
 			req.destroy(err)
 		}
+		const endTooLarge = (bytes: number): void => {
+			end(new AnswerTooLargeError(address, bytes, maxBytes))
+		}
 		req.on("socket", socket => {
 			socket.prependListener("end", failIfReset)
 			stopCounting = limitBytesRead(socket, maxBytes, endTooLarge)
 		})
 		req.on("error", fail)
+		// Without this listener, Node.js closes the connection and reports nothing.
+		req.on("upgrade", (_res, socket) => {
+			end(new Error("connection was upgraded"))
+			socket.destroy()
+		})
 		req.on("response", res => {
 			received = res
 			const echoedId = res.headers["x-request-id"]
