End an answer as broken after a fault in its handling (MIXED)

A caller that read slowly could get a stream without one of its events that ended as whole: a fault in the handling of data is outlived since, and the next data was passed on as if nothing was missing.

--- a/src/gateway/sends/endpointCall.ts
+++ b/src/gateway/sends/endpointCall.ts
@@ -45,6 +45,8 @@
 	onData(chunk: Buffer): void
 	/** Called with the bytes of the body that were read and not given to `onData`. */
 	onUnread?(bytes: number): void
+	/** Called when the handling of the head or of data has thrown. */
+	onFault(err: unknown): void
 	/**
 	 * Called once; `detail` is the reason, for the log and for the response to the
 	 * caller.
@@ -215,7 +217,7 @@
 		const {wire, head, handlers} = this.options
 		const receivedHead = wire.decodeResponse(res, head.id)
 		this.receivedHead = receivedHead
-		if (!this.isSettled) handlers.onHead?.(receivedHead)
+		this.tryHandle(() => handlers.onHead?.(receivedHead))
 		res.on("error", err => {
 			this.fail(err)
 		})
@@ -232,7 +234,9 @@
 			this.bodyBytes += chunk.length
 			this.pieces += 1
 			this.noteUnread()
-			if (!this.isSettled) handlers.onData(chunk)
+			this.tryHandle(() => {
+				handlers.onData(chunk)
+			})
 		})
 		res.on("end", () => {
 			if (res.complete) this.settle(CallOutcome.Complete, "whole")
@@ -243,6 +247,17 @@
 		})
 	}
 
+	/** After a fault the rest of the answer is not passed on, since a part may be missing. */
+	private tryHandle(handle: () => void): void {
+		if (this.isSettled) return
+		try {
+			handle()
+		} catch (err) {
+			this.options.handlers.onFault(err)
+			this.settle(CallOutcome.Broken, "internal fault")
+		}
+	}
+
 	private noteUnread(): void {
 		const bytes = this.res?.readableLength ?? 0
 		if (this.isSettled || bytes === this.unreadBytes) return
--- a/src/gateway/sends/generationSend.ts
+++ b/src/gateway/sends/generationSend.ts
@@ -139,6 +139,9 @@
 					const isForCaller = this.pauses.has(PauseReason.Caller)
 					this.hold.setUnread(isForCaller ? 0 : bytes)
 				},
+				onFault: err => {
+					ctx.log.fault("answer", err, {request: exchange.head.id})
+				},
 				onEnd: (outcome, detail) => {
 					this.hasEnded = true
 					clearTimeout(this.silenceTimer)
--- a/src/gateway/sends/serviceTask.ts
+++ b/src/gateway/sends/serviceTask.ts
@@ -134,6 +134,9 @@
 				onUnread: bytes => {
 					hold.setUnread(bytes)
 				},
+				onFault: err => {
+					ctx.log.fault("answer", err, {request: exchange.head.id})
+				},
 				onEnd: (outcome, detail) => {
 					this.openCalls.delete(call)
 					hold.close()
