Let engines send each line of an event in a chunk of its own

The bound on small pieces ended a stream of short events after some 5,000 of them if each line came in a chunk of its own, 6 bytes on average, although a stream may go on for as long as it likes. Pieces of 4 bytes on average pass now; chunks of a byte are cut off as before.

Evidence: answerBounds.test.ts, a chunk for each line: failed before, passes now.

--- a/src/policy/buffers/__tests__/answerBounds.test.ts
+++ b/src/policy/buffers/__tests__/answerBounds.test.ts
@@ -21,6 +21,7 @@
 	it.each([
 		["a short answer in chunks of a byte", readChunks(4000, 1)],
 		["a long stream of the shortest events", readChunks(10_000_000, 12)],
+		["a long stream in a chunk for each line", readChunks(10_000_000, 6)],
 		["a large body", readChunks(64, 65_536)],
 		["the largest heads", {readBytes: 9 * 16_384, bodyBytes: 0, pieces: 0}]
 	])("passes with %s", (_, received) => {
--- a/src/policy/buffers/answerBounds.ts
+++ b/src/policy/buffers/answerBounds.ts
@@ -16,10 +16,10 @@
 /** Holds an interim head for each that is permitted, and a head, of 16 KiB each. */
 const maxFramingBytes = 256 * 1024
 /**
- * Events of a few words that come in a chunk each are longer, and each piece takes far
- * more time than its bytes.
+ * Lines of events that come in a chunk each are longer, and each piece takes far more
+ * time than its bytes.
  */
-const minMeanPieceBytes = 8
+const minMeanPieceBytes = 4
 /** Shorter answers may arrive in any pieces. */
 const maxSmallPieces = 4096
 /** Longest run of comments and blank lines, as sent to keep a connection open. */
