End a process whose drain throws at once

A drain that threw before it returned its promise left a process that SIGTERM could not end, since the fault is outlived.

--- a/src/program/run.ts
+++ b/src/program/run.ts
@@ -143,6 +143,11 @@
 	}
 }
 
+/** Rejects also where the drain throws at once. */
+async function drainAsync(service: RunningService): Promise<void> {
+	await service.drain()
+}
+
 /** On the first SIGTERM or SIGINT, drains the service and exits. */
 export function drainOnSignal(service: RunningService): void {
 	let isDraining = false
@@ -150,7 +155,7 @@
 		if (isDraining) return
 		isDraining = true
 		const reason = EndReason.Signal
-		void endAfter(service.drain(), {code: ExitCode.Ok, reason, signal})
+		void endAfter(drainAsync(service), {code: ExitCode.Ok, reason, signal})
 	}
 	process.on("SIGTERM", drain)
 	process.on("SIGINT", drain)
