Listen to errors of a connection that was upgraded (FAULT)

The call now fails by itself, and the connection is closed without an error and with a listener. answerLimits.test.ts runs without an uncaught error, with one before.

--- a/src/link/httpCall.ts
+++ b/src/link/httpCall.ts
@@ -125,7 +125,9 @@
 		req.on("error", fail)
 		// Without this listener, Node.js closes the connection and reports nothing.
 		req.on("upgrade", (_res, socket) => {
-			end(new Error("connection was upgraded"))
+			fail(new Error("connection was upgraded"))
+			// It has no listener any more, and an error of it would be thrown.
+			socket.on("error", () => undefined)
 			socket.destroy()
 		})
 		req.on("response", res => {
