--- a/review/kit-2/plain.mjs
+++ b/review/kit-2/plain.mjs
@@ -80,7 +80,7 @@
 		res.writeHead(200, {
 			"X-Request-Id": id,
 			"X-Server-Stamp": `stamp.${this.id}`,
-			"X-Server-Load": `${this.runs.length % 3},0,6`,
+			"X-Server-Load": `${this.open ?? 0},0,6`,
 			"Content-Type": "text/plain",
 			"Content-Length": String(body.length)
 		})
