Show answers that are cut in a planned stop, their clients reading slowly

The drain closes connections whose response was ended, also if its last bytes are not written yet. The case stops a gateway while clients read nothing, and has them read on 4 s later. The case of deadly requests moves to beside-2.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,6 +3,6 @@
 # is compiled. Checks that they can be read.
 set -e
 cd "$(dirname "$0")"
-for file in kit-2/*.mjs [0-9]*/case.mjs; do
+for file in kit-2/*.mjs beside-2/*.mjs [6-9]/case.mjs 10/case.mjs; do
 	node --check "$file"
 done
