--- a/src/link/connectionEnd.ts
+++ b/src/link/connectionEnd.ts
@@ -13,9 +13,15 @@
 /**
  * Why a connection that has just ended was reset; undefined if it ended regularly.
  * libuv reports a regular end in place of a reset if bytes were still unread; only a
- * write tells them apart.
+ * write tells them apart. Behind an upload that is still pending the write is queued and
+ * fails too late; then only a reset has left the socket without a peer. Node.js caches
+ * the peer's address, so nothing may read it earlier.
  */
 export function findReset(socket: Socket): Error | undefined {
 	socket.write("\r\n")
-	return socket.errored ?? undefined
+	if (socket.errored !== null) return socket.errored
+	const isQueued = socket.writableLength > 0
+	return isQueued && socket.remoteAddress === undefined
+		? new Error("connection was reset")
+		: undefined
 }
