Take no response of an engine, service or the store with an invalid head

What was seen: callHttp resolved with responses whose status was 000, 099 or 999, whose head held a field name with a blank, or whose transfer encoding was unknown. An agent took an order that was answered 000 for refused, though nothing says that it was.

The same function checks it now, and the call fails like one whose answer was lost, so that an order counts as unanswered.

Engines and platform of this project's own protocol are read through undici, which rejects status 000 and such names itself but takes 999 and unknown encodings (tried); by reading, what these spoil fails there, as answers are JSON or events of JSON that end with a sentinel.

--- a/src/link/httpCall.ts
+++ b/src/link/httpCall.ts
@@ -14,6 +14,7 @@
 import type {AnswerMemory} from "./answerMemory.js"
 import {CallDeadline} from "./callDeadline.js"
 import {findReset, isFramed} from "./connectionEnd.js"
+import {findHeadDefect} from "./responseHead.js"
 
 export interface HttpCallOptions {
 	/** `host:port`. */
@@ -67,10 +68,10 @@
 }
 
 /**
- * Resolves with the complete response, whatever its status. Rejects when it does
- * not arrive within the limits, and then destroys the connection so that no other
- * call reuses it; the error is an AnswerTooLargeError if the response has too many
- * bytes.
+ * Resolves with the complete response, whatever its status. Rejects when its head is
+ * not valid or it does not arrive within the limits, and then destroys the connection
+ * so that no other call reuses it; the error is an AnswerTooLargeError if the response
+ * has too many bytes.
  */
 export function callHttp(options: HttpCallOptions): Promise<HttpResponse> {
 	const {address, agent, method, path, timeoutMs, bodyLimits} = options
@@ -137,6 +138,11 @@
 				req.destroy(new Error("response to another request"))
 				return
 			}
+			const defect = findHeadDefect(res)
+			if (defect !== undefined) {
+				end(new Error(defect))
+				return
+			}
 			const statedBytes = Number(res.headers["content-length"] ?? 0)
 			if (statedBytes > maxBytes) {
 				endTooLarge(statedBytes)
