Give workers heartbeats of their own in the cases, and pace their loads

Heartbeats at one moment let watches of the workers' entries return only each 1.2 s, which hid the late configuration in some runs. The service that loses its worker has one worker, so that its requests have to try that address.

--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -9,7 +9,7 @@
 const host = "shop.example"
 const model = "base70b"
 const reuseAfterMs = 2000
-const perSecond = 80
+const perSecond = 40
 
 function config() {
 	const engine = {
@@ -101,13 +101,12 @@
 		deployment.putConfig(config())
 		const leaving = create("i-m1", "members", 11)
 		await bring(leaving, 11, "side-11")
-		await bring(create("i-m2", "members", 12), 12, "side-12")
-		await bring(create("i-g1", "guests", 13), 13, "side-13")
-		const seeds = [1, 2].map(machine => deployment.control(machine))
-		const gateways = [
-			await deployment.startGateway(1, seeds),
-			await deployment.startGateway(2, seeds)
-		]
+		await bring(create("i-g1", "guests", 12), 12, "side-12")
+		await bring(create("i-g3", "guests", 13), 13, "side-13")
+		const seeds = [1, 2, 3].map(machine => deployment.control(machine))
+		const gateways = []
+		for (const machine of [1, 2, 3, 4])
+			gateways.push(await deployment.startGateway(machine, seeds))
 		await deployment.waitReady(gateways)
 		await sleep(3000)
 
@@ -115,18 +114,16 @@
 		let count = 0
 		const clients = setInterval(() => {
 			count += 1
-			const service = count % 4 === 0 ? "guests" : "members"
+			const service = count % 3 === 0 ? "members" : "guests"
 			const id = `r${count}`
 			const path = `/${service}/${count}`
-			// Two in five ask for adapters that hardly anyone uses.
-			const adapter =
-				count % 5 < 2 ? `a${10 + ((count * 37) % 2900)}` : `a${1 + (count % 4)}`
+			const adapter = `a${1 + (count % 4)}`
 			const headers = {
 				"X-Model": `${model}/${adapter}`,
 				"X-Token-Count": "300,18",
 				"X-Prompt-Prefix": `5c1e07a2:200,${count.toString(16)}:100`
 			}
-			const {callers} = gateways[count % 2]
+			const {callers} = gateways[(count >> 2) % 4]
 			const sent = deployment.send(callers, {
 				id,
 				path,
@@ -145,7 +142,7 @@
 		await sleep(5000)
 		if (hasTrouble) {
 			// Its entry stays for three heartbeats after the last one.
-			await deployment.untilBeat()
+			await deployment.untilBeat(leaving)
 			await Promise.all([leaving.crash(), deployment.kill("side-11")])
 			note("i-m1 and its machine are gone for good")
 			await sleep(reuseAfterMs)
--- a/review/13/case.mjs
+++ b/review/13/case.mjs
@@ -3,14 +3,15 @@
  * and serves the others. The operator then moves a route to another service. The
  * gateways that the store serves have to follow within `config_apply_ms`.
  */
-import {hasTrouble, runCase, sleep} from "../kit-3/deployment.mjs"
+import {hasTrouble, heartbeatMs, runCase, sleep} from "../kit-3/deployment.mjs"
 import {PlainWorker} from "../kit-3/workers.mjs"
 
 const host = "shop.example"
 const configApplyMs = 2000
 const gatewayCount = 9
 const seedCount = 3
-const kinds = ["config", "versions"]
+const kinds = ["config", "versions", "servers"]
+const workerCount = 12
 
 function config(version, service, added) {
 	const route = {
@@ -51,14 +52,14 @@
 
 /**
  * Waits for a moment at which the seeds have just been answered: their watches of
- * kinds that don't change return every 1.5 s.
+ * kinds that don't change return every 1.5 s, at about the same time.
  */
 async function untilAnswered(seeds) {
 	const until = performance.now() + 20_000
-	for (let maxAgeMs = 150; performance.now() < until; maxAgeMs += 1) {
+	for (let maxAgeMs = 100; performance.now() < until; maxAgeMs += 0.2) {
 		const now = performance.now()
 		const ages = seeds.flatMap(({relay}) =>
-			kinds.map(kind => now - (relay.watchedAt.get(kind) ?? 0))
+			kinds.map(kind => now - (relay.answeredAt.get(kind) ?? 0))
 		)
 		if (Math.max(...ages) < maxAgeMs) return Math.max(...ages)
 		await sleep(10)
@@ -84,12 +85,9 @@
 				)
 		}
 		deployment.putConfig(config(7, "desk-a", []))
-		for (const [machine, service] of [
-			[11, "desk-a"],
-			[12, "desk-a"],
-			[13, "desk-b"],
-			[14, "desk-b"]
-		]) {
+		for (let n = 0; n < workerCount; n += 1) {
+			const machine = 11 + n
+			const service = n % 2 === 0 ? "desk-a" : "desk-b"
 			const worker = new PlainWorker({
 				id: `i-${machine}`,
 				ip: deployment.ip(machine),
@@ -101,6 +99,8 @@
 			})
 			await worker.start()
 			deployment.register(worker)
+			// Each worker has heartbeats of its own.
+			await sleep(heartbeatMs / workerCount)
 		}
 		const machines = Array.from({length: gatewayCount}, (_, n) => n + 1)
 		const controls = machines
--- a/review/kit-3/deployment.mjs
+++ b/review/kit-3/deployment.mjs
@@ -20,6 +20,7 @@
 
 const top = new URL("../..", import.meta.url).pathname
 export const heartbeatMs = 1200
+const beatCheckMs = 20
 export const hasTrouble = process.env.TROUBLE !== "0"
 
 export function sleep(ms) {
@@ -63,26 +64,26 @@
 		await this.store.listen(`${this.block}.250`, this.ports[0])
 		this.timer = setInterval(() => {
 			this.beat()
-		}, heartbeatMs)
+		}, beatCheckMs)
 	}
 
-	/** Each worker that lives writes its entry. */
+	/** Each worker that lives writes its entry at each of its heartbeats. */
 	beat() {
-		this.beatAt = performance.now()
-		for (const worker of this.workers) if (worker.isUp) this.register(worker)
+		const now = performance.now()
 		for (const worker of this.workers) {
-			const isSilent = performance.now() - worker.heardAt > 3 * heartbeatMs
-			if (worker.isUp || !isSilent) continue
+			const silentMs = now - worker.heardAt
+			if (worker.isUp && silentMs >= heartbeatMs) this.register(worker)
+			if (worker.isUp || silentMs <= 3 * heartbeatMs) continue
 			this.workers.delete(worker)
 			this.note(`entry of ${worker.id} is removed after three heartbeats`)
 			this.store.remove("servers", worker.id)
 		}
 	}
 
-	/** Resolves right after the workers have written their entries. */
-	async untilBeat() {
-		const {beatAt} = this
-		while (this.beatAt === beatAt) await sleep(10)
+	/** Resolves right after the worker has written its entry. */
+	async untilBeat(worker) {
+		const {heardAt} = worker
+		while (worker.heardAt === heardAt) await sleep(10)
 	}
 
 	register(worker) {
--- a/review/kit-3/relay.mjs
+++ b/review/kit-3/relay.mjs
@@ -5,8 +5,8 @@
 	constructor(target) {
 		this.target = target
 		this.isCut = false
-		/** Time of the last watch that was sent, by kind. */
-		this.watchedAt = new Map()
+		/** Time of the last answer to a watch, by kind. */
+		this.answeredAt = new Map()
 		this.sockets = new Set()
 		this.server = createServer({allowHalfOpen: true}, near => {
 			this.accept(near)
@@ -47,10 +47,15 @@
 		}
 		const far = connect({host, port: Number(port), allowHalfOpen: true})
 		this.keep(far)
+		let kind
 		near.on("data", chunk => {
-			const [, kind] =
-				/^GET \/objects\/(\w+)\?watch=/.exec(chunk.toString("latin1")) ?? []
-			if (kind !== undefined) this.watchedAt.set(kind, performance.now())
+			const watch = /^GET \/objects\/(\w+)\?watch=/.exec(
+				chunk.toString("latin1")
+			)
+			kind = watch?.[1]
+		})
+		far.on("data", () => {
+			if (kind !== undefined) this.answeredAt.set(kind, performance.now())
 		})
 		near.pipe(far)
 		far.pipe(near)
