--- a/review/11/case.mjs
+++ b/review/11/case.mjs
@@ -117,9 +117,10 @@
 			const service = count % 3 === 0 ? "members" : "guests"
 			const id = `r${count}`
 			const path = `/${service}/${count}`
-			const adapter = `a${1 + (count % 4)}`
+			// The first service's clients ask for the base model itself as well.
+			const adapter = count % 6 === 0 ? "" : `/a${1 + (count % 4)}`
 			const headers = {
-				"X-Model": `${model}/${adapter}`,
+				"X-Model": `${model}${adapter}`,
 				"X-Token-Count": "300,18",
 				"X-Prompt-Prefix": `5c1e07a2:200,${count.toString(16)}:100`
 			}
