Rely on other gateways' views by a deadline, not on their word (CONFIG)

Callers got answers of the old service, or 404 on a new route, up to 2.4 s after a configuration was acknowledged, at gateways that reach the store: those that read it for them had been turned away. 2.0 s are allowed.

A gateway stated that its view was fresh for 2.2 s after its last read, in heartbeats 0.5 s apart, and its followers looked each 0.2 s, so that they read the store 2.9 s after anyone had in the worst case. Whether a source knows that it has lost the store makes no difference: silence, 503 and resets have the same path.

Updates now state the age of the sender's view, counted from when an answer can have left the store at the earliest. A follower keeps the deadline until which it may rely on each source and reads the store when fewer than two are left. The bound is the shorter one of config_apply_ms and drain_ms, less the time of a read; the watches are short enough for it that followers stay away from the store while it serves. The statement covers configuration, versions and registrations.

--- a/src/gateway/fleet/__tests__/fleetPublisher.test.ts
+++ b/src/gateway/fleet/__tests__/fleetPublisher.test.ts
@@ -42,7 +42,8 @@
 	publisher = new FleetPublisher({
 		address,
 		fleet,
-		isFresh: () => isFresh,
+		getViewAgeMs: () => (isFresh ? 0 : Infinity),
+		maxViewAgeMs: 1500,
 		getProofAgeMs: () => 0,
 		log: createSilentLog()
 	})
--- a/src/gateway/fleet/__tests__/fleetState.test.ts
+++ b/src/gateway/fleet/__tests__/fleetState.test.ts
@@ -17,6 +17,8 @@
 
 vi.mock("../publishedConfig.js", {spy: true})
 
+const maxViewAgeMs = 1500
+
 function createLog(): DecisionLog {
 	const stream = new Writable({
 		write: (_chunk, _encoding, done) => {
@@ -199,7 +201,8 @@
 		const publisher = new FleetPublisher({
 			address,
 			fleet,
-			isFresh: () => health.isFresh,
+			getViewAgeMs: () => (health.isFresh ? 0 : Infinity),
+			maxViewAgeMs,
 			getProofAgeMs: () => health.proofAgeMs,
 			log: createLog()
 		})
@@ -221,6 +224,7 @@
 			sources: addresses,
 			fleet,
 			log: createLog(),
+			maxViewAgeMs,
 			now: () => performance.now()
 		})
 		const timer = setInterval(() => {
--- a/src/gateway/fleet/fleetFollower.ts
+++ b/src/gateway/fleet/fleetFollower.ts
@@ -1,7 +1,7 @@
 /**
  * Subscribes to the fleet updates of the gateways that watch the platform's
- * store. While at least two of them state that their view of it is fresh, this
- * gateway needs no watch of its own, since each of them delivers every change.
+ * store. While the views of at least two of them are recent enough, this gateway
+ * needs no watch of its own, since each of them delivers every change.
  */
 import {EndpointState, type FleetEndpoint} from "../../contract/fleet.js"
 import type {
@@ -26,6 +26,8 @@
 	sources: readonly string[]
 	fleet: FleetState
 	log: DecisionLog
+	/** Age of a source's view of the store from which it isn't relied on, milliseconds. */
+	maxViewAgeMs: number
 	/** Monotonic milliseconds. */
 	now: () => number
 	tls?: TlsKeys | undefined
@@ -38,6 +40,8 @@
 	openedAt: number
 	/** Whether its last update stated that its view of the store is fresh. */
 	isFresh: boolean
+	/** Time until which its view is recent enough, as its last update stated its age. */
+	reliableUntil: number
 	/** Whether it publishes Members; assumed until it has published a configuration. */
 	knowsMembers: boolean
 }
@@ -58,18 +62,26 @@
 			lastReceivedAt: Number.NEGATIVE_INFINITY,
 			openedAt: Number.NEGATIVE_INFINITY,
 			isFresh: false,
+			reliableUntil: Number.NEGATIVE_INFINITY,
 			knowsMembers: true
 		}))
 	}
 
-	/** Whether enough fresh sources deliver the store's changes to this gateway. */
+	/** Whether enough sources with a recent view deliver the store's changes. */
 	get isCovered(): boolean {
-		const now = this.options.now()
-		const freshSources = this.sources.filter(
-			({isFresh, knowsMembers, lastReceivedAt}) =>
-				isFresh && knowsMembers && now - lastReceivedAt < receiveTimeoutMs
-		)
-		return freshSources.length >= minFreshSources
+		return this.options.now() < this.coveredUntil
+	}
+
+	/**
+	 * Time until which enough sources have a recent view, if nothing more is received.
+	 * Sources whose build doesn't state the age of its view don't count.
+	 */
+	get coveredUntil(): number {
+		const deadlines = this.sources
+			.filter(({isFresh, knowsMembers}) => isFresh && knowsMembers)
+			.map(({reliableUntil}) => reliableUntil)
+			.sort((a, b) => b - a)
+		return deadlines[minFreshSources - 1] ?? Number.NEGATIVE_INFINITY
 	}
 
 	/** Addresses of the connected sources that may be asked to confirm. */
@@ -148,7 +160,9 @@
 	}
 
 	private applyUpdate(update: FleetUpdate, source: Source): void {
-		const {fleet, log, now} = this.options
+		const {fleet, log, maxViewAgeMs, now} = this.options
+		const {viewAgeMs = Number.POSITIVE_INFINITY} = update
+		source.reliableUntil = now() - viewAgeMs + maxViewAgeMs
 		// A source that has not noticed the store's return from a copy is stale.
 		const isFresh = update.isFresh && update.era >= fleet.era
 		if (source.isFresh !== isFresh) {
--- a/src/gateway/fleet/fleetPublisher.ts
+++ b/src/gateway/fleet/fleetPublisher.ts
@@ -1,7 +1,7 @@
 /**
  * Publishes this gateway's fleet state to the gateways that subscribe to it: a
  * snapshot on connection, then each change and a heartbeat. Each message states
- * whether this gateway's view of the store is fresh.
+ * how old this gateway's view of the store is.
  */
 import type * as grpc from "@grpc/grpc-js"
 import {
@@ -40,10 +40,10 @@
 	/** `ip:port`. */
 	address: string
 	fleet: FleetState
-	/**
-	 * Whether this gateway has recently read every kind of object from the store.
-	 */
-	isFresh: () => boolean
+	/** Time since this gateway's view had every change of the store, milliseconds. */
+	getViewAgeMs: () => number
+	/** Age from which its view isn't fresh, milliseconds. */
+	maxViewAgeMs: number
 	/** Age of the proof that the configuration is the newest; infinite without one. */
 	getProofAgeMs: () => number
 	log: DecisionLog
@@ -190,7 +190,8 @@
 	 * followers ignore the endpoint changes that are published while it is not.
 	 */
 	private beat(): void {
-		const isFresh = this.options.isFresh()
+		const {getViewAgeMs, maxViewAgeMs} = this.options
+		const isFresh = getViewAgeMs() < maxViewAgeMs
 		const isRegained = isFresh && !this.wasFresh
 		this.wasFresh = isFresh
 		this.publish(isRegained ? this.createSnapshot() : {})
@@ -236,10 +237,13 @@
 	}
 
 	private send(calls: Iterable<FollowCall>, update: Update): void {
-		const {fleet, isFresh} = this.options
+		const {fleet, getViewAgeMs, maxViewAgeMs} = this.options
+		const viewAgeMs = getViewAgeMs()
+		const isFresh = viewAgeMs < maxViewAgeMs
 		const message = create(FleetUpdateSchema, {
 			...update,
-			isFresh: isFresh(),
+			isFresh,
+			...(isFresh ? {viewAgeMs} : {}),
 			era: fleet.era
 		})
 		const isSendable = findEncodeError(FleetUpdateSchema, message) === undefined
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -18,6 +18,7 @@
 	TrialNotices
 } from "../notices/index.js"
 import {CrashRecords} from "../policy/crashes/index.js"
+import {getViewLimits} from "../policy/freshness/index.js"
 import {StatedLimits} from "../policy/limits/index.js"
 import type {DecisionLog} from "../program/decisionLog.js"
 import {bindWhenFree} from "../program/bindWhenFree.js"
@@ -66,12 +67,17 @@
 	 */
 	sources?: readonly string[]
 	/**
-	 * Whether this gateway has recently read every kind of object from the store;
-	 * sent to followers. Without it, its view counts as fresh for itself.
+	 * Time since this gateway's view had every change of the store, milliseconds; sent
+	 * to followers. Without it, its view counts as fresh for itself.
 	 */
-	isFresh?: () => boolean
-	/** Whether this gateway has recently read the configuration; as `isFresh` else. */
+	getViewAgeMs?: () => number
+	/** Whether this gateway's view of the configuration is fresh; as the whole view else. */
 	isConfigFresh?: () => boolean
+	/**
+	 * Time within which a change of the store has to be in force, milliseconds; 2000
+	 * by default.
+	 */
+	applyMs?: number
 	/**
 	 * Reads all endpoints from the store into the fleet state; rejects if that fails.
 	 * Without it, the state counts as current.
@@ -118,6 +124,7 @@
 
 const maintenanceIntervalMs = 250
 const defaultRevokeMs = 5000
+const defaultApplyMs = 2000
 /** Several times the longest time for which a caller resumes a stream. */
 const forgetBuildsAfterMs = 60_000
 
@@ -220,7 +227,13 @@
 			now
 		})
 		const {fleet, recorder} = this
-		const {isFresh, isConfigFresh = isFresh, readEndpoints} = options
+		const {getViewAgeMs, readEndpoints, applyMs = defaultApplyMs} = options
+		const {maxAgeMs: maxViewAgeMs} = getViewLimits(applyMs)
+		const isFresh =
+			getViewAgeMs === undefined
+				? undefined
+				: (): boolean => getViewAgeMs() < maxViewAgeMs
+		const {isConfigFresh = isFresh} = options
 		const streams = new StreamDirectory({
 			fleet,
 			links,
@@ -290,7 +303,8 @@
 			this.publisher = new FleetPublisher({
 				address: publishAddress,
 				fleet: this.fleet,
-				isFresh: options.isFresh ?? (() => false),
+				getViewAgeMs: getViewAgeMs ?? (() => Number.POSITIVE_INFINITY),
+				maxViewAgeMs,
 				getProofAgeMs: () => this.freshness.ageMs,
 				log,
 				tls
@@ -301,6 +315,7 @@
 			sources: sources.filter(source => source !== publishAddress),
 			fleet: this.fleet,
 			log,
+			maxViewAgeMs,
 			now,
 			tls
 		})
@@ -326,12 +341,23 @@
 	}
 
 	/**
-	 * Whether enough other gateways with a fresh view publish the store's changes
+	 * Whether enough other gateways with a recent view publish the store's changes
 	 * to this one, and confirm its configuration where that has Members, so that it
 	 * needs no watch of its own.
 	 */
 	get isCovered(): boolean {
-		if (this.isPublisher || !this.follower.isCovered) return false
+		return this.isConfirmedFollower && this.follower.isCovered
+	}
+
+	/** Time until which that is so if nothing more is heard. */
+	get coveredUntil(): number {
+		return this.isConfirmedFollower
+			? this.follower.coveredUntil
+			: Number.NEGATIVE_INFINITY
+	}
+
+	private get isConfirmedFollower(): boolean {
+		if (this.isPublisher) return false
 		return !this.fleet.hasMembers || this.renewal.isConfirmed
 	}
 
