State and check the pool at both ends of a link to an agent (ROUTE, LIMIT)

Callers of one service got answers of another one with status 200, after an engine and its host were lost and their address went to an engine of the other service. The link of the old registration reached the new agent, which queued what was asked, loaded what was missing, and granted with the id of its own engine; the gateway named that id, so the engine had no reason to refuse. In the same way the agent took the limits that the link stated for the old service, and overloaded its engine.

An agent now names the pool of its engine before anything else on a link, and a gateway names the pool that its link is for. A gateway gives up an engine whose address has one of another pool; the agent refuses requests of such a link and ignores its limits. A grant is used only from an engine that is known to be of the request's pool, by its registration or, before there is one, by what its agent states. So an engine that restarts under another id in its own service is still used at once.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -9,6 +9,7 @@
 import type {
 	Ask,
 	GatewayMessage,
+	Hello,
 	LeavingNotice,
 	LimitNotice,
 	CrashNotice
@@ -16,7 +17,8 @@
 import {
 	EngineCheckSchema,
 	OriginAnswerSchema,
-	RefuseReason
+	RefuseReason,
+	RefuseSchema
 } from "../contract/gen/grants_pb.js"
 import {startGrantServer} from "../link/fleetLink.js"
 import type {TlsKeys} from "../link/tls.js"
@@ -62,6 +64,8 @@
 	/** `ip:port` at which gateways connect. */
 	address: string
 	engine: EnginePort
+	/** Pool of the engine; undefined if it is not known. */
+	pool?: string | undefined
 	fencingTokens: FencingTokenSource
 	leases: LeaseStore
 	/** Needed if the configuration may contain quotas. */
@@ -95,6 +99,11 @@
 	private readonly notices: NoticeBoard
 	private readonly permits: PermitDesk
 	private readonly quotas: QuotaDesk | undefined
+	/**
+	 * Connections for an engine of another pool, which had the address of this one. Their
+	 * requests and limits are not for this engine.
+	 */
+	private readonly foreignOwners = new Set<string>()
 	private server: grpc.Server | undefined
 	private readonly loop: EngineLoop
 	private timer: NodeJS.Timeout | undefined
@@ -105,6 +114,7 @@
 		this.now = options.now ?? (() => performance.now())
 		this.scheduler = new GrantScheduler({random: options.random ?? Math.random})
 		this.links = new GatewayLinks({
+			pool: options.pool,
 			now: this.now,
 			onUnsendable: (kind, err) => {
 				const error = messageOf(err)
@@ -115,6 +125,7 @@
 				if (message.body.case !== "heartbeat") this.scheduleTick(activeTickMs)
 			},
 			onDisconnect: (owner, reason) => {
+				this.foreignOwners.delete(owner)
 				options.log.decide("gateway.lost", {owner, reason})
 				this.sendDecisions(this.scheduler.dropOwner(owner, this.now()))
 			}
@@ -259,10 +270,24 @@
 			this.links.setPace(owner, body.value)
 			for (const notice of this.notices.list(now))
 				this.links.send(owner, notice)
-			if (body.value.limits === undefined) return
-			this.scheduler.setLimits(body.value.limits)
-			this.loop.requestPlan()
+			this.handleHello(owner, body.value)
+		}
+	}
+
+	private handleHello(owner: string, hello: Hello): void {
+		const {gateway, engineId, pool, limits} = hello
+		const {engine, pool: own, log} = this.options
+		const isForeign = pool !== "" && own !== undefined && pool !== own
+		if (isForeign && !this.foreignOwners.has(owner)) {
+			this.foreignOwners.add(owner)
+			log.decide("gateway.foreign", {owner, gateway, engine: engineId, pool})
 		}
+		// Where a side states no pool, the limits may be those of another one.
+		const isOtherEngine =
+			(pool === "" || own === undefined) && !isSameId(engineId, engine.engineId)
+		if (limits === undefined || isForeign || isOtherEngine) return
+		this.scheduler.setLimits(limits)
+		this.loop.requestPlan()
 	}
 
 	/** Merges what a gateway noticed, and tells the others what is new. */
@@ -337,6 +362,10 @@
 	}
 
 	private handleAsk(owner: string, ask: Ask, now: number): void {
+		if (this.foreignOwners.has(owner)) {
+			this.refuseForeign(owner, ask)
+			return
+		}
 		if (ask.minVersion > 0) {
 			const {model, adapter, minVersion} = ask
 			const announcedAt = now - ask.minVersionAgeMs
@@ -346,6 +375,14 @@
 		this.loop.requestPlan()
 	}
 
+	/** Refuses a request for an engine of another pool before it is queued. */
+	private refuseForeign(owner: string, {key}: Ask): void {
+		const reason = RefuseReason.UNAVAILABLE
+		const value = create(RefuseSchema, {key, reason})
+		this.options.log.request("refuse", key, {reason: "other pool"})
+		this.links.send(owner, {case: "refuse", value})
+	}
+
 	/** Sends the scheduler's grants and refusals to the gateways that asked. */
 	private sendDecisions(decisions: readonly GrantDecision[]): void {
 		if (decisions.length === 0) return
@@ -429,6 +466,11 @@
 	}
 }
 
+/** Whether two ids may be those of one engine; empty ones are unknown. */
+function isSameId(one: string, other: string): boolean {
+	return one === "" || other === "" || one === other
+}
+
 function decodeAsk(owner: string, ask: Ask, now: number): GrantRequest {
 	return {
 		key: `${owner}/${ask.key}`,
--- a/src/agent/gatewayLinks.ts
+++ b/src/agent/gatewayLinks.ts
@@ -4,6 +4,7 @@
  */
 import {create, type MessageInitShape} from "@bufbuild/protobuf"
 import {
+	AgentHelloSchema,
 	type AgentMessage,
 	AgentMessageSchema,
 	type EngineState,
@@ -21,6 +22,8 @@
 import {type GrantSchedulerView, noWork} from "../policy/grants/index.js"
 
 export interface GatewayLinksOptions {
+	/** Pool of the engine, which gateways are told first; undefined if unknown. */
+	pool?: string | undefined
 	/** Called with each message; `owner` is the id of the connection. */
 	onMessage: (owner: string, message: GatewayMessage) => void
 	/** Called once when a connection ends, fails or times out. */
@@ -95,6 +98,9 @@
 			lastSentView: "",
 			lastSentResidency: undefined
 		})
+		const {pool} = this.options
+		if (pool !== undefined)
+			this.send(owner, {case: "hello", value: create(AgentHelloSchema, {pool})})
 		call.on("data", (message: GatewayMessage) => {
 			const link = this.links.get(owner)
 			if (link === undefined) return
--- a/src/gateway/links/agentLink.ts
+++ b/src/gateway/links/agentLink.ts
@@ -5,6 +5,7 @@
  */
 import {create, equals} from "@bufbuild/protobuf"
 import {
+	type AgentHello,
 	type AgentMessage,
 	EngineCheckSchema,
 	type EngineLimits,
@@ -47,6 +48,11 @@
 	engineBornAt: number
 }
 
+/** A grant and the pool that the agent states for its engine, if it does. */
+export interface IdentifiedGrant extends AgentGrant {
+	pool: string | undefined
+}
+
 export interface AgentRefusal {
 	reason: RefuseReason
 	retryAfterMs: number
@@ -55,7 +61,7 @@
 }
 
 export interface AskHandlers {
-	onGrant(grant: AgentGrant): void
+	onGrant(grant: IdentifiedGrant): void
 	onRefuse(refusal: AgentRefusal): void
 	/** The link failed before the agent responded. */
 	onLost(): void
@@ -85,6 +91,8 @@
 	getIntervals: () => LinkIntervals
 	getLimits: () => EngineLimits | undefined
 	getEngineId: () => string
+	/** Pool of the engine that the link is for. */
+	pool: string
 	onState(state: EngineState): void
 	/** The agent passes on what another gateway noticed. */
 	onNotice(notice: Notice): void
@@ -94,6 +102,8 @@
 	onQuota(answer: QuotaAnswer): void
 	/** The agent's answer to `findOrigin`. */
 	onOrigin(answer: OriginAnswer): void
+	/** The agent states that its engine is one of another pool. */
+	onForeign(pool: string): void
 	onUp(): void
 	onDown(reason: string): void
 	/** A message can't be encoded, and is not sent. */
@@ -139,6 +149,8 @@
 	private idleHeartbeatMs = grantLinkPace.minHeartbeatMs
 	/** Whether the agent goes by `idleHeartbeatMs`; older agents don't. */
 	private isAgentPacing = false
+	/** Pool of the agent's engine, as it stated on the open stream. */
+	private agentPool: string | undefined
 	/** Gateways that the agent has, as it stated last. */
 	private gatewayCount = 1
 	private isClosed = false
@@ -157,7 +169,7 @@
 	 */
 	ask(ask: AskBody, handlers: AskHandlers): void {
 		this.failAfterPause()
-		if (!this.isUp) {
+		if (!this.isUp || this.isForeign) {
 			handlers.onLost()
 			return
 		}
@@ -269,6 +281,7 @@
 			stateIntervalMs: minReportMs,
 			idleIntervalMs: heartbeatMs,
 			takesChanges: true,
+			pool: options.pool,
 			...(limits === undefined ? {} : {limits})
 		})
 		const known = this.sentHello
@@ -318,6 +331,7 @@
 		const connection = openGrantStream(this.options.address, this.options.tls)
 		this.openStream = connection
 		this.sentHello = undefined
+		this.agentPool = undefined
 		this.openedAt = this.options.now()
 		connection.stream.on("data", (message: AgentMessage) => {
 			if (this.openStream === connection) this.tryReceive(message)
@@ -345,6 +359,11 @@
 		return true
 	}
 
+	/** Whether an engine of another pool has the address by now. */
+	private get isForeign(): boolean {
+		return this.agentPool !== undefined && this.agentPool !== this.options.pool
+	}
+
 	private get heartbeatMs(): number {
 		const isIdle = this.requests.size === 0 && this.isAgentPacing
 		return isIdle ? this.idleHeartbeatMs : activeHeartbeatMs
@@ -373,7 +392,12 @@
 		if (state === undefined) return
 		this.gatewayCount = state.gateways
 		this.isAgentPacing = state.pacesHeartbeats
-		this.options.onState(state)
+		if (!this.isForeign) this.options.onState(state)
+	}
+
+	private applyHello({pool}: AgentHello): void {
+		this.agentPool = pool
+		if (this.isForeign) this.options.onForeign(pool)
 	}
 
 	private tryReceive(message: AgentMessage): void {
@@ -391,7 +415,8 @@
 			this.isUp = true
 			this.options.onUp()
 		}
-		if (body.case === "state") this.applyState(body.value)
+		if (body.case === "hello") this.applyHello(body.value)
+		else if (body.case === "state") this.applyState(body.value)
 		else if (isNotice(body)) this.options.onNotice(body)
 		else if (body.case === "check")
 			this.endCheck(body.value.bornAt, body.value.hasEnded)
@@ -414,7 +439,8 @@
 		// makes the agent release the grant.
 		if (ask === undefined) return
 		if (getSuspendedMs(ask.askedAt, this.getMoment()) === 0) {
-			ask.handlers.onGrant(grant)
+			const {agentPool: pool} = this
+			ask.handlers.onGrant({...grant, pool})
 			return
 		}
 		// The agent may have dropped this gateway and its grants meanwhile.
--- a/src/gateway/links/agentLinks.ts
+++ b/src/gateway/links/agentLinks.ts
@@ -24,7 +24,11 @@
 	type Notice,
 	type NoticeBoard
 } from "../../notices/index.js"
-import type {EngineChoice, EngineWork} from "../../policy/dispatch/index.js"
+import type {
+	EngineChoice,
+	EngineView,
+	EngineWork
+} from "../../policy/dispatch/index.js"
 import {
 	chooseLinkIntervals,
 	grantLinkPace,
@@ -66,6 +70,14 @@
  * has noticed that its sends broke off.
  */
 const retiredLinkMs = 2000
+/** View of an engine whose address an engine of another pool has. */
+const unusableView: EngineView = {
+	isUsable: false,
+	waitMs: 0,
+	tokensPerMs: 1,
+	freeSlots: 0,
+	slotStepMs: 0
+}
 /** Agents that pass on a fact, besides that of the endpoint it is about. */
 const maxNoticeRelays = 2
 
@@ -275,6 +287,7 @@
 			tls,
 			now,
 			getEngineId: () => id,
+			pool,
 			getIntervals: () => this.intervals,
 			getLimits: () => this.getLimits(pool),
 			onState: state => {
@@ -319,6 +332,12 @@
 			onUnhandled: (kind, err) => {
 				log.fault("message of an agent", err, {endpoint: id, kind})
 			},
+			onForeign: agentPool => {
+				if (this.links.get(id) !== link) return
+				log.decide("agent.foreign", {endpoint: id, pool, agentPool})
+				engineChoice.applyView(id, unusableView)
+				engineChoice.applyResidency(id, [], [])
+			},
 			onUp: () => {
 				if (this.retired.get(id)?.link === link) return
 				log.decide("agent.up", {endpoint: id})
--- a/src/gateway/sends/engineSearch.ts
+++ b/src/gateway/sends/engineSearch.ts
@@ -14,7 +14,12 @@
 import type {AgentLink, AgentRefusal} from "../links/agentLink.js"
 import type {LogFields} from "../callers/callerExchange.js"
 import type {GatewayContext, RoutedRequest} from "../gatewayContext.js"
-import {findBuild, findRegistration, type SendTarget} from "./sendTarget.js"
+import {
+	findBuild,
+	findPool,
+	findRegistration,
+	type SendTarget
+} from "./sendTarget.js"
 import {getStreamSpanMs} from "../streams/index.js"
 import type {GenerationHead} from "../wire.js"
 
@@ -195,6 +200,7 @@
 			key: "",
 			engineId: endpoint.id,
 			bornAt: endpoint.bornAt,
+			agentPool: undefined,
 			version,
 			expectedMs: rating.expectedMs,
 			ratedAt: ctx.now(),
@@ -236,6 +242,7 @@
 					key,
 					engineId: grant.engineId === "" ? endpoint.id : grant.engineId,
 					bornAt: grant.engineBornAt,
+					agentPool: grant.pool,
 					version: grant.version,
 					expectedMs: grant.expectedMs,
 					ratedAt: askedAt,
@@ -255,22 +262,23 @@
 	}
 
 	private useGrant(target: SendTarget): void {
-		const {ctx, binding, onFound} = this.options
+		const {ctx, request, binding, onFound} = this.options
 		const {endpoint, engineId, link, key} = target
 		const isOpen = ctx.pauses.isOpen(engineId, ctx.now())
-		const spanMs = getStreamSpanMs(this.options.request)
+		const spanMs = getStreamSpanMs(request)
+		const isOfPool = findPool(ctx.fleet, target) === request.pool
 		const isPermitted = binding.permits(findBuild(ctx, target, spanMs))
 		const registered = findRegistration(ctx.fleet, target)
 		const isReady =
 			ctx.fleet.isReady(endpoint) &&
 			(registered === undefined || ctx.fleet.isReady(registered))
-		if (isOpen && isPermitted && isReady) {
+		if (isOpen && isOfPool && isPermitted && isReady) {
 			this.exclude(endpoint.id, onFound(target))
 			return
 		}
 		// The endpoint began to drain, wants no requests for now, was removed or
-		// replaced, or restarted with a build that is not known to fit, while the
-		// request was queued.
+		// replaced, also by an engine of another pool, or restarted with a build that is
+		// not known to fit, while the request was queued.
 		link?.notifyEnded(key)
 		this.skipEngine(endpoint.id)
 	}
--- a/src/gateway/sends/sendTarget.ts
+++ b/src/gateway/sends/sendTarget.ts
@@ -22,6 +22,8 @@
 	engineId: string
 	/** Start time of the engine that was chosen; 0 when unknown. */
 	bornAt: number
+	/** Pool that the agent states for that engine; undefined if it states none. */
+	agentPool: string | undefined
 	/** Adapter version that the engine must serve with; 0 for any. */
 	version: number
 	/** Expected time to the first event, milliseconds. */
@@ -50,6 +52,18 @@
 	return engineId === endpoint.id ? (registered ?? endpoint) : registered
 }
 
+/**
+ * Pool of the engine that receives the request; undefined while it is not registered and
+ * its agent states none. The address at which the agent was asked may have been that of
+ * an engine of another pool.
+ */
+export function findPool(
+	fleet: FleetState,
+	target: Pick<SendTarget, "endpoint" | "engineId" | "agentPool">
+): string | undefined {
+	return findRegistration(fleet, target)?.pool ?? target.agentPool
+}
+
 /**
  * Build of the engine; undefined while the registration is that of another start,
  * which may have had another build. Without a grant, only the registration tells the
