Send the whole view once it is fresh again, also between heartbeats

A follower ignores endpoint changes of a source whose view isn't fresh, and gets the whole view when it is fresh again. The source looked at this at its heartbeats only: if its view was not fresh for less than the 500 ms between two of them, what it had sent meanwhile was lost to its followers, which could then send to endpoints that drain or are gone, and miss new ones.

Each update now compares its view with that of the update before, its era too, and has the whole view sent first where followers have ignored some.

The new test of fleetPublisher.test.ts fails on (nothing is sent again within 3 s) and passes now; 45 tests of the files concerned pass.

--- a/src/gateway/fleet/__tests__/fleetPublisher.test.ts
+++ b/src/gateway/fleet/__tests__/fleetPublisher.test.ts
@@ -116,6 +116,32 @@
 		})
 	})
 
+	// Guards against changes that followers never hear of, as they ignore those of a view
+	// that isn't fresh, and this one is fresh again before the next heartbeat.
+	it("sends again what it sent while its view was not fresh for a moment", async () => {
+		const updates = follow(3)
+		await waitForUpdates(updates, 3)
+		isFresh = false
+		fleet.applyEndpoint(createEndpoint(2), 0)
+		const listIds = (ofFresh: boolean): string[] =>
+			updates
+				.filter(update => update.isFresh === ofFresh)
+				.flatMap(({endpoints}) => endpoints.map(({id}) => id))
+		await vi.waitFor(
+			() => {
+				expect(listIds(false)).toEqual(["i-1"])
+			},
+			{interval: 5}
+		)
+		isFresh = true
+		await vi.waitFor(
+			() => {
+				expect(listIds(true)).toEqual(["i-1"])
+			},
+			{timeout: 3000}
+		)
+	})
+
 	// Guards against the removal of a live endpoint at a follower that saw it lapse
 	// and now hears of the store's changes from this gateway alone.
 	it("sends that an endpoint registered again after it lapsed", async () => {
--- a/src/gateway/fleet/fleetPublisher.ts
+++ b/src/gateway/fleet/fleetPublisher.ts
@@ -56,6 +56,13 @@
 
 type Update = MessageInitShape<typeof FleetUpdateSchema>
 
+/** What an update states of this gateway's view of the store. */
+interface StatedView {
+	isFresh: boolean
+	viewAgeMs?: number
+	era: number
+}
+
 interface ConfigFields {
 	config?: Uint8Array
 	compressedConfig?: Uint8Array
@@ -76,8 +83,8 @@
 	private timer: NodeJS.Timeout | undefined
 	private compressed: {version: number; bytes: Uint8Array} | undefined
 	private isPublishScheduled = false
-	/** Whether the view was fresh at the last heartbeat. */
-	private wasFresh = false
+	/** The view that the last update for all followers stated. */
+	private lastView: StatedView = {isFresh: false, era: 0}
 
 	constructor(private readonly options: FleetPublisherOptions) {
 		options.fleet.addListener({
@@ -97,7 +104,7 @@
 	start(): Promise<void> {
 		const {address, tls, log} = this.options
 		this.timer = setInterval(() => {
-			this.beat()
+			this.publish({})
 		}, heartbeatMs)
 		return bindWhenFree({
 			address,
@@ -142,13 +149,15 @@
 		const {configVersion = Number.NEGATIVE_INFINITY} = call.request
 		const isNews = config !== undefined && config.version > configVersion
 		const fields = isNews ? this.encodeConfig(config, call) : {}
-		this.send([call], this.createSnapshot(fields))
+		this.send([call], this.createSnapshot(fields), this.readView())
 	}
 
 	/** Sends a configuration to the followers, which each get it once. */
 	private publishConfig(config: FleetConfig): void {
+		const view = this.readView()
+		this.publishRegained(view)
 		for (const call of this.subscribers)
-			this.send([call], this.encodeConfig(config, call))
+			this.send([call], this.encodeConfig(config, call), view)
 	}
 
 	private encodeConfig(
@@ -185,18 +194,6 @@
 		}
 	}
 
-	/**
-	 * Publishes a heartbeat, or all but the configuration if the view became fresh:
-	 * followers ignore the endpoint changes that are published while it is not.
-	 */
-	private beat(): void {
-		const {getViewAgeMs, maxViewAgeMs} = this.options
-		const isFresh = getViewAgeMs() < maxViewAgeMs
-		const isRegained = isFresh && !this.wasFresh
-		this.wasFresh = isFresh
-		this.publish(isRegained ? this.createSnapshot() : {})
-	}
-
 	/** Publishes all endpoint changes of one event loop turn in one message. */
 	private schedulePublish(): void {
 		if (this.isPublishScheduled) return
@@ -233,19 +230,38 @@
 	}
 
 	private publish(update: Update): void {
-		if (this.subscribers.size > 0) this.send(this.subscribers, update)
+		const view = this.readView()
+		this.publishRegained(view)
+		if (this.subscribers.size > 0) this.send(this.subscribers, update, view)
 	}
 
-	private send(calls: Iterable<FollowCall>, update: Update): void {
+	/**
+	 * Publishes all but the configuration before the first update with a view that is
+	 * fresh again, or of another era: followers ignored the endpoint changes since.
+	 */
+	private publishRegained(view: StatedView): void {
+		const {isFresh, era} = this.lastView
+		this.lastView = view
+		const isRegained = view.isFresh && !(isFresh && view.era === era)
+		if (isRegained && this.subscribers.size > 0)
+			this.send(this.subscribers, this.createSnapshot(), view)
+	}
+
+	private readView(): StatedView {
 		const {fleet, getViewAgeMs, maxViewAgeMs} = this.options
+		const {era} = fleet
 		const viewAgeMs = getViewAgeMs()
-		const isFresh = viewAgeMs < maxViewAgeMs
-		const message = create(FleetUpdateSchema, {
-			...update,
-			isFresh,
-			...(isFresh ? {viewAgeMs} : {}),
-			era: fleet.era
-		})
+		return viewAgeMs < maxViewAgeMs
+			? {isFresh: true, viewAgeMs, era}
+			: {isFresh: false, era}
+	}
+
+	private send(
+		calls: Iterable<FollowCall>,
+		update: Update,
+		view: StatedView
+	): void {
+		const message = create(FleetUpdateSchema, {...update, ...view})
 		const isSendable = findEncodeError(FleetUpdateSchema, message) === undefined
 		if (!isSendable && !this.dropUnsendable(message)) return
 		for (const call of calls) call.write(message)
