Let a registration tell the pool of an engine that may follow another one (ROUTE)

An engine can be lost without its host. Its address may then have an engine of another service, beside the agent of the one before, whose settings still name that one's pool: the agent vouched for the wrong pool, ordered for it, and refused the requests of the right one for good.

An engine under another id that is first seen reuse_after_s or more after the one before now belongs to no known pool. Its agent grants and orders nothing until a gateway's hello names the engine and the pool of its registration, which counts before the settings. A restart under the same id, or sooner, costs nothing.

--- a/src/agent/agentTask.ts
+++ b/src/agent/agentTask.ts
@@ -34,9 +34,11 @@
 } from "../notices/index.js"
 import {CrashRecords} from "../policy/crashes/index.js"
 import {
+	EnginePool,
 	GrantDecisionKind,
 	type GrantRequest,
 	GrantScheduler,
+	type GrantSchedulerView,
 	type GrantDecision,
 	GrantRefusalReason
 } from "../policy/grants/index.js"
@@ -64,8 +66,13 @@
 	/** `ip:port` at which gateways connect. */
 	address: string
 	engine: EnginePort
-	/** Pool of the engine; undefined if it is not known. */
+	/** Pool of the engine, as the settings name it; undefined if they don't. */
 	pool?: string | undefined
+	/**
+	 * Shortest time from the end of an engine until another one gets its address,
+	 * milliseconds; 2000 by default.
+	 */
+	reuseAfterMs?: number
 	fencingTokens: FencingTokenSource
 	leases: LeaseStore
 	/** Needed if the configuration may contain quotas. */
@@ -86,6 +93,7 @@
 const idleTickMs = 300
 /** Several times the streams that one engine begins while callers may resume them. */
 const maxKnownOrigins = 20_000
+const defaultReuseAfterMs = 2000
 
 export class AgentTask {
 	private readonly scheduler: GrantScheduler
@@ -99,11 +107,9 @@
 	private readonly notices: NoticeBoard
 	private readonly permits: PermitDesk
 	private readonly quotas: QuotaDesk | undefined
-	/**
-	 * Connections for an engine of another pool, which had the address of this one. Their
-	 * requests and limits are not for this engine.
-	 */
-	private readonly foreignOwners = new Set<string>()
+	private readonly pool: EnginePool
+	/** What each gateway stated last of the engine that it connected for. */
+	private readonly hellos = new Map<string, Hello>()
 	private server: grpc.Server | undefined
 	private readonly loop: EngineLoop
 	private timer: NodeJS.Timeout | undefined
@@ -113,8 +119,10 @@
 	constructor(private readonly options: AgentTaskOptions) {
 		this.now = options.now ?? (() => performance.now())
 		this.scheduler = new GrantScheduler({random: options.random ?? Math.random})
+		const {pool, reuseAfterMs = defaultReuseAfterMs} = options
+		this.pool = new EnginePool({pool, reuseAfterMs})
 		this.links = new GatewayLinks({
-			pool: options.pool,
+			getPool: () => this.pool.name,
 			now: this.now,
 			onUnsendable: (kind, err) => {
 				const error = messageOf(err)
@@ -125,7 +133,7 @@
 				if (message.body.case !== "heartbeat") this.scheduleTick(activeTickMs)
 			},
 			onDisconnect: (owner, reason) => {
-				this.foreignOwners.delete(owner)
+				this.hellos.delete(owner)
 				options.log.decide("gateway.lost", {owner, reason})
 				this.sendDecisions(this.scheduler.dropOwner(owner, this.now()))
 			}
@@ -164,6 +172,14 @@
 			log,
 			scheduler: this.scheduler,
 			now: this.now,
+			onReport: askedAt => {
+				const {engineId: id} = engine
+				const {engineBornAt: bornAt} = this.scheduler
+				this.updatePool(() => {
+					this.pool.recordEngine({id, bornAt, askedAt, now: this.now()})
+				})
+			},
+			mayOrder: () => !this.pool.mayBeReplaced,
 			onDecisions: decisions => {
 				this.sendDecisions(decisions)
 				// A report may show another incarnation than notices were about.
@@ -275,17 +291,38 @@
 	}
 
 	private handleHello(owner: string, hello: Hello): void {
-		const {gateway, engineId, pool, limits} = hello
-		const {engine, pool: own, log} = this.options
-		const isForeign = pool !== "" && own !== undefined && pool !== own
-		if (isForeign && !this.foreignOwners.has(owner)) {
-			this.foreignOwners.add(owner)
-			log.decide("gateway.foreign", {owner, gateway, engine: engineId, pool})
+		const {gateway, engineId, pool} = hello
+		const isNew = !this.hellos.has(owner)
+		this.hellos.set(owner, hello)
+		this.updatePool(() => {
+			this.pool.recordRegistration(engineId, pool)
+		})
+		this.applyLimits(hello)
+		if (isNew && this.pool.isForeign(pool)) {
+			const fields = {owner, gateway, engine: engineId, pool}
+			this.options.log.decide("gateway.foreign", fields)
 		}
+	}
+
+	/** Applies what tells the engine's pool, and passes on a change. */
+	private updatePool(update: () => void): void {
+		const {engine, log} = this.options
+		const known = this.pool.name
+		const wasUncertain = this.pool.mayBeReplaced
+		update()
+		const {name: pool, mayBeReplaced} = this.pool
+		if (pool === known && mayBeReplaced === wasUncertain) return
+		log.decide("engine.pool", {engine: engine.engineId, pool, mayBeReplaced})
+		this.links.sendHelloToAll()
+		for (const hello of this.hellos.values()) this.applyLimits(hello)
+	}
+
+	/** Takes the limits that a gateway states, if they are those of the engine's pool. */
+	private applyLimits({engineId, pool, limits}: Hello): void {
+		if (limits === undefined || this.pool.isForeign(pool)) return
+		const isStated = pool !== "" && this.pool.name !== undefined
 		// Where a side states no pool, the limits may be those of another one.
-		const isOtherEngine =
-			(pool === "" || own === undefined) && !isSameId(engineId, engine.engineId)
-		if (limits === undefined || isForeign || isOtherEngine) return
+		if (!isStated && !isSameId(engineId, this.options.engine.engineId)) return
 		this.scheduler.setLimits(limits)
 		this.loop.requestPlan()
 	}
@@ -362,7 +399,7 @@
 	}
 
 	private handleAsk(owner: string, ask: Ask, now: number): void {
-		if (this.foreignOwners.has(owner)) {
+		if (this.pool.isForeign(this.hellos.get(owner)?.pool ?? "")) {
 			this.refuseForeign(owner, ask)
 			return
 		}
@@ -379,14 +416,15 @@
 	private refuseForeign(owner: string, {key}: Ask): void {
 		const reason = RefuseReason.UNAVAILABLE
 		const value = create(RefuseSchema, {key, reason})
-		this.options.log.request("refuse", key, {reason: "other pool"})
+		const {name: pool} = this.pool
+		this.options.log.request("refuse", key, {reason: "other pool", pool})
 		this.links.send(owner, {case: "refuse", value})
 	}
 
 	/** Sends the scheduler's grants and refusals to the gateways that asked. */
 	private sendDecisions(decisions: readonly GrantDecision[]): void {
 		if (decisions.length === 0) return
-		const state = this.links.createState(this.scheduler.getView(this.now()))
+		const state = this.links.createState(this.getView())
 		for (const decision of decisions) {
 			const {request, expectedMs} = decision
 			const key = request.key.slice(request.owner.length + 1)
@@ -425,6 +463,11 @@
 		}
 	}
 
+	private getView(): GrantSchedulerView {
+		const view = this.scheduler.getView(this.now())
+		return this.pool.mayBeReplaced ? {...view, isUsable: false} : view
+	}
+
 	/** Ticks after the delay, unless an earlier tick is scheduled. */
 	private scheduleTick(delayMs: number): void {
 		const at = this.now() + delayMs
@@ -453,14 +496,11 @@
 		}
 		this.crashes.expire(this.now())
 		const {slots} = this.scheduler
-		const hasUnsent = this.links.publishState(
-			this.scheduler.getView(this.now()),
-			{
-				resident: slots.listResident(),
-				recent: slots.listRecent(),
-				restarts: slots.restarts
-			}
-		)
+		const hasUnsent = this.links.publishState(this.getView(), {
+			resident: slots.listResident(),
+			recent: slots.listRecent(),
+			restarts: slots.restarts
+		})
 		const isActive = hasUnsent || this.scheduler.waitingCount > 0
 		this.scheduleTick(isActive ? activeTickMs : idleTickMs)
 	}
--- a/src/agent/engineLoop.ts
+++ b/src/agent/engineLoop.ts
@@ -24,6 +24,10 @@
 	fencingTokens: FencingTokenSource
 	scheduler: GrantScheduler
 	log: DecisionLog
+	/** Called with each report, once the engine's id is known; it was asked at that time. */
+	onReport?: (askedAt: number) => void
+	/** Whether the engine may be ordered; always by default. */
+	mayOrder?: () => boolean
 	/** Receives the grants and refusals that the scheduler decides after a report. */
 	onDecisions: (decisions: readonly GrantDecision[]) => void
 	/** Monotonic milliseconds. */
@@ -151,10 +155,11 @@
 	private async run(): Promise<void> {
 		while (!this.isStopped) {
 			if (this.options.now() >= this.nextReportAt) await this.readReport()
-			const order =
-				this.fencingToken === undefined
-					? undefined
-					: this.options.scheduler.planOrder(this.options.now())
+			const mayOrder =
+				this.fencingToken !== undefined && this.options.mayOrder?.() !== false
+			const order = mayOrder
+				? this.options.scheduler.planOrder(this.options.now())
+				: undefined
 			if (order === undefined || this.fencingToken === undefined) {
 				await this.sleepUntil(this.nextReportAt)
 				continue
@@ -194,6 +199,7 @@
 					sequence: report.sequence
 				})
 			}
+			this.options.onReport?.(askedAt)
 			this.logModelChange(report)
 			this.nextReportAt = this.getNextReportAt()
 			this.options.onDecisions(
--- a/src/agent/gatewayLinks.ts
+++ b/src/agent/gatewayLinks.ts
@@ -23,7 +23,7 @@
 
 export interface GatewayLinksOptions {
 	/** Pool of the engine, which gateways are told first; undefined if unknown. */
-	pool?: string | undefined
+	getPool?: () => string | undefined
 	/** Called with each message; `owner` is the id of the connection. */
 	onMessage: (owner: string, message: GatewayMessage) => void
 	/** Called once when a connection ends, fails or times out. */
@@ -98,9 +98,7 @@
 			lastSentView: "",
 			lastSentResidency: undefined
 		})
-		const {pool} = this.options
-		if (pool !== undefined)
-			this.send(owner, {case: "hello", value: create(AgentHelloSchema, {pool})})
+		if (this.options.getPool?.() !== undefined) this.sendHello(owner)
 		call.on("data", (message: GatewayMessage) => {
 			const link = this.links.get(owner)
 			if (link === undefined) return
@@ -129,6 +127,12 @@
 		else this.options.onUnsendable(body.case, err)
 	}
 
+	/** Tells a gateway the pool of the engine. */
+	sendHello(owner: string): void {
+		const pool = this.options.getPool?.() ?? ""
+		this.send(owner, {case: "hello", value: create(AgentHelloSchema, {pool})})
+	}
+
 	/** Applies what a gateway stated in its hello. */
 	setPace(owner: string, pace: GatewayPace): void {
 		const link = this.links.get(owner)
@@ -138,6 +142,11 @@
 		link.pace = {stateIntervalMs, idleIntervalMs, takesChanges}
 	}
 
+	/** Tells all gateways the pool of the engine. */
+	sendHelloToAll(): void {
+		for (const owner of this.links.keys()) this.sendHello(owner)
+	}
+
 	/** Sends a message to all gateways. */
 	sendToAll(body: AgentMessage["body"]): void {
 		for (const owner of this.links.keys()) this.send(owner, body)
--- a/src/gateway/links/agentLink.ts
+++ b/src/gateway/links/agentLink.ts
@@ -353,12 +353,16 @@
 		if (!this.isUp) return false
 		const maxGapMs = this.heartbeatMs * maxSendGapHeartbeats
 		if (this.options.now() - this.lastSentAt <= maxGapMs) return false
-		this.fail(pausedReason)
 		// Other hosts may have noticed much meanwhile.
-		if (!this.isClosed) this.connect()
+		this.restart(pausedReason)
 		return true
 	}
 
+	private restart(reason: string): void {
+		this.fail(reason)
+		if (!this.isClosed) this.connect()
+	}
+
 	/** Whether an engine of another pool has the address by now. */
 	private get isForeign(): boolean {
 		return this.agentPool !== undefined && this.agentPool !== this.options.pool
@@ -396,8 +400,11 @@
 	}
 
 	private applyHello({pool}: AgentHello): void {
-		this.agentPool = pool
+		const wasForeign = this.isForeign
+		this.agentPool = pool === "" ? undefined : pool
 		if (this.isForeign) this.options.onForeign(pool)
+		// Only the first state of a stream is complete.
+		else if (wasForeign) this.restart("the engine's pool has changed")
 	}
 
 	private tryReceive(message: AgentMessage): void {
