Watch the store in short steps only while other gateways rely on it

A trial with each call logged showed no gateway that turned to the store without need; the calls were those of the shorter watches.

Followers now state whether they rely on the gateway that they subscribe to. Without such a follower, for 5 s after the start or the last one, watches last as long as before, and what a gateway makes of its own reads is as before too. What an update states of the view's age, and the deadline that a follower derives from it, stay.

--- a/src/gateway/fleet/__tests__/fleetPublisher.test.ts
+++ b/src/gateway/fleet/__tests__/fleetPublisher.test.ts
@@ -42,8 +42,8 @@
 	publisher = new FleetPublisher({
 		address,
 		fleet,
-		getViewAgeMs: () => (isFresh ? 0 : Infinity),
-		maxViewAgeMs: 1500,
+		isFresh: () => isFresh,
+		getViewAgeMs: () => 0,
 		getProofAgeMs: () => 0,
 		log: createSilentLog()
 	})
--- a/src/gateway/fleet/__tests__/fleetState.test.ts
+++ b/src/gateway/fleet/__tests__/fleetState.test.ts
@@ -201,8 +201,8 @@
 		const publisher = new FleetPublisher({
 			address,
 			fleet,
-			getViewAgeMs: () => (health.isFresh ? 0 : Infinity),
-			maxViewAgeMs,
+			isFresh: () => health.isFresh,
+			getViewAgeMs: () => 0,
 			getProofAgeMs: () => health.proofAgeMs,
 			log: createLog()
 		})
@@ -224,6 +224,7 @@
 			sources: addresses,
 			fleet,
 			log: createLog(),
+			relies: true,
 			maxViewAgeMs,
 			now: () => performance.now()
 		})
--- a/src/gateway/fleet/fleetFollower.ts
+++ b/src/gateway/fleet/fleetFollower.ts
@@ -26,6 +26,8 @@
 	sources: readonly string[]
 	fleet: FleetState
 	log: DecisionLog
+	/** Whether this gateway reads the store only while its sources are too old. */
+	relies: boolean
 	/** Age of a source's view of the store from which it isn't relied on, milliseconds. */
 	maxViewAgeMs: number
 	/** Monotonic milliseconds. */
@@ -121,10 +123,15 @@
 	}
 
 	private connect(source: Source): void {
-		const {gateway, fleet, tls, now} = this.options
+		const {gateway, fleet, relies, tls, now} = this.options
 		source.openedAt = now()
 		const {version: configVersion} = fleet.config ?? {}
-		const open = openFollowStream(source.address, {gateway, configVersion, tls})
+		const open = openFollowStream(source.address, {
+			gateway,
+			configVersion,
+			relies,
+			tls
+		})
 		const {stream} = open
 		source.open = open
 		source.knowsMembers = true
--- a/src/gateway/fleet/fleetPublisher.ts
+++ b/src/gateway/fleet/fleetPublisher.ts
@@ -40,10 +40,15 @@
 	/** `ip:port`. */
 	address: string
 	fleet: FleetState
-	/** Time since this gateway's view had every change of the store, milliseconds. */
+	/**
+	 * Whether this gateway has recently read every kind of object from the store.
+	 */
+	isFresh: () => boolean
+	/**
+	 * Time since its view was known to have every change of the store, milliseconds;
+	 * infinite if that is not known.
+	 */
 	getViewAgeMs: () => number
-	/** Age from which its view isn't fresh, milliseconds. */
-	maxViewAgeMs: number
 	/** Age of the proof that the configuration is the newest; infinite without one. */
 	getProofAgeMs: () => number
 	log: DecisionLog
@@ -53,6 +58,8 @@
 /** A follower disconnects after three heartbeats without a message. */
 const heartbeatMs = 500
 const lapsedFields = "lapsed"
+/** Followers connect within this time of a start, and of the loss of a connection. */
+const reconnectMs = 5000
 
 type Update = MessageInitShape<typeof FleetUpdateSchema>
 
@@ -83,6 +90,7 @@
 	private timer: NodeJS.Timeout | undefined
 	private compressed: {version: number; bytes: Uint8Array} | undefined
 	private isPublishScheduled = false
+	private reliedOnUntil = Number.NEGATIVE_INFINITY
 	/** The view that the last update for all followers stated. */
 	private lastView: StatedView = {isFresh: false, era: 0}
 
@@ -103,6 +111,7 @@
 	/** Resolves after the first attempt to bind the address. */
 	start(): Promise<void> {
 		const {address, tls, log} = this.options
+		this.reliedOnUntil = performance.now() + reconnectMs
 		this.timer = setInterval(() => {
 			this.publish({})
 		}, heartbeatMs)
@@ -131,6 +140,17 @@
 		})
 	}
 
+	/**
+	 * Whether a follower reads the store only if the views of others are too old, or may
+	 * be about to connect.
+	 */
+	get isReliedOn(): boolean {
+		const now = performance.now()
+		const isNeeded = [...this.subscribers].some(({request}) => request.relies)
+		if (isNeeded) this.reliedOnUntil = now + reconnectMs
+		return now < this.reliedOnUntil
+	}
+
 	stop(): void {
 		this.stopping.abort()
 		clearInterval(this.timer)
@@ -248,12 +268,10 @@
 	}
 
 	private readView(): StatedView {
-		const {fleet, getViewAgeMs, maxViewAgeMs} = this.options
-		const {era} = fleet
+		const {fleet, isFresh, getViewAgeMs} = this.options
+		const view = {isFresh: isFresh(), era: fleet.era}
 		const viewAgeMs = getViewAgeMs()
-		return viewAgeMs < maxViewAgeMs
-			? {isFresh: true, viewAgeMs, era}
-			: {isFresh: false, era}
+		return Number.isFinite(viewAgeMs) ? {...view, viewAgeMs} : view
 	}
 
 	private send(
--- a/src/gateway/gatewayTask.ts
+++ b/src/gateway/gatewayTask.ts
@@ -67,12 +67,17 @@
 	 */
 	sources?: readonly string[]
 	/**
-	 * Time since this gateway's view had every change of the store, milliseconds; sent
-	 * to followers. Without it, its view counts as fresh for itself.
+	 * Whether this gateway has recently read every kind of object from the store;
+	 * sent to followers. Without it, its view counts as fresh for itself.
 	 */
-	getViewAgeMs?: () => number
-	/** Whether this gateway's view of the configuration is fresh; as the whole view else. */
+	isFresh?: () => boolean
+	/** Whether this gateway has recently read the configuration; as `isFresh` else. */
 	isConfigFresh?: () => boolean
+	/**
+	 * Time since its view was known to have every change of the store, milliseconds;
+	 * sent to followers, which don't rely on this gateway without it.
+	 */
+	getViewAgeMs?: () => number
 	/**
 	 * Time within which a change of the store has to be in force, milliseconds; 2000
 	 * by default.
@@ -227,13 +232,7 @@
 			now
 		})
 		const {fleet, recorder} = this
-		const {getViewAgeMs, readEndpoints, applyMs = defaultApplyMs} = options
-		const {maxAgeMs: maxViewAgeMs} = getViewLimits(applyMs)
-		const isFresh =
-			getViewAgeMs === undefined
-				? undefined
-				: (): boolean => getViewAgeMs() < maxViewAgeMs
-		const {isConfigFresh = isFresh} = options
+		const {isFresh, isConfigFresh = isFresh, readEndpoints} = options
 		const streams = new StreamDirectory({
 			fleet,
 			links,
@@ -303,8 +302,8 @@
 			this.publisher = new FleetPublisher({
 				address: publishAddress,
 				fleet: this.fleet,
-				getViewAgeMs: getViewAgeMs ?? (() => Number.POSITIVE_INFINITY),
-				maxViewAgeMs,
+				isFresh: options.isFresh ?? (() => false),
+				getViewAgeMs: options.getViewAgeMs ?? (() => Number.POSITIVE_INFINITY),
 				getProofAgeMs: () => this.freshness.ageMs,
 				log,
 				tls
@@ -315,7 +314,8 @@
 			sources: sources.filter(source => source !== publishAddress),
 			fleet: this.fleet,
 			log,
-			maxViewAgeMs,
+			relies: !isPublisher,
+			maxViewAgeMs: getViewLimits(options.applyMs ?? defaultApplyMs).maxAgeMs,
 			now,
 			tls
 		})
@@ -356,6 +356,11 @@
 			: Number.NEGATIVE_INFINITY
 	}
 
+	/** Whether other gateways rely on this one's view of the store. */
+	get isReliedOn(): boolean {
+		return this.publisher?.isReliedOn === true
+	}
+
 	private get isConfirmedFollower(): boolean {
 		if (this.isPublisher) return false
 		return !this.fleet.hasMembers || this.renewal.isConfirmed
--- a/src/link/fleetLink.ts
+++ b/src/link/fleetLink.ts
@@ -86,13 +86,15 @@
 	gateway: string
 	/** Version of its configuration, which it doesn't need to get. */
 	configVersion: number | undefined
+	/** See `FollowRequest`. */
+	relies?: boolean
 	tls?: TlsKeys | undefined
 }
 
 /** Subscribes to the fleet updates of a gateway that watches the platform. */
 export function openFollowStream(
 	address: string,
-	{gateway, configVersion, tls}: FollowOptions
+	{gateway, configVersion, relies = false, tls}: FollowOptions
 ): OpenFollowStream {
 	const client = openClient(address, tls, maxUpdateBytes)
 	const {path, requestSerialize, responseDeserialize} = fleetMethods.follow
@@ -103,6 +105,7 @@
 		create(FollowRequestSchema, {
 			gateway,
 			acceptsCompressed: true,
+			relies,
 			...(configVersion === undefined ? {} : {configVersion})
 		})
 	)
--- a/src/policy/freshness/viewLimits.ts
+++ b/src/policy/freshness/viewLimits.ts
@@ -7,8 +7,8 @@
 	/** Age from which a view is not relied on, milliseconds. */
 	maxAgeMs: number
 	/**
-	 * Longest duration of one watch, milliseconds. A gateway that watches can't tell a
-	 * store without changes from one that is lost until its watch returns.
+	 * Longest duration of one watch of a gateway on which others rely, milliseconds. It
+	 * can't tell a store without changes from one that is lost until its watch returns.
 	 */
 	maxWatchMs: number
 }
