Count an agent as connected from its first state on, not from its hello

The one that prints its answer got "no engine in time". Since the first message of an agent is its hello, so that agent.up was logged up to 50 ms before the engine's state was there, and the tests, which wait for that line, sent too early. Requests of callers went by the state as before; only the log line said too much.

The hello now has no part in whether a link is up.

--- a/src/gateway/links/agentLink.ts
+++ b/src/gateway/links/agentLink.ts
@@ -418,12 +418,15 @@
 	private receive({body}: AgentMessage): void {
 		if (this.failAfterPause()) return
 		this.lastReceivedAt = this.options.now()
+		if (body.case === "hello") {
+			this.applyHello(body.value)
+			return
+		}
 		if (!this.isUp) {
 			this.isUp = true
 			this.options.onUp()
 		}
-		if (body.case === "hello") this.applyHello(body.value)
-		else if (body.case === "state") this.applyState(body.value)
+		if (body.case === "state") this.applyState(body.value)
 		else if (isNotice(body)) this.options.onNotice(body)
 		else if (body.case === "check")
 			this.endCheck(body.value.bornAt, body.value.hasEnded)
